--- a/scenario/scenario_test.go
+++ b/scenario/scenario_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"os"
 	"os/exec"
@@ -351,7 +352,7 @@
 		return last == nil
 	})
 	if err != nil {
-		return fmt.Errorf("%w: %v", err, last)
+		return errors.Join(err, last)
 	}
 	return nil
 }
@@ -510,7 +511,7 @@
 		return last == nil
 	})
 	if err != nil {
-		return fmt.Errorf("%w: %v", err, last)
+		return errors.Join(err, last)
 	}
 	return nil
 }
