--- a/process/daemon/daemon.go
+++ b/process/daemon/daemon.go
@@ -31,7 +31,7 @@
 )
 
 const (
-	watchers     = 2 // hosts of a data centre that watch the store
+	Watchers     = 2 // hosts of a data centre that watch the store
 	pullEvery    = 200 * time.Millisecond
 	catchUpTime  = 2 * time.Second
 	aloneAfter   = 3 * time.Second // without the store, how long peers are listened to
@@ -155,7 +155,7 @@
 	duties.Go(func() { d.start(ctx) })
 	duties.Go(func() { d.poller.Run(ctx) })
 	duties.Go(func() { d.poller.RunList(ctx) })
-	go d.changes.Watch(ctx, func() bool { return d.membership.OnDuty("watch the store", watchers, time.Now()) })
+	go d.changes.Watch(ctx, func() bool { return d.membership.OnDuty("watch the store", Watchers, time.Now()) })
 	served := make(chan error, 1)
 	go func() { served <- d.callers.Serve(callers) }()
 	err = d.until(ctx, served)
--- a/process/membership/digest.go
+++ b/process/membership/digest.go
@@ -11,7 +11,7 @@
 
 // SwapDigests swaps digests with other data centres until ctx ends.
 func (m *Membership) SwapDigests(ctx context.Context, p Peers) {
-	t := time.NewTicker(swapTick)
+	t := time.NewTicker(SwapTick)
 	defer t.Stop()
 	for {
 		m.SwapOnce(ctx, p)
@@ -50,7 +50,7 @@
 	m.mu.Unlock()
 	var out []netip.AddrPort
 	for _, name := range names {
-		if m.OnDuty("digest "+name, owners, now) {
+		if m.OnDuty("digest "+name, Owners, now) {
 			out = append(out, m.anyOf(name)...)
 		}
 	}
--- a/process/membership/exchange.go
+++ b/process/membership/exchange.go
@@ -17,7 +17,7 @@
 
 // Beat sends heartbeats until ctx ends.
 func (m *Membership) Beat(ctx context.Context, p Peers) {
-	t := time.NewTicker(tick)
+	t := time.NewTicker(Tick)
 	defer t.Stop()
 	for {
 		m.BeatOnce(ctx, p)
@@ -61,7 +61,7 @@
 		}
 	}
 	m.rnd.Shuffle(len(live), func(i, j int) { live[i], live[j] = live[j], live[i] })
-	out := live[:min(fanout, len(live))]
+	out := live[:min(Fanout, len(live))]
 	silent = append(silent, m.unknownSeeds()...)
 	if len(silent) > 0 {
 		out = append(out, silent[m.rnd.IntN(len(silent))])
--- a/process/membership/membership.go
+++ b/process/membership/membership.go
@@ -20,14 +20,14 @@
 )
 
 const (
-	tick          = 500 * time.Millisecond // between heartbeats
-	fanout        = 2                      // hosts asked at a tick
+	Tick          = 500 * time.Millisecond // between heartbeats
+	Fanout        = 2                      // hosts asked at a tick
 	suspectAfter  = 2 * time.Second
 	deadAfter     = 4 * time.Second
 	forgetAfter   = time.Minute
-	swapTick      = time.Second // between digests to another data centre
+	SwapTick      = time.Second // between digests to another data centre
 	reachableFor  = 5 * time.Second
-	owners        = 2 // hosts here that swap digests with a given data centre
+	Owners        = 2 // hosts here that swap digests with a given data centre
 	leavingFor    = 10 * time.Minute
 	unreachedTime = 2 * time.Second // after a failed forward
 )
--- /dev/null
+++ b/process/membership/membership_test.go
@@ -0,0 +1,216 @@
+package membership
+
+import (
+	"fmt"
+	"io"
+	"log/slog"
+	"net/netip"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+	"gotest.tools/v3/assert"
+
+	"vetchtrail"
+	"vetchtrail/process/load"
+	"vetchtrail/schema"
+)
+
+var now = time.Unix(1_800_000_000, 0)
+
+func newMember(name, dataCentre string, last byte) *Membership {
+	addr := func(port uint16) netip.AddrPort {
+		return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, last}), port)
+	}
+	return New(Config{
+		Self: vetchtrail.Host{
+			Name: name, Region: "region-of-" + dataCentre, DataCentre: dataCentre, Callers: addr(8080), Peers: addr(7070),
+			Incarnation: 100, State: vetchtrail.HostReady,
+		},
+		Load: load.New(), Revision: func() uint64 { return 5 }, Log: slog.New(slog.NewTextHandler(io.Discard, nil)), Seed: uint64(last),
+	})
+}
+
+// swap is one exchange of heartbeats.
+func swap(a, b *Membership, at time.Time) {
+	b.merge(a.heartbeat(b.self.Peers, at), at)
+	a.merge(b.heartbeat(a.self.Peers, at), at)
+}
+
+func stateOf(m *Membership, name string, at time.Time) vetchtrail.HostState {
+	h, ok := m.Find(name, at)
+	if !ok {
+		return vetchtrail.HostDead
+	}
+	return h.State
+}
+
+// TestStates: a host that goes silent is suspected, then given up; hearing of
+// it through another keeps it; its next incarnation replaces it.
+func TestStates(t *testing.T) {
+	a, b, c := newMember("a", "dc", 1), newMember("b", "dc", 2), newMember("c", "dc", 3)
+	swap(a, b, now)
+	swap(b, c, now)
+	swap(a, b, now)
+	assert.Equal(t, stateOf(a, "c", now), vetchtrail.HostReady, "heard of through b")
+	assert.Equal(t, stateOf(a, "c", now.Add(suspectAfter+1)), vetchtrail.HostSuspect)
+	// c can't reach a, but b can, and its counter grows.
+	c.counter++
+	swap(b, c, now.Add(time.Second))
+	swap(a, b, now.Add(time.Second))
+	assert.Equal(t, stateOf(a, "c", now.Add(suspectAfter+1)), vetchtrail.HostReady)
+	assert.Equal(t, stateOf(a, "c", now.Add(time.Second+deadAfter+1)), vetchtrail.HostDead)
+	// An old word can't bring it back, a new incarnation can.
+	later := now.Add(time.Minute / 2)
+	b.merge(a.heartbeat(b.self.Peers, later), later)
+	assert.Equal(t, stateOf(a, "c", later), vetchtrail.HostDead)
+	c2 := newMember("c", "dc", 3)
+	c2.self.Incarnation = 101
+	c2.SetState(vetchtrail.HostLeaving)
+	swap(a, c2, later)
+	assert.Equal(t, stateOf(a, "c", later), vetchtrail.HostLeaving)
+	swap(a, c, later)
+	h, _ := a.Find("c", later)
+	assert.Equal(t, h.Incarnation, uint64(101), "a delayed heartbeat of the old process")
+}
+
+// TestDuties: each duty has as many hosts as asked while all see each other,
+// and passes on when its host is gone.
+func TestDuties(t *testing.T) {
+	var all []*Membership
+	for i := range 5 {
+		all = append(all, newMember(fmt.Sprint("h", i), "dc", byte(i+1)))
+	}
+	for _, a := range all {
+		for _, b := range all {
+			if a != b {
+				swap(a, b, now)
+			}
+		}
+	}
+	for d := range 40 {
+		duty := fmt.Sprint("duty ", d)
+		n := 0
+		for _, m := range all {
+			if m.OnDuty(duty, 2, now) {
+				n++
+			}
+		}
+		assert.Equal(t, n, 2, duty)
+	}
+	assert.Assert(t, all[0].OnDuty("any", 1, now.Add(deadAfter+1)), "alone, a host has all duties")
+}
+
+// TestRegionReturns: another data centre is unreachable when its digests stop,
+// and cold when they come back.
+func TestRegionReturns(t *testing.T) {
+	a, x := newMember("a", "dc", 1), newMember("x", "other", 9)
+	x.cfg.Load.Configure([]load.Placed{{Endpoint: vetchtrail.Endpoint{Name: "e", Service: "s", Slots: 10}}})
+	place := func(string) (vetchtrail.RegionID, bool) { return 2, true }
+	view := func(at time.Time) vetchtrail.RemoteView {
+		var v vetchtrail.View
+		a.Fill(&v, "s", place, at)
+		assert.Equal(t, len(v.Remotes), 1)
+		return v.Remotes[0]
+	}
+	a.swapped(&schema.Digests{Digests: []*schema.Digest{x.ownDigest(now)}}, now.Add(-20*time.Millisecond), now)
+	assert.Equal(t, view(now).Reachable, true)
+	assert.Equal(t, view(now).Delay, 10*time.Millisecond)
+	assert.Equal(t, view(now).Free, 10)
+	gone := now.Add(reachableFor + 1)
+	assert.Equal(t, view(gone).Reachable, false)
+	back := now.Add(time.Minute)
+	a.swapped(&schema.Digests{Digests: []*schema.Digest{x.ownDigest(back)}}, back, back)
+	assert.Equal(t, view(back).Warmth, coldRegion)
+	for range 9 {
+		a.Returned("other", "s", vetchtrail.Outcome{Kind: vetchtrail.Answered}, back)
+	}
+	assert.Equal(t, view(back).Warmth, 1.0)
+	a.Returned("other", "s", vetchtrail.Outcome{Kind: vetchtrail.NotRun, Reason: vetchtrail.ReasonUnreachable}, back)
+	assert.Equal(t, view(back).Reachable, false)
+	assert.Equal(t, view(back.Add(unreachedTime)).Reachable, true)
+}
+
+// pair is a sender and a receiver that know all there is.
+func pair(hosts, endpoints, dataCentres int) (a, b *Membership) {
+	a, b = newMember("dc-host-001", "dc", 1), newMember("dc-host-002", "dc", 2)
+	var placed []load.Placed
+	for i := range endpoints {
+		placed = append(placed, load.Placed{Endpoint: vetchtrail.Endpoint{Name: fmt.Sprintf("dc-engine-%03d", i), Service: "model", Slots: 8}})
+	}
+	a.cfg.Load.Configure(placed)
+	b.cfg.Load.Configure(placed)
+	for i := range hosts - 2 {
+		swap(a, newMember(fmt.Sprintf("dc-host-%03d", i+3), "dc", byte(i+3)), now)
+	}
+	swap(a, b, now)
+	for i := range dataCentres {
+		x := newMember(fmt.Sprintf("other-%02d-host-001", i), fmt.Sprintf("other-%02d", i), 1)
+		x.cfg.Load.Configure([]load.Placed{{Endpoint: vetchtrail.Endpoint{Name: "e", Service: "model", Slots: 8}}})
+		for k := range hosts - 1 {
+			y := newMember(fmt.Sprintf("other-%02d-host-%03d", i, k+2), fmt.Sprintf("other-%02d", i), byte(k+2))
+			x.merge(y.heartbeat(x.self.Peers, now), now)
+		}
+		a.swapped(&schema.Digests{Digests: []*schema.Digest{x.ownDigest(now)}}, now, now)
+	}
+	return a, b
+}
+
+// BenchmarkHeartbeat: one heartbeat made, encoded, decoded and merged, with
+// everything in it new since the last, by hosts, endpoints and data centres.
+func BenchmarkHeartbeat(b *testing.B) {
+	for _, s := range []struct{ hosts, endpoints, dataCentres int }{
+		{5, 0, 0}, {10, 0, 0}, {20, 0, 0}, {40, 0, 0},
+		{20, 67, 0}, {20, 134, 0}, {20, 267, 0},
+		{20, 0, 11}, {20, 0, 22}, {20, 0, 44},
+	} {
+		b.Run(fmt.Sprintf("hosts=%d/endpoints=%d/datacentres=%d", s.hosts, s.endpoints, s.dataCentres), func(b *testing.B) {
+			from, to := pair(s.hosts, s.endpoints, s.dataCentres)
+			at, size, n := now, 0, 0
+			b.ReportAllocs()
+			for b.Loop() {
+				at = at.Add(time.Millisecond)
+				renew(from, at)
+				wire, _ := proto.Marshal(from.heartbeat(to.self.Peers, at))
+				var h schema.Heartbeat
+				_ = proto.Unmarshal(wire, &h)
+				to.merge(&h, at)
+				size += len(wire)
+				n++
+			}
+			b.ReportMetric(float64(size)/float64(n), "bytes/op")
+		})
+	}
+}
+
+// renew makes all that a host holds newer.
+func renew(m *Membership, at time.Time) {
+	m.counter++
+	for _, x := range m.members {
+		x.counter++
+		x.Heard = at
+	}
+	for _, d := range m.remotes {
+		d.digest.Sequence++
+		d.at = at
+	}
+	for _, row := range m.cfg.Load.Endpoints() {
+		m.cfg.Load.Report(row.Name, vetchtrail.LoadReport{At: at, Running: 5, Queued: 2, Slots: 8, Step: 20 * time.Millisecond}, at)
+	}
+}
+
+// BenchmarkDigest: one digest made and encoded, by the data centre's hosts.
+func BenchmarkDigest(b *testing.B) {
+	for _, hosts := range []int{5, 10, 20, 40} {
+		b.Run(fmt.Sprintf("hosts=%d", hosts), func(b *testing.B) {
+			m, _ := pair(hosts, 267, 0)
+			size, n := 0, 0
+			for b.Loop() {
+				wire, _ := proto.Marshal(m.ownDigest(now))
+				size += len(wire)
+				n++
+			}
+			b.ReportMetric(float64(size)/float64(n), "bytes/op")
+		})
+	}
+}
--- a/process/poll/poll.go
+++ b/process/poll/poll.go
@@ -20,8 +20,8 @@
 )
 
 const (
-	// pollers is how many hosts poll an endpoint: one may be slow or cut off.
-	pollers    = 2
+	// Pollers is how many hosts poll an endpoint: one may be slow or cut off.
+	Pollers    = 2
 	callTime   = time.Second
 	maxReport  = 1 << 20 // bytes
 	listEvery  = time.Second
@@ -84,7 +84,7 @@
 
 func (p *Poller) round(now time.Time) {
 	for _, e := range p.cfg.Table.Endpoints() {
-		if p.cfg.Duties.OnDuty("poll "+e.Name, pollers, now) && p.begin(e.Name) {
+		if p.cfg.Duties.OnDuty("poll "+e.Name, Pollers, now) && p.begin(e.Name) {
 			go p.poll(e)
 		}
 	}
--- a/version/changelog/changelog.go
+++ b/version/changelog/changelog.go
@@ -24,11 +24,11 @@
 	snapshotKey   = "vetchtrail/snapshot"
 	partPrefix    = "vetchtrail/snapshot/"
 	partSize      = 900 << 10 // bytes; the store holds values to 1 MB
-	snapshotEvery = 64        // revisions
+	SnapshotEvery = 64        // revisions
 	keptChanges   = 512       // in memory, for peers and history
 	writeTries    = 8
 	retryPause    = 200 * time.Millisecond
-	watchTime     = 20 * time.Second
+	WatchTime     = 20 * time.Second // of one waiting watch
 	settleTime    = 10 * time.Second // to learn what became of a lost write
 )
 
@@ -36,6 +36,7 @@
 type Log struct {
 	store vetchtrail.Store
 	log   *slog.Logger
+	pause time.Duration
 	held  atomic.Pointer[rules.Rules]
 	heard atomic.Int64 // when the store last answered, Unix nanoseconds
 
@@ -48,11 +49,15 @@
 type Config struct {
 	Store vetchtrail.Store
 	Log   *slog.Logger
+	Pause time.Duration // between tries of the store; 0: the usual
 }
 
 // New returns a log that holds nothing yet.
 func New(c Config) *Log {
-	l := &Log{store: c.Store, log: c.Log, grown: make(chan struct{})}
+	l := &Log{store: c.Store, log: c.Log, pause: c.Pause, grown: make(chan struct{})}
+	if l.pause == 0 {
+		l.pause = retryPause
+	}
 	l.held.Store(rules.Empty())
 	return l
 }
@@ -241,12 +246,12 @@
 func (l *Log) Watch(ctx context.Context, on func() bool) {
 	for ctx.Err() == nil {
 		if !on() {
-			pause(ctx, retryPause)
+			l.wait(ctx)
 			continue
 		}
 		if err := l.follow(ctx); err != nil && ctx.Err() == nil {
 			l.log.Debug("store not read", "error", err)
-			pause(ctx, retryPause)
+			l.wait(ctx)
 		}
 	}
 }
@@ -263,7 +268,7 @@
 		return err
 	}
 	l.heard.Store(time.Now().UnixNano())
-	e, err := l.store.Wait(ctx, key, max(seen.Index, 1), time.Now().Add(watchTime))
+	e, err := l.store.Wait(ctx, key, max(seen.Index, 1), time.Now().Add(WatchTime))
 	if errors.Is(err, vetchtrail.ErrNotFound) {
 		l.heard.Store(time.Now().UnixNano())
 		return l.readSnapshot(ctx) // the log may have been cut below us
@@ -277,10 +282,10 @@
 
 func keyOf(revision uint64) string { return fmt.Sprintf("%s%012d", logPrefix, revision) }
 
-func pause(ctx context.Context, d time.Duration) {
+func (l *Log) wait(ctx context.Context) {
 	select {
 	case <-ctx.Done():
-	case <-time.After(d):
+	case <-time.After(l.pause):
 	}
 }
 
--- a/version/changelog/propose.go
+++ b/version/changelog/propose.go
@@ -95,7 +95,7 @@
 		default:
 			sent = true
 		}
-		pause(ctx, retryPause)
+		l.wait(ctx)
 	}
 	if !sent {
 		return false, errors.New("changelog.Propose: the store refused every write")
@@ -148,7 +148,7 @@
 // it fails, the next one will do.
 func (l *Log) snapshot(ctx context.Context) {
 	r := l.Rules()
-	if r.Revision()%snapshotEvery != 0 {
+	if r.Revision()%SnapshotEvery != 0 {
 		return
 	}
 	if err := l.writeSnapshot(ctx); err != nil {
@@ -184,11 +184,11 @@
 
 // cut deletes the changes of one snapshot's length, three snapshots back.
 func (l *Log) cut(ctx context.Context, revision uint64) {
-	const back = 3 * snapshotEvery
+	const back = 3 * SnapshotEvery
 	if revision < back {
 		return
 	}
-	for n := revision - back + 1; n <= revision-back+snapshotEvery; n++ {
+	for n := revision - back + 1; n <= revision-back+SnapshotEvery; n++ {
 		if err := l.store.Delete(ctx, keyOf(n)); err != nil {
 			return
 		}
