Truthful outcomes of repeats; smaller heartbeats; wait for who refused for its load

A refusal before the key was looked at is now unknown, unless this process issued the key and never began it.

Cause 2: a request was refused while the only endpoints had refused for their load a moment before, with most of its time left. Such endpoints are now waited for like full ones. A full remote was told as unreachable; it is over-capacity.

Cause 3: a heartbeat with 20 hosts took 1236 bytes, a digest of another data centre 1400 more, a load report 27: names and addresses were said every time.

Cause 4: a replaced host took 3 s of silence from a slow store for its absence; now 6 s, and the scenario of a lagging peer fails without the wait.

Tests: residency held nothing in the queue before (it passed with both later checks taken out); now it does and fails without them (1 execution instead of 0).

--- a/connection/caller/caller.go
+++ b/connection/caller/caller.go
@@ -30,6 +30,7 @@
 // Runner runs a request to its end.
 type Runner interface {
 	Run(ctx context.Context, r *vetchtrail.Request, a vetchtrail.Answer) vetchtrail.Outcome
+	Starting(r *vetchtrail.Request) vetchtrail.Outcome
 }
 
 // Config is what a Server needs.
@@ -110,10 +111,7 @@
 // run runs a request and answers with what comes of it.
 func (s *Server) run(c fiber.Ctx, r *vetchtrail.Request) error {
 	if state := s.cfg.Membership.Self().State; state == vetchtrail.HostStarting {
-		return s.problem(c, vetchtrail.Outcome{
-			Kind: vetchtrail.NotRun, Status: fiber.StatusServiceUnavailable, Step: vetchtrail.StepDecide,
-			Reason: vetchtrail.ReasonStarting, RetryAt: time.Now().Add(time.Second),
-		})
+		return s.problem(c, s.cfg.Runner.Starting(r))
 	}
 	p := newPipe(c.RequestCtx().Conn())
 	go p.run(s.cfg.Runner, r)
--- a/decision.go
+++ b/decision.go
@@ -87,6 +87,7 @@
 	Warmth   float64       // share of full load it may take, 0 to 1
 	Away     bool          // draining, leaving or ejected
 	Why      Reason        // with Away: the reason
+	Back     float64       // seconds until an endpoint that refused for its load may be asked again
 	Affine   uint64        // seed for prefix affinity
 }
 
--- a/endpoint.go
+++ b/endpoint.go
@@ -19,10 +19,8 @@
 
 // LoadReport is what an endpoint last said of itself.
 type LoadReport struct {
-	At      time.Time     // when the report was fetched
-	Running int           // requests it runs
-	Queued  int           // requests it holds back
-	Slots   int           // requests it can run at once
-	Step    time.Duration // time between tokens of one request
+	At      time.Time // when the report was fetched
+	Running int       // requests it runs
+	Queued  int       // requests it holds back
 	Leaving bool
 }
--- a/process/daemon/daemon.go
+++ b/process/daemon/daemon.go
@@ -33,8 +33,8 @@
 const (
 	Watchers     = 2 // hosts of a data centre that watch the store
 	pullEvery    = 200 * time.Millisecond
-	catchUpTime  = 2 * time.Second
-	aloneAfter   = 3 * time.Second // without the store, how long peers are listened to
+	catchUpTime  = 6 * time.Second // for reading the store, which may be slow
+	aloneAfter   = 6 * time.Second // without the store, how long peers are listened to
 	drainLook    = 50 * time.Millisecond
 	shutdownTime = 10 * time.Second
 )
--- a/process/load/load.go
+++ b/process/load/load.go
@@ -50,6 +50,7 @@
 	mu        sync.Mutex
 	endpoints map[string]*state
 	services  map[string][]*state
+	shorts    map[uint32]*state
 	means     map[string]*means        // for each service
 	freed     map[string]chan struct{} // for each service, closed when room is made
 }
@@ -111,6 +112,7 @@
 	old := t.endpoints
 	t.endpoints = make(map[string]*state, len(endpoints))
 	t.services = map[string][]*state{}
+	t.shorts = make(map[uint32]*state, len(endpoints))
 	for _, e := range endpoints {
 		s, ok := old[e.Name]
 		if !ok || s.Addr != e.Addr || s.Service != e.Service {
@@ -121,6 +123,7 @@
 		}
 		s.Endpoint, s.region = e.Endpoint, e.RegionID
 		t.endpoints[e.Name] = s
+		t.shorts[Short(e.Name)] = s
 		t.services[e.Service] = append(t.services[e.Service], s)
 		if t.means[e.Service] == nil {
 			t.means[e.Service] = &means{service: firstService, prefill: firstPrefill}
@@ -181,7 +184,7 @@
 	case now.Before(s.ejected):
 		v.Away, v.Why = true, vetchtrail.ReasonEjected
 	case now.Before(s.backOff):
-		v.Away, v.Why = true, s.backWhy
+		v.Away, v.Why, v.Back = true, s.backWhy, s.backOff.Sub(now).Seconds()
 	}
 	return v
 }
@@ -326,7 +329,24 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s, ok := t.endpoints[name]
-	if !ok || (s.reported && !r.At.After(s.report.At)) {
+	return ok && t.take(s, r, leavingUntil)
+}
+
+// ReportShort is Report for an endpoint by the short form of its name.
+func (t *Table) ReportShort(short uint32, r vetchtrail.LoadReport, leavingUntil time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s, ok := t.shorts[short]
+	return ok && t.take(s, r, leavingUntil)
+}
+
+// Short is the short form of an endpoint's name between hosts. Two of the same
+// within a data centre are unlikely, and would only mix their load reports.
+func Short(name string) uint32 { return uint32(xxhash.Sum64String(name)) }
+
+// take takes a report if it is newer. The caller holds the lock.
+func (t *Table) take(s *state, r vetchtrail.LoadReport, leavingUntil time.Time) bool {
+	if s.reported && !r.At.After(s.report.At) {
 		return false
 	}
 	s.report, s.reported = r, true
--- a/process/membership/digest.go
+++ b/process/membership/digest.go
@@ -3,8 +3,11 @@
 import (
 	"context"
 	"net/netip"
+	"strconv"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"vetchtrail"
 	"vetchtrail/schema"
 )
@@ -27,28 +30,63 @@
 // duty, and with a seed of those not known yet.
 func (m *Membership) SwapOnce(ctx context.Context, p Peers) {
 	now := time.Now()
-	for _, addr := range m.swapTargets(now) {
-		out := &schema.Digests{From: m.cfg.Self.Name, Digests: []*schema.Digest{m.ownDigest(now)}}
+	own := m.ownDigest(now)
+	for _, t := range m.swapTargets(now) {
 		go func() {
-			sent := time.Now()
-			reply, err := p.Swap(ctx, addr, out)
-			if err != nil {
-				m.cfg.Log.Debug("digest not swapped", "peer", addr, "error", err)
-				return
+			if err := m.swapWith(ctx, p, t, own); err != nil {
+				m.cfg.Log.Debug("digest not swapped", "peer", t.addr, "error", err)
 			}
-			m.swapped(reply, sent, time.Now())
 		}()
 	}
 }
 
-func (m *Membership) swapTargets(now time.Time) []netip.AddrPort {
+// swapWith swaps with one host, again with our members if it lacks them.
+func (m *Membership) swapWith(ctx context.Context, p Peers, t target, own *schema.Digest) error {
+	out := &schema.Digests{From: m.cfg.Self.Name, Digest: withoutMembers(own), HaveMembers: m.membersHash(t.dataCentre)}
+	sent := time.Now()
+	reply, err := p.Swap(ctx, t.addr, out)
+	if err != nil {
+		return err
+	}
+	m.swapped(reply, sent, time.Now())
+	if reply.GetWantMembers() {
+		out.Digest = own
+		_, err = p.Swap(ctx, t.addr, out)
+	}
+	return err
+}
+
+func (m *Membership) membersHash(dataCentre string) uint32 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if d, ok := m.remotes[dataCentre]; ok {
+		return hashOf(d.digest.GetMembers())
+	}
+	return 0
+}
+
+func withoutMembers(d *schema.Digest) *schema.Digest {
+	return &schema.Digest{
+		DataCentre: d.GetDataCentre(), Region: d.GetRegion(), Sequence: d.GetSequence(), Revision: d.GetRevision(),
+		Services: d.GetServices(), AgeMillis: d.GetAgeMillis(), MembersHash: d.GetMembersHash(),
+		Newest: d.GetNewest(), NewestHost: d.GetNewestHost(),
+	}
+}
+
+// target is a host to swap digests with.
+type target struct {
+	dataCentre string // empty: a seed, not known yet
+	addr       netip.AddrPort
+}
+
+func (m *Membership) swapTargets(now time.Time) []target {
 	m.mu.Lock()
 	names := make([]string, 0, len(m.remotes))
 	for name := range m.remotes {
 		names = append(names, name)
 	}
 	m.mu.Unlock()
-	var out []netip.AddrPort
+	var out []target
 	for _, name := range names {
 		if m.OnDuty("digest "+name, Owners, now) {
 			out = append(out, m.anyOf(name)...)
@@ -57,13 +95,13 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if seeds := m.unknownSeeds(); len(seeds) > 0 {
-		out = append(out, seeds[m.rnd.IntN(len(seeds))])
+		out = append(out, target{addr: seeds[m.rnd.IntN(len(seeds))]})
 	}
 	return out
 }
 
-// anyOf returns the address of one host of a data centre.
-func (m *Membership) anyOf(dataCentre string) []netip.AddrPort {
+// anyOf returns one host of a data centre.
+func (m *Membership) anyOf(dataCentre string) []target {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	lines := m.remotes[dataCentre].digest.GetMembers()
@@ -71,7 +109,7 @@
 		return nil
 	}
 	h := hostOf(lines[m.rnd.IntN(len(lines))])
-	return []netip.AddrPort{h.Peers}
+	return []target{{dataCentre, h.Peers}}
 }
 
 // ownDigest is what this data centre tells the others.
@@ -88,8 +126,12 @@
 			continue
 		}
 		d.Revision = min(d.Revision, h.Revision)
+		if h.Revision > d.Newest || d.NewestHost == "" {
+			d.Newest, d.NewestHost = h.Revision, h.Name
+		}
 		d.Members = append(d.Members, lineOf(h, 0))
 	}
+	d.MembersHash = hashOf(d.GetMembers())
 	for _, s := range sums {
 		d.Services = append(d.Services, &schema.ServiceDigest{
 			Service: s.Service, Free: uint32(s.Free), Slots: uint32(s.Slots), WaitMillis: millis(s.Wait),
@@ -98,55 +140,75 @@
 	return d
 }
 
-// Swapped takes the digests of a host elsewhere and returns ours.
+// Swapped takes the digest of a host elsewhere and returns ours.
 func (m *Membership) Swapped(in *schema.Digests) *schema.Digests {
 	now := time.Now()
-	m.mu.Lock()
-	for _, d := range in.GetDigests() {
-		m.mergeDigest(d, now, now)
+	own := m.ownDigest(now)
+	if in.GetHaveMembers() == own.GetMembersHash() {
+		own = withoutMembers(own)
 	}
-	m.mu.Unlock()
-	return &schema.Digests{From: m.cfg.Self.Name, Digests: []*schema.Digest{m.ownDigest(now)}}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	whole := m.mergeDigest(in.GetDigest(), now, now)
+	return &schema.Digests{From: m.cfg.Self.Name, Digest: own, WantMembers: !whole}
 }
 
 // swapped takes the answer to a swap that was sent at a moment.
 func (m *Membership) swapped(in *schema.Digests, sent, now time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	for _, d := range in.GetDigests() {
-		m.mergeDigest(d, now, now)
-		if r, ok := m.remotes[d.GetDataCentre()]; ok {
-			r.direct = now
-			r.delay = now.Sub(sent) / 2
-		}
+	m.mergeDigest(in.GetDigest(), now, now)
+	if r, ok := m.remotes[in.GetDigest().GetDataCentre()]; ok {
+		r.delay = now.Sub(sent) / 2
 	}
 }
 
-// mergeDigest takes a digest if it is newer. The caller holds the lock.
-func (m *Membership) mergeDigest(d *schema.Digest, at, now time.Time) {
+// mergeDigest takes a digest if it is newer. It returns false if the digest
+// came without its members and they are not held. The caller holds the lock.
+func (m *Membership) mergeDigest(d *schema.Digest, at, now time.Time) bool {
 	name := d.GetDataCentre()
 	if name == m.self.DataCentre || name == "" {
-		return
+		return true
 	}
 	r, ok := m.remotes[name]
 	switch {
 	case !ok:
 		r = &remote{own: map[string]int{}, warmth: 1, delay: defaultDelay}
 		m.remotes[name] = r
-	case !at.After(r.at):
-		return
+	case !at.After(r.at) && len(d.GetMembers()) == 0:
+		return true
 	case now.Sub(r.at) > reachableFor:
 		r.warmth = coldRegion // it was cut off or down: its caches are cold
 	}
+	if len(d.GetMembers()) == 0 && ok {
+		d.Members = r.digest.GetMembers() // those told before
+	}
 	r.digest, r.at = d, at
+	return hashOf(d.GetMembers()) == d.GetMembersHash()
 }
 
 // defaultDelay is taken for a link until it was measured.
 const defaultDelay = 30 * time.Millisecond
 
-func withAge(d *schema.Digest, age uint32) *schema.Digest {
-	return &schema.Digest{
-		DataCentre: d.GetDataCentre(), Region: d.GetRegion(), Sequence: d.GetSequence(),
-		Revision: d.GetRevision(), Members: d.GetMembers(), Services: d.GetServices(), AgeMillis: age,
+// digest returns a digest with its age, without its members if they were told.
+func (t *told) digest(d *schema.Digest, age uint32) *schema.Digest {
+	out := withoutMembers(d)
+	out.AgeMillis = age
+	if hash, ok := t.members[d.GetDataCentre()]; !ok || hash != d.GetMembersHash() {
+		out.Members = d.GetMembers()
+		t.members[d.GetDataCentre()] = d.GetMembersHash()
+	}
+	return out
+}
+
+// hashOf is a hash of what seldom changes of members.
+func hashOf(lines []*schema.Member) uint32 {
+	var h xxhash.Digest
+	h.Reset()
+	for _, l := range lines {
+		_, _ = h.WriteString(l.GetName())
+		_, _ = h.WriteString(strconv.FormatUint(l.GetIncarnation(), 16))
+		_, _ = h.WriteString(strconv.FormatUint(uint64(l.GetState()), 16))
 	}
+	return uint32(h.Sum64())
 }
--- a/process/membership/exchange.go
+++ b/process/membership/exchange.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"net/netip"
+	"strconv"
 	"time"
 
 	"vetchtrail"
+	"vetchtrail/process/load"
 	"vetchtrail/schema"
 )
 
@@ -37,6 +39,7 @@
 			reply, err := p.Exchange(ctx, addr, h)
 			if err != nil {
 				m.cfg.Log.Debug("heartbeat failed", "peer", addr, "error", err)
+				m.notTold(addr)
 				return
 			}
 			m.merge(reply, time.Now())
@@ -44,6 +47,17 @@
 	}
 }
 
+// notTold makes the next heartbeat to a host a full one.
+func (m *Membership) notTold(addr netip.AddrPort) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, b := range m.members {
+		if b.Peers == addr {
+			b.told.forget()
+		}
+	}
+}
+
 // targets picks live members at random, and a seed while some are missing.
 func (m *Membership) targets(now time.Time) []netip.AddrPort {
 	m.mu.Lock()
@@ -54,6 +68,7 @@
 		switch {
 		case now.Sub(b.Heard) > forgetAfter:
 			delete(m.members, name)
+			delete(m.shorts, shortOf(b.Name, b.Incarnation))
 		case b.state(now) == vetchtrail.HostDead:
 			silent = append(silent, b.Peers)
 		default:
@@ -104,21 +119,37 @@
 // message makes a heartbeat. A member is only sent what it wasn't before.
 func (m *Membership) message(to *member, now time.Time) *schema.Heartbeat {
 	h := &schema.Heartbeat{From: m.self.Name, DataCentre: m.self.DataCentre}
-	h.Members = append(h.Members, lineOf(m.selfNow(), m.counter))
+	if to != nil {
+		to.told.next()
+	}
+	h.Members = append(h.Members, lineFor(to, m.selfNow(), m.counter))
 	for _, b := range m.members {
 		if to != nil && b.Name == to.Name || b.state(now) == vetchtrail.HostDead {
 			continue
 		}
-		h.Members = append(h.Members, lineOf(b.Host, b.counter))
+		h.Members = append(h.Members, lineFor(to, b.Host, b.counter))
 	}
 	if to == nil {
 		return h
 	}
+	h.WantFull, to.missing = to.missing, false
 	h.Loads = m.loadsFor(to, now)
 	h.Digests = m.digestsFor(to, now)
 	return h
 }
 
+// lineFor is short if the member was told of the host in full before.
+func lineFor(to *member, h vetchtrail.Host, counter uint64) *schema.Member {
+	if to == nil {
+		return lineOf(h, counter)
+	}
+	if incarnation, ok := to.told.hosts[h.Name]; ok && incarnation == h.Incarnation {
+		return &schema.Member{Short: shortOf(h.Name, h.Incarnation), Counter: counter, State: uint32(h.State), Revision: h.Revision}
+	}
+	to.told.hosts[h.Name] = h.Incarnation
+	return lineOf(h, counter)
+}
+
 func lineOf(h vetchtrail.Host, counter uint64) *schema.Member {
 	return &schema.Member{
 		Name: h.Name, Incarnation: h.Incarnation, Counter: counter, State: uint32(h.State),
@@ -126,6 +157,12 @@
 	}
 }
 
+// shortOf is the short form of a host's incarnation. Within a data centre two
+// of the same are unlikely; a wrong one is mended by the next full message.
+func shortOf(name string, incarnation uint64) uint32 {
+	return uint32(weigh(name, strconv.FormatUint(incarnation, 16)))
+}
+
 func (m *Membership) loadsFor(to *member, now time.Time) []*schema.Load {
 	var out []*schema.Load
 	for _, row := range m.cfg.Load.Rows(now) {
@@ -134,8 +171,7 @@
 		}
 		to.sent[row.Name] = row.Report.At
 		out = append(out, &schema.Load{
-			Endpoint: row.Name, Running: uint32(row.Report.Running), Queued: uint32(row.Report.Queued),
-			Slots: uint32(row.Report.Slots), StepMicros: uint32(row.Report.Step.Microseconds()),
+			Endpoint: load.Short(row.Name), Running: uint32(row.Report.Running), Queued: uint32(row.Report.Queued),
 			AgeMillis: millis(now.Sub(row.Report.At)), Leaving: row.Report.Leaving,
 		})
 	}
@@ -149,7 +185,7 @@
 			continue
 		}
 		to.digests[name] = d.digest.GetSequence()
-		out = append(out, withAge(d.digest, millis(now.Sub(d.at))))
+		out = append(out, to.told.digest(d.digest, millis(now.Sub(d.at))))
 	}
 	return out
 }
@@ -175,44 +211,77 @@
 		return
 	}
 	m.mu.Lock()
+	whole := true
 	for _, line := range h.GetMembers() {
-		m.mergeMember(line, now)
+		whole = m.mergeMember(line, now) && whole
 	}
 	for _, d := range h.GetDigests() {
-		m.mergeDigest(d, now.Add(-time.Duration(d.GetAgeMillis())*time.Millisecond), now)
+		whole = m.mergeDigest(d, now.Add(-time.Duration(d.GetAgeMillis())*time.Millisecond), now) && whole
+	}
+	if from, ok := m.members[h.GetFrom()]; ok {
+		from.missing = from.missing || !whole
+		if h.GetWantFull() {
+			from.told.forget()
+		}
 	}
 	m.mu.Unlock()
 	for _, l := range h.GetLoads() {
-		m.cfg.Load.Report(l.GetEndpoint(), reportOf(l, now), now.Add(leavingFor))
+		m.cfg.Load.ReportShort(l.GetEndpoint(), reportOf(l, now), now.Add(leavingFor))
 	}
 }
 
 func reportOf(l *schema.Load, now time.Time) vetchtrail.LoadReport {
 	return vetchtrail.LoadReport{
 		At:      now.Add(-time.Duration(l.GetAgeMillis()) * time.Millisecond),
-		Running: int(l.GetRunning()), Queued: int(l.GetQueued()), Slots: int(l.GetSlots()),
-		Step: time.Duration(l.GetStepMicros()) * time.Microsecond, Leaving: l.GetLeaving(),
+		Running: int(l.GetRunning()), Queued: int(l.GetQueued()), Leaving: l.GetLeaving(),
 	}
 }
 
-// mergeMember takes a line if its incarnation or counter is newer. The caller
-// holds the lock.
-func (m *Membership) mergeMember(line *schema.Member, now time.Time) {
+// mergeMember takes a line if its incarnation or counter is newer. It returns
+// false if the line is short and its host not known. The caller holds the lock.
+func (m *Membership) mergeMember(line *schema.Member, now time.Time) bool {
+	if line.GetShort() != 0 {
+		return m.mergeShort(line, now)
+	}
 	if line.GetName() == m.self.Name {
 		if line.GetIncarnation() > m.self.Incarnation {
 			m.cfg.Log.Error("another process has this host's name", "host", m.self.Name)
 		}
-		return
+		return true
 	}
 	b, ok := m.members[line.GetName()]
-	if !ok || line.GetIncarnation() > b.Incarnation {
+	switch {
+	case !ok || line.GetIncarnation() > b.Incarnation:
 		b = &member{sent: map[string]time.Time{}, digests: map[string]uint64{}}
 		m.members[line.GetName()] = b
-	} else if line.GetIncarnation() < b.Incarnation || line.GetCounter() <= b.counter {
-		return
+	case line.GetIncarnation() < b.Incarnation || line.GetCounter() <= b.counter:
+		return true
 	}
 	b.Host = hostOf(line)
-	b.Region, b.DataCentre, b.Heard = m.self.Region, m.self.DataCentre, now
+	b.Region, b.DataCentre = m.self.Region, m.self.DataCentre
+	m.shorts[shortOf(b.Name, b.Incarnation)] = b.Name
+	b.hear(line, now)
+	return true
+}
+
+// mergeShort takes a short line of a host that is known.
+func (m *Membership) mergeShort(line *schema.Member, now time.Time) bool {
+	if line.GetShort() == shortOf(m.self.Name, m.self.Incarnation) {
+		return true
+	}
+	b, ok := m.members[m.shorts[line.GetShort()]]
+	if !ok || shortOf(b.Name, b.Incarnation) != line.GetShort() {
+		return false
+	}
+	if line.GetCounter() > b.counter {
+		b.hear(line, now)
+	}
+	return true
+}
+
+func (b *member) hear(line *schema.Member, now time.Time) {
+	b.Heard = now
+	b.Revision = line.GetRevision()
 	b.counter = line.GetCounter()
 	b.said = vetchtrail.HostState(line.GetState())
 }
--- a/process/membership/membership.go
+++ b/process/membership/membership.go
@@ -51,6 +51,7 @@
 	self    vetchtrail.Host
 	counter uint64
 	members map[string]*member
+	shorts  map[uint32]string // names by their short forms
 	remotes map[string]*remote
 }
 
@@ -61,8 +62,32 @@
 	said    vetchtrail.HostState // by the host itself
 	sent    map[string]time.Time // newest load report sent to it, by endpoint
 	digests map[string]uint64    // newest digest sent to it, by data centre
+	told    told
+	missing bool // it told less of something than we hold
 }
 
+// told is what another host was told in full, so that it is told less again.
+// It is told in full again when it asks, when a message failed, and now and then.
+type told struct {
+	hosts    map[string]uint64 // incarnations by name
+	members  map[string]uint32 // hashes of members by data centre
+	messages int
+}
+
+// fullEvery is after how many messages all is told in full again.
+const fullEvery = 32
+
+// next counts a message and forgets now and then.
+func (t *told) next() {
+	if t.messages%fullEvery == 0 {
+		t.hosts, t.members = map[string]uint64{}, map[string]uint32{}
+	}
+	t.messages++
+}
+
+// forget makes the next message a full one.
+func (t *told) forget() { t.messages = 0 }
+
 // remote is another data centre.
 type remote struct {
 	digest *schema.Digest
@@ -81,6 +106,7 @@
 		rnd:     rand.New(rand.NewPCG(c.Seed, c.Seed>>1)),
 		self:    c.Self,
 		members: map[string]*member{},
+		shorts:  map[uint32]string{},
 		remotes: map[string]*remote{},
 	}
 	return m
@@ -215,8 +241,9 @@
 	}
 	for _, d := range m.remotes {
 		for _, line := range d.digest.GetMembers() {
-			if line.GetRevision() > best.Revision && now.Sub(d.at) < reachableFor {
+			if d.digest.GetNewest() > best.Revision && line.GetName() == d.digest.GetNewestHost() && now.Sub(d.at) < reachableFor {
 				best = d.host(line)
+				best.Revision = d.digest.GetNewest()
 			}
 		}
 	}
--- a/process/membership/membership_test.go
+++ b/process/membership/membership_test.go
@@ -113,14 +113,14 @@
 		assert.Equal(t, len(v.Remotes), 1)
 		return v.Remotes[0]
 	}
-	a.swapped(&schema.Digests{Digests: []*schema.Digest{x.ownDigest(now)}}, now.Add(-20*time.Millisecond), now)
+	a.swapped(&schema.Digests{Digest: x.ownDigest(now)}, now.Add(-20*time.Millisecond), now)
 	assert.Equal(t, view(now).Reachable, true)
 	assert.Equal(t, view(now).Delay, 10*time.Millisecond)
 	assert.Equal(t, view(now).Free, 10)
 	gone := now.Add(reachableFor + 1)
 	assert.Equal(t, view(gone).Reachable, false)
 	back := now.Add(time.Minute)
-	a.swapped(&schema.Digests{Digests: []*schema.Digest{x.ownDigest(back)}}, back, back)
+	a.swapped(&schema.Digests{Digest: x.ownDigest(back)}, back, back)
 	assert.Equal(t, view(back).Warmth, coldRegion)
 	for range 9 {
 		a.Returned("other", "s", vetchtrail.Outcome{Kind: vetchtrail.Answered}, back)
@@ -151,7 +151,7 @@
 			y := newMember(fmt.Sprintf("other-%02d-host-%03d", i, k+2), fmt.Sprintf("other-%02d", i), byte(k+2))
 			x.merge(y.heartbeat(x.self.Peers, now), now)
 		}
-		a.swapped(&schema.Digests{Digests: []*schema.Digest{x.ownDigest(now)}}, now, now)
+		a.swapped(&schema.Digests{Digest: x.ownDigest(now)}, now, now)
 	}
 	return a, b
 }
@@ -195,7 +195,7 @@
 		d.at = at
 	}
 	for _, row := range m.cfg.Load.Endpoints() {
-		m.cfg.Load.Report(row.Name, vetchtrail.LoadReport{At: at, Running: 5, Queued: 2, Slots: 8, Step: 20 * time.Millisecond}, at)
+		m.cfg.Load.Report(row.Name, vetchtrail.LoadReport{At: at, Running: 5, Queued: 2}, at)
 	}
 }
 
--- a/process/poll/poll.go
+++ b/process/poll/poll.go
@@ -63,8 +63,6 @@
 	At      int64 `json:"at"` // when it was true, Unix milliseconds
 	Running int   `json:"running"`
 	Queued  int   `json:"queued"`
-	Slots   int   `json:"slots"`
-	StepUS  int64 `json:"step_us"` // microseconds between tokens
 	Leaving bool  `json:"leaving"`
 }
 
@@ -116,7 +114,7 @@
 		}
 		return
 	}
-	if r.Running < 0 || r.Queued < 0 || r.Slots < 0 {
+	if r.Running < 0 || r.Queued < 0 {
 		p.cfg.Log.Warn("load report out of range", "endpoint", e.Name)
 		return
 	}
@@ -125,8 +123,7 @@
 		at = now
 	}
 	p.cfg.Table.Report(e.Name, vetchtrail.LoadReport{
-		At: at, Running: r.Running, Queued: r.Queued, Slots: r.Slots,
-		Step: time.Duration(r.StepUS) * time.Microsecond, Leaving: r.Leaving,
+		At: at, Running: r.Running, Queued: r.Queued, Leaving: r.Leaving,
 	}, time.Now().Add(leavingFor))
 }
 
--- a/request/dispatch/dispatch.go
+++ b/request/dispatch/dispatch.go
@@ -94,7 +94,7 @@
 
 func (d *Dispatcher) run(ctx context.Context, r *vetchtrail.Request, a vetchtrail.Answer) vetchtrail.Outcome {
 	if o, ok := d.judge(r); !ok {
-		return o
+		return d.keyed(r, o)
 	}
 	if r.Resume.Endpoint != "" {
 		return d.resume(ctx, r, a)
--- a/request/dispatch/once.go
+++ b/request/dispatch/once.go
@@ -28,6 +28,24 @@
 	return d.toIssuer(ctx, key, r, a)
 }
 
+// Starting is the outcome of a request that came before this host held a
+// configuration.
+func (d *Dispatcher) Starting(r *vetchtrail.Request) vetchtrail.Outcome {
+	return d.keyed(r, d.refusal(vetchtrail.StepDecide, vetchtrail.ReasonStarting, time.Now().Add(time.Second)))
+}
+
+// keyed is the outcome of a request that was refused before its key was looked
+// at. The refusal tells nothing of earlier tries: unless this process issued
+// the key and has not begun it, they may have run.
+func (d *Dispatcher) keyed(r *vetchtrail.Request, o vetchtrail.Outcome) vetchtrail.Outcome {
+	key, err := once.Parse(r.Key)
+	if r.Key == "" || err != nil || (d.cfg.Keeper.Mine(key) && !d.cfg.Keeper.Begun(key)) {
+		return o
+	}
+	o.Kind = vetchtrail.Unknown
+	return o
+}
+
 // passedOn runs a keyed request that its issuer sent here. One that another
 // host took this process for the issuer of is not run: that process is gone.
 func (d *Dispatcher) passedOn(ctx context.Context, key once.Key, r *vetchtrail.Request, a vetchtrail.Answer) vetchtrail.Outcome {
--- a/request/once/keeper.go
+++ b/request/once/keeper.go
@@ -116,6 +116,14 @@
 	return rec, true, nil
 }
 
+// Begun says whether there is a record of a key that this process issued.
+func (k *Keeper) Begun(key Key) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	_, ok := k.records[key.Nonce]
+	return ok || Forgotten(key, time.Now())
+}
+
 // Finish notes how a request ended. One that did not run may be begun again
 // with the same key.
 func (k *Keeper) Finish(key Key, rec *Record, a *Tee, o vetchtrail.Outcome) {
--- a/request/policy/plain.go
+++ b/request/policy/plain.go
@@ -53,6 +53,8 @@
 	for i := range v.Endpoints {
 		e := &v.Endpoints[i]
 		switch why := unfit(e, r, v); {
+		case why == vetchtrail.ReasonRefused:
+			full++
 		case why != "":
 			d.Note(e.Name, 0, why)
 		case e.Own >= e.Limit:
--- a/request/policy/policy_test.go
+++ b/request/policy/policy_test.go
@@ -100,6 +100,12 @@
 			endpoints: []vetchtrail.EndpointView{endpoint("a", busy)},
 			kind:      vetchtrail.Refuse, reason: vetchtrail.ReasonDeadline,
 		},
+		"one that refused for its load is waited for": {
+			weights: tail, endpoints: []vetchtrail.EndpointView{endpoint("a", func(e *vetchtrail.EndpointView) {
+				e.Away, e.Why, e.Back = true, vetchtrail.ReasonRefused, 1
+			})},
+			kind: vetchtrail.WaitHere, reason: vetchtrail.ReasonFull,
+		},
 		"nowhere to go": {
 			weights: tail, remotes: []vetchtrail.RemoteView{remote("x", func(m *vetchtrail.RemoteView) { m.Reachable = false })},
 			kind: vetchtrail.Refuse, reason: vetchtrail.ReasonUnreachable,
--- a/request/policy/weighted.go
+++ b/request/policy/weighted.go
@@ -96,6 +96,10 @@
 		if why := unfit(e, r, v); why != "" {
 			s.hold(i, math.MaxFloat64)
 			d.Note(e.Name, 0, why)
+			if why == vetchtrail.ReasonRefused {
+				s.full++
+				s.wait = min(s.wait, e.Back)
+			}
 			continue
 		}
 		n := load(e)
@@ -339,12 +343,16 @@
 			return vetchtrail.ReasonOverCapacity
 		}
 	}
+	why := vetchtrail.ReasonNoEndpoint
 	for i := range v.Remotes {
-		if r.Allowed.Has(v.Remotes[i].Region) {
-			return vetchtrail.ReasonUnreachable
+		switch unfitRemote(&v.Remotes[i], r, v) {
+		case vetchtrail.ReasonFull:
+			return vetchtrail.ReasonOverCapacity
+		case vetchtrail.ReasonUnreachable, vetchtrail.ReasonStale:
+			why = vetchtrail.ReasonUnreachable
 		}
 	}
-	return vetchtrail.ReasonNoEndpoint
+	return why
 }
 
 func refuse(d *vetchtrail.Decision, why vetchtrail.Reason, now time.Time, after time.Duration) vetchtrail.Decision {
--- a/scenario/config_history_test.go
+++ b/scenario/config_history_test.go
@@ -94,7 +94,7 @@
 func TestConfigurationHistory(t *testing.T) {
 	const seed, length = 9, 15 * time.Second
 	t.Logf("seed %d", seed)
-	f, d, err := newFleet(t.TempDir(), 2, 1, nil)
+	f, d, err := newFleet(t.TempDir(), 2, 1, usualSlots, nil)
 	assert.NilError(t, err)
 	defer f.Close()
 	applyTo(t, f, d)
--- a/scenario/once_history_test.go
+++ b/scenario/once_history_test.go
@@ -43,18 +43,6 @@
 // "not run" only while it has not run, or "unknown".
 func onceModel() porcupine.Model {
 	m := porcupine.NondeterministicModel{
-		Partition: func(h []porcupine.Operation) [][]porcupine.Operation {
-			keys := map[string][]porcupine.Operation{}
-			for _, op := range h {
-				k := op.Input.(attempt).key
-				keys[k] = append(keys[k], op)
-			}
-			var out [][]porcupine.Operation
-			for _, ops := range keys {
-				out = append(out, ops)
-			}
-			return out
-		},
 		Init: func() []any { return []any{once{}} },
 		Step: func(state, input, output any) []any {
 			s, in, out := state.(once), input.(attempt), output.(seen)
@@ -152,7 +140,7 @@
 	const seed, length = 6, 15 * time.Second
 	t.Logf("seed %d", seed)
 	ctx := context.Background()
-	f, d, err := newFleet(t.TempDir(), 2, 1, nil)
+	f, d, err := newFleet(t.TempDir(), 2, 1, usualSlots, nil)
 	assert.NilError(t, err)
 	defer f.Close()
 	applyTo(t, f, d)
@@ -179,7 +167,23 @@
 		assert.Assert(t, x.count[kind] > 0, "no %s was made", kind)
 	}
 	assert.Assert(t, tally["answered"] > 0 && tally["unknown"] > 0, "%v", tally)
-	assert.Equal(t, porcupine.CheckOperationsTimeout(onceModel(), r.ops, time.Minute), porcupine.Ok)
+	for key, ops := range byKey(r.ops) {
+		if porcupine.CheckOperationsTimeout(onceModel(), ops, time.Minute) != porcupine.Ok {
+			for _, op := range ops {
+				t.Logf("caller %d, from %d to %d: %+v", op.ClientId, op.Call, op.Return, op.Output)
+			}
+			t.Fatalf("the history of key %s can't be", key)
+		}
+	}
+}
+
+func byKey(history []porcupine.Operation) map[string][]porcupine.Operation {
+	keys := map[string][]porcupine.Operation{}
+	for _, op := range history {
+		k := op.Input.(attempt).key
+		keys[k] = append(keys[k], op)
+	}
+	return keys
 }
 
 // book makes bookings one after the other, each repeated until it is answered
--- a/scenario/scenario_test.go
+++ b/scenario/scenario_test.go
@@ -28,7 +28,10 @@
 // slots gives each fleet addresses of its own.
 var slots atomic.Int64
 
-const firstSlot = 20
+const (
+	firstSlot  = 20
+	usualSlots = 8 // of an engine
+)
 
 func TestMain(m *testing.M) { os.Exit(run(m)) }
 
@@ -52,8 +55,10 @@
 	return m.Run()
 }
 
-func newFleet(dir string, hosts, engines int, engineArgs []string) (*fleet.Fleet, deployment.Deployment, error) {
-	d := deployment.Build(deployment.Small(int(firstSlot+slots.Add(1)), hosts, engines))
+func newFleet(dir string, hosts, engines, engineSlots int, engineArgs []string) (*fleet.Fleet, deployment.Deployment, error) {
+	spec := deployment.Small(int(firstSlot+slots.Add(1)), hosts, engines)
+	spec.Model.Slots = engineSlots
+	d := deployment.Build(spec)
 	f, err := fleet.Start(context.Background(), fleet.Config{
 		Deployment: d, Binaries: binaries, Directory: dir, EngineArgs: engineArgs,
 		Leave: 500 * time.Millisecond, Poll: 200 * time.Millisecond,
@@ -85,7 +90,7 @@
 		"fleet": (*script).start, "apply": (*script).apply, "operate": (*script).operate, "ask": (*script).ask, "bg": (*script).bg,
 		"join": (*script).join, "check": (*script).check, "until": (*script).until, "key": (*script).key, "ran": (*script).ran,
 		"process": (*script).process, "link": (*script).link, "isolate": (*script).isolate, "fault": (*script).fault, "leaving": (*script).leaving,
-		"inforce": (*script).inForce, "get": (*script).get, "repeat20": (*script).repeat, "sleep": (*script).sleep, "await": (*script).await,
+		"inforce": (*script).inForce, "get": (*script).get, "repeat20": (*script).repeat, "sleep": (*script).sleep, "await": (*script).await, "firstready": (*script).firstReady, "inforcehost": (*script).inForceHost,
 	}
 	p := testscript.Params{Dir: "testdata", Cmds: map[string]func(*testscript.TestScript, bool, []string){}}
 	for name, run := range commands {
@@ -124,7 +129,7 @@
 	return n
 }
 
-// start: fleet hosts=2 engines=2 [engine flags as --step=5ms]
+// start: fleet hosts=2 engines=2 slots=8 [engine flags as --step=5ms]
 func (s *script) start(ts *testscript.TestScript, args []string) (err error) {
 	o := parse(args)
 	var flags []string
@@ -133,7 +138,7 @@
 			flags = append(flags, a)
 		}
 	}
-	s.fleet, s.d, err = newFleet(ts.MkAbs("."), o.number("hosts", 2), o.number("engines", 2), flags)
+	s.fleet, s.d, err = newFleet(ts.MkAbs("."), o.number("hosts", 2), o.number("engines", 2), o.number("slots", usualSlots), flags)
 	if err != nil {
 		return err
 	}
@@ -341,15 +346,17 @@
 	return ""
 }
 
-// until ask-words… -- check-words…: asks until the check holds
+// until ask-words… -- check-words…: asks with ever new prompts until the check holds
 func (s *script) until(ts *testscript.TestScript, args []string) error {
 	at := 0
 	for at < len(args) && args[at] != "--" {
 		at++
 	}
 	var last error
+	n := 0
 	err := s.fleet.Await(context.Background(), strings.Join(args, " "), func() bool {
-		s.send(args[:at])
+		n++ // another prompt each time: the same one belongs to one endpoint's cache
+		s.send(append(append([]string{}, args[:at]...), fmt.Sprintf("prompt=%d", n)))
 		last = s.check(ts, append([]string{args[0]}, args[at+1:]...))
 		return last == nil
 	})
@@ -517,3 +524,36 @@
 	}
 	return nil
 }
+
+// firstready HOST N: the host's first moment in service must be on a revision
+// of N or later
+func (s *script) firstReady(_ *testscript.TestScript, args []string) error {
+	h, err := s.fleet.Settings(args[0])
+	if err != nil {
+		return err
+	}
+	err = s.fleet.Await(context.Background(), args[0]+" in service", func() bool {
+		return s.fleet.Client.Get(context.Background(), h.Listen.Callers, "/readyz", nil) == nil
+	})
+	if err != nil {
+		return err
+	}
+	want, _ := strconv.Atoi(args[1])
+	if got, ok := revisionOf(h.Listen.Peers); !ok || got < uint64(want) {
+		return fmt.Errorf("in service with revision %d instead of %d", got, want)
+	}
+	return nil
+}
+
+// inforcehost HOST N: waits until one host holds the revision
+func (s *script) inForceHost(_ *testscript.TestScript, args []string) error {
+	h, err := s.fleet.Settings(args[0])
+	if err != nil {
+		return err
+	}
+	want, _ := strconv.Atoi(args[1])
+	return s.fleet.Await(context.Background(), args[0]+" with "+args[1], func() bool {
+		got, ok := revisionOf(h.Listen.Peers)
+		return ok && got >= uint64(want)
+	})
+}
--- a/standin/world/world.go
+++ b/standin/world/world.go
@@ -108,6 +108,20 @@
 			return err
 		}
 	}
+	return w.listening()
+}
+
+// listening waits until all daemons answer.
+func (w *World) listening() error {
+	deadline := time.Now().Add(readyTime)
+	for _, s := range w.cfg.Deployment.Hosts {
+		for w.Client.Get(w.ctx, s.Listen.Callers, "/livez", nil) != nil {
+			if time.Now().After(deadline) {
+				return errors.Errorf("world.Start: host %s does not listen", s.Host)
+			}
+			time.Sleep(5 * time.Millisecond)
+		}
+	}
 	return nil
 }
 
