Balance by what is known: own requests, the mean of others, notable differences

A late report tells of requests that have mostly ended; the spread meant to hide that made the choice almost blind, and the means of few requests at one endpoint outweighed its load.

--- a/cmd/standin/load.go
+++ b/cmd/standin/load.go
@@ -48,14 +48,15 @@
 	var results []loadrun.Result
 	for _, k := range loadrun.Cases() {
 		for _, p := range c.Policies {
-			if _, ok := policy.ByName(p); !ok {
-				return errors.Errorf("standin load: no policy %q", p)
-			}
 			if !c.wants(k) {
 				continue
 			}
+			run, name, err := variant(spec, p)
+			if err != nil {
+				return err
+			}
 			res, err := loadrun.Run(ctx, loadrun.Config{
-				Spec: spec, Policy: p, Case: k, Rate: c.Rate, Length: c.Length, Seed: c.Seed, Deadline: c.Deadline,
+				Spec: run, Policy: name, Name: p, Case: k, Rate: c.Rate, Length: c.Length, Seed: c.Seed, Deadline: c.Deadline,
 				Log: slog.New(slog.NewTextHandler(io.Discard, nil)),
 			})
 			if err != nil {
@@ -69,6 +70,22 @@
 	return nil
 }
 
+// tailFirst is the system's policy with Wycena WO's weights, to compare the
+// Co-operative's with.
+const tailFirst = "tail-first"
+
+// variant returns the deployment and the policy's name for a run.
+func variant(spec deployment.Spec, name string) (deployment.Spec, string, error) {
+	if name == tailFirst {
+		spec.Model.Weights = deployment.Wycena(loadSlot).Model.Weights
+		return spec, policy.NameWeighted, nil
+	}
+	if _, ok := policy.ByName(name); !ok {
+		return spec, "", errors.Errorf("standin load: no policy %q", name)
+	}
+	return spec, name, nil
+}
+
 func (c *loadCommand) wants(k loadrun.Case) bool {
 	for _, w := range c.Cases {
 		if len(k) >= len(w) && string(k[:len(w)]) == w {
--- a/decision.go
+++ b/decision.go
@@ -37,6 +37,7 @@
 	Target     int // index in View.Endpoints or View.Remotes
 	Name       string
 	Reason     Reason
+	Affine     bool // the request's prefix belongs to the endpoint's cache
 	Cost       float64
 	Wait       time.Duration // predicted time to the first token
 	RetryAt    time.Time     // with Refuse: when asking again may help
@@ -65,6 +66,7 @@
 type View struct {
 	Region    RegionID
 	Weights   Weights
+	CacheGain float64        // seconds a prompt token takes less where its prefix belongs, as observed
 	Endpoints []EndpointView // of this data centre
 	Remotes   []RemoteView   // other data centres
 	Excluded  []string       // places tried before
@@ -82,7 +84,7 @@
 	Own      int           // this host's requests in flight there
 	OwnSince int           // change of Own since the report; may be negative
 	Age      time.Duration // of the report; negative: never reported
-	Prefill  float64       // seconds a prompt token takes, as observed
+	Prefill  float64       // seconds a prompt token takes where its prefix is not cached, as observed
 	Service  float64       // seconds a request occupies a slot, as observed
 	Warmth   float64       // share of full load it may take, 0 to 1
 	Away     bool          // draining, leaving or ejected
--- a/process/load/load.go
+++ b/process/load/load.go
@@ -15,10 +15,19 @@
 
 const (
 	// smoothing is the weight of a new observation in a running mean.
-	smoothing = 0.2
+	smoothing = 0.05
+	// usual is how far an endpoint's mean may be from its service's and still be
+	// taken as the same: the means of few requests differ by chance, and small
+	// differences would unbalance the load.
+	usual = 0.4
 	// firstService and firstPrefill stand until something was observed.
 	firstService = 1.0    // seconds a request occupies a slot
-	firstPrefill = 0.0005 // seconds a prompt token takes
+	firstPrefill = 0.0002 // seconds a prompt token takes
+	// firstGain is the share of it that a cached prefix is taken to save, until
+	// both kinds were observed.
+	firstGain = 0.5
+	fastest   = 0.1 // bounds of an endpoint's pace beside its service's
+	slowest   = 50.0
 	// forget is the time in which an unrepeated observation of an endpoint falls
 	// to 1/e beside the mean of its service, so that one that was slow is tried
 	// again.
@@ -66,9 +75,9 @@
 	history  [ownHistory]ownMark
 	marks    int
 	limit    float64
-	service  float64
-	prefill  float64
-	observed time.Time // when service and prefill last were
+	service  average   // seconds a request occupies a slot
+	pace     average   // its time to the first token over its service's
+	observed time.Time // when service and pace last were
 	warmth   float64
 	failures int
 	ejects   int
@@ -86,7 +95,19 @@
 }
 
 // means are a service's, over all its endpoints.
-type means struct{ service, prefill float64 }
+type means struct {
+	service average // seconds a request occupies a slot
+	miss    average // seconds a prompt token takes, prefix not cached
+	hit     average // where the prefix belongs
+}
+
+func newMeans() *means {
+	return &means{
+		service: average{value: firstService},
+		miss:    average{value: firstPrefill},
+		hit:     average{value: firstPrefill * (1 - firstGain)},
+	}
+}
 
 // New returns an empty table.
 func New() *Table {
@@ -117,7 +138,7 @@
 		s, ok := old[e.Name]
 		if !ok || s.Addr != e.Addr || s.Service != e.Service {
 			s = &state{
-				limit: float64(e.Slots), service: firstService, prefill: firstPrefill,
+				limit: float64(e.Slots), service: average{value: firstService}, pace: average{value: 1},
 				warmth: 1, affine: xxhash.Sum64String(e.Name),
 			}
 		}
@@ -126,7 +147,7 @@
 		t.shorts[Short(e.Name)] = s
 		t.services[e.Service] = append(t.services[e.Service], s)
 		if t.means[e.Service] == nil {
-			t.means[e.Service] = &means{service: firstService, prefill: firstPrefill}
+			t.means[e.Service] = newMeans()
 		}
 	}
 	for service := range t.services {
@@ -161,6 +182,9 @@
 func (t *Table) Fill(v *vetchtrail.View, service string, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if m, ok := t.means[service]; ok {
+		v.CacheGain = math.Max(0, m.miss.value-m.hit.value)
+	}
 	for _, s := range t.services[service] {
 		v.Endpoints = append(v.Endpoints, s.view(t.means[service], now))
 	}
@@ -171,8 +195,9 @@
 	v := vetchtrail.EndpointView{
 		Name: s.Name, Region: s.region, Slots: s.Slots, Limit: s.allowedNow(), Own: s.own,
 		Running: s.report.Running, Queued: s.report.Queued, Age: -1,
-		Prefill: m.prefill + trust*(s.prefill-m.prefill), Service: m.service + trust*(s.service-m.service),
-		Warmth: s.warmth, Affine: s.affine,
+		Prefill: m.miss.value * notable(1+trust*(s.pace.value-1)),
+		Service: m.service.value * notable(1+trust*(s.service.value/m.service.value-1)),
+		Warmth:  s.warmth, Affine: s.affine,
 	}
 	if s.reported {
 		v.Age = now.Sub(s.report.At)
@@ -230,6 +255,7 @@
 	Outcome vetchtrail.Outcome
 	Timing  vetchtrail.Timing
 	Tokens  int  // of the prompt
+	Affine  bool // the prompt's prefix belongs there
 	Cancel  bool // the caller left: says nothing of the endpoint
 }
 
@@ -268,19 +294,29 @@
 		return
 	}
 	s.observed = now
-	s.service = mean(s.service, whole)
-	m.service = mean(m.service, whole)
+	s.service.observe(whole)
+	m.service.observe(whole)
 	if o.Tokens > 0 && s.own < s.Slots {
-		s.prefill = mean(s.prefill, first/float64(o.Tokens))
-		m.prefill = mean(m.prefill, first/float64(o.Tokens))
+		s.observePace(first/float64(o.Tokens), o.Affine, m)
 	}
 	s.adapt(first)
 }
 
+// observePace learns from the seconds a prompt token took on a slot that was
+// free.
+func (s *state) observePace(token float64, affine bool, m *means) {
+	expected := &m.miss
+	if affine {
+		expected = &m.hit
+	}
+	s.pace.observe(math.Min(math.Max(token/expected.value, fastest), slowest))
+	expected.observe(token / math.Max(s.pace.value, 1))
+}
+
 // adapt moves the limit: up while requests start in good time, down while they
 // are held back at the endpoint for longer than they take.
 func (s *state) adapt(first float64) {
-	if first > s.service {
+	if first > s.service.value {
 		s.limit = math.Max(1, s.limit*0.95)
 		return
 	}
@@ -468,4 +504,22 @@
 	return sum
 }
 
-func mean(old, seen float64) float64 { return old + smoothing*(seen-old) }
+// notable is a ratio, or 1 if it is about that.
+func notable(ratio float64) float64 {
+	if math.Abs(ratio-1) < usual {
+		return 1
+	}
+	return ratio
+}
+
+// average is a running mean. The first observations weigh more, so that what
+// it started from is soon forgotten.
+type average struct {
+	value float64
+	seen  int
+}
+
+func (a *average) observe(x float64) {
+	a.seen++
+	a.value += math.Max(smoothing, 1/float64(a.seen+1)) * (x - a.value)
+}
--- a/request/policy/plain.go
+++ b/request/policy/plain.go
@@ -100,8 +100,17 @@
 
 func twoChoices(v *vetchtrail.View, usable []int, rnd *rand.Rand) int {
 	a, b := usable[rnd.IntN(len(usable))], usable[rnd.IntN(len(usable))]
-	if load(&v.Endpoints[b]) < load(&v.Endpoints[a]) {
+	if reportedLoad(&v.Endpoints[b]) < reportedLoad(&v.Endpoints[a]) {
 		return b
 	}
 	return a
 }
+
+// reportedLoad takes a late report at its word, corrected by what this host has
+// started and finished since.
+func reportedLoad(e *vetchtrail.EndpointView) int {
+	if !reported(e) {
+		return e.Own
+	}
+	return max(e.Own, e.Running+e.Queued+e.OwnSince)
+}
--- a/request/policy/weighted.go
+++ b/request/policy/weighted.go
@@ -15,21 +15,14 @@
 	// boundedLoad is how far over the mean an endpoint's load may be and still
 	// take the requests with its prefixes.
 	boundedLoad = 1.25
-	// cachedShare is how much of a prompt is taken to be cached at the endpoint
-	// that its prefix belongs to.
-	cachedShare = 0.7
 	// batchDrag is the share of a request's service time that a full batch
 	// adds to the time to its first token.
 	batchDrag = 0.1
 	// wholeShare is how much the whole answer weighs beside its first token.
 	wholeShare = 0.1
-	// spreadPerSecond is how much of a request's service time two candidates'
-	// costs may differ by and still be taken as equal, for each second of the
-	// reports' age. It keeps hosts with the same late reports from all
-	// choosing the same endpoint.
-	spreadPerSecond = 0.25
-	minSpread       = 0.02
-	maxSpread       = 0.5
+	// evenSpread is the share of a request's service time by which two
+	// candidates' costs may differ and still be taken as equal.
+	evenSpread = 0.01
 	// tooFar is how many spreads from the best a cost has no chance.
 	tooFar = 3.0
 	// staleAfter is the age after which a report says nothing.
@@ -60,6 +53,7 @@
 	wait    float64            // shortest predicted wait at those
 	affine  int                // endpoint that the request's prefix belongs to; -1: none
 	loadSum float64            // over open and full ones
+	others  float64            // requests of other hosts at an endpoint, in the mean
 }
 
 // heldCosts is how many costs are held between the passes; those of further
@@ -90,6 +84,7 @@
 // score finds the cost of each endpoint and the lowest.
 func score(s *scored, d *vetchtrail.Decision, r *vetchtrail.Request, v *vetchtrail.View) {
 	s.best, s.wait, s.affine = math.Inf(1), math.Inf(1), -1
+	s.others = meanOthers(r, v)
 	top := uint64(0)
 	for i := range v.Endpoints {
 		e := &v.Endpoints[i]
@@ -102,7 +97,7 @@
 			}
 			continue
 		}
-		n := load(e)
+		n := load(e, s.others)
 		s.loadSum += n
 		if e.Own >= e.Limit {
 			wait := waitAt(e, n) + e.Service/float64(max(e.Slots, 1))
@@ -137,7 +132,7 @@
 	}
 	e := &v.Endpoints[s.affine]
 	bound := math.Ceil(boundedLoad * (s.loadSum + 1) / float64(s.open+s.full))
-	if load(e) >= bound {
+	if load(e, s.others) >= bound {
 		s.affine = -1
 		return
 	}
@@ -161,9 +156,9 @@
 	if unfit(e, r, v) != "" || e.Own >= e.Limit {
 		return math.MaxFloat64
 	}
-	cost := costOf(e, r, v, load(e))
+	cost := costOf(e, r, v, load(e, s.others))
 	if i == s.affine {
-		cost -= (v.Weights.Tail + v.Weights.Cost) * cachedShare * float64(r.Tokens) * e.Prefill
+		cost -= (v.Weights.Tail + v.Weights.Cost) * float64(r.Tokens) * min(v.CacheGain, e.Prefill)
 	}
 	return cost
 }
@@ -181,23 +176,54 @@
 	return ""
 }
 
-// load estimates the requests at an endpoint: its late report, corrected by
-// what this host has started and finished since.
-func load(e *vetchtrail.EndpointView) float64 {
-	if e.Age < 0 || e.Age > staleAfter {
-		return float64(e.Own)
+// meanOthers is how many requests of other hosts an endpoint holds in the mean,
+// by the reports.
+func meanOthers(r *vetchtrail.Request, v *vetchtrail.View) float64 {
+	sum, n := 0, 0
+	for i := range v.Endpoints {
+		e := &v.Endpoints[i]
+		if reported(e) && unfit(e, r, v) == "" {
+			sum += othersAt(e)
+			n++
+		}
+	}
+	if n == 0 {
+		return 0
+	}
+	return float64(sum) / float64(n)
+}
+
+func reported(e *vetchtrail.EndpointView) bool { return e.Age >= 0 && e.Age <= staleAfter }
+
+// othersAt is what a report says beyond this host's own requests at its time.
+func othersAt(e *vetchtrail.EndpointView) int {
+	return max(0, e.Running+e.Queued-(e.Own-e.OwnSince))
+}
+
+// load estimates the requests at an endpoint: this host's own, which it knows,
+// and those of others. A late report tells of requests that have mostly ended
+// since: the older it is beside a request's service time, the more the mean
+// over all endpoints stands for it. Hosts with the same late reports would
+// else all choose the same endpoint.
+func load(e *vetchtrail.EndpointView, others float64) float64 {
+	if !reported(e) {
+		return float64(e.Own) + others
 	}
-	return float64(max(e.Own, e.Running+e.Queued+e.OwnSince))
+	late := e.Age.Seconds() / max(e.Service, 1e-3)
+	trust := 1 / (1 + late + late*late/2)
+	return float64(e.Own) + others + trust*(float64(othersAt(e))-others)
 }
 
 // waitAt predicts the seconds until an endpoint with n requests starts one
-// more.
+// more. Short of full it grows slowly at first: n is an estimate, and the
+// chance that it is full already grows with it.
 func waitAt(e *vetchtrail.EndpointView, n float64) float64 {
 	slots := float64(max(e.Slots, 1))
-	if n < slots {
-		return e.Service * batchDrag * n / slots
+	if n >= slots {
+		return e.Service * (batchDrag + (n-slots+1)/slots)
 	}
-	return e.Service * (batchDrag + (n-slots+1)/slots)
+	full := n / slots
+	return e.Service * (batchDrag*full + full*full*full*full/slots)
 }
 
 // costOf weighs one more request at an endpoint with n requests.
@@ -221,12 +247,12 @@
 func runHere(d *vetchtrail.Decision, s *scored, now time.Time, r *vetchtrail.Request, v *vetchtrail.View, rnd *rand.Rand) vetchtrail.Decision {
 	chosen := draw(d, s, r, v, rnd)
 	e := &v.Endpoints[chosen]
-	d.Wait = seconds(waitAt(e, load(e)) + float64(r.Tokens)*e.Prefill)
+	d.Wait = seconds(waitAt(e, load(e, s.others)) + float64(r.Tokens)*e.Prefill)
 	if now.Add(d.Wait).After(r.Deadline) {
 		return refuse(d, vetchtrail.ReasonDeadline, now, d.Wait)
 	}
 	d.Kind, d.Target, d.Name, d.Cost = vetchtrail.RunHere, chosen, e.Name, s.cost(chosen, r, v)
-	d.Reason = vetchtrail.ReasonChosen
+	d.Reason, d.Affine = vetchtrail.ReasonChosen, chosen == s.affine
 	return *d
 }
 
@@ -259,8 +285,7 @@
 }
 
 func spread(e *vetchtrail.EndpointView, tail float64) float64 {
-	share := min(max(spreadPerSecond*e.Age.Seconds(), minSpread), maxSpread)
-	return max(share*e.Service*max(tail, 0.1), 1e-6)
+	return max(evenSpread*e.Service*max(tail, 0.1), 1e-6)
 }
 
 // bestRemote returns the data centre with the lowest cost; -1: none.
--- a/standin/loadrun/loadrun.go
+++ b/standin/loadrun/loadrun.go
@@ -46,6 +46,7 @@
 type Config struct {
 	Spec     deployment.Spec
 	Policy   string
+	Name     string // of the run in the results
 	Case     Case
 	Rate     float64 // arrivals a second in all regions at the steady case
 	Length   time.Duration
@@ -170,7 +171,7 @@
 	}
 	defer w.Close()
 	r := &run{cfg: c, d: d, w: w, res: Result{
-		Policy: c.Policy, Case: c.Case, First: histogram(), Whole: histogram(), Refused: histogram(),
+		Policy: c.Name, Case: c.Case, First: histogram(), Whole: histogram(), Refused: histogram(),
 	}}
 	if err := r.configure(ctx); err != nil {
 		return Result{}, err
