--- /dev/null
+++ b/cmd/standin/capacity.go
@@ -0,0 +1,25 @@
+package main
+
+import (
+	"os"
+
+	"vetchtrail/standin/capacity"
+)
+
+// capacityCommand makes the tables of docs/CAPACITY.md from the output of the
+// benchmarks.
+type capacityCommand struct{}
+
+// Run implements the subcommand.
+func (c *capacityCommand) Run() error {
+	points, err := capacity.Parse(os.Stdin)
+	if err != nil {
+		return err
+	}
+	m, err := capacity.NewModel(points)
+	if err != nil {
+		return err
+	}
+	m.Write(os.Stdout)
+	return nil
+}
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -13,6 +13,7 @@
 	Directory directoryCommand `cmd:"" help:"Stand in for the directory for clients."`
 	Link      linkCommand      `cmd:"" help:"Stand in for the links between regions."`
 	Load      loadCommand      `cmd:"" help:"Compare the policies under load and faults, on the same arrivals."`
+	Capacity  capacityCommand  `cmd:"" help:"Make the tables of docs/CAPACITY.md from benchmarks on standard input."`
 	Examples  examplesCommand  `cmd:"" help:"Write the users' deployments of today as files."`
 }
 
--- a/process/daemon/daemon.go
+++ b/process/daemon/daemon.go
@@ -31,6 +31,7 @@
 )
 
 const (
+	// Watchers is how many hosts of a data centre watch the store.
 	Watchers     = 2 // hosts of a data centre that watch the store
 	pullEvery    = 200 * time.Millisecond
 	catchUpTime  = 6 * time.Second // for reading the store, which may be slow
--- a/process/load/load.go
+++ b/process/load/load.go
@@ -71,6 +71,7 @@
 	affine   uint64
 	report   vetchtrail.LoadReport
 	reported bool
+	polled   bool // the report was fetched by this host
 	own      int
 	history  [ownHistory]ownMark
 	marks    int
@@ -359,21 +360,22 @@
 	s.warmth = coldStart
 }
 
-// Report takes an endpoint's report if it is newer than the one held, and says
-// whether it was.
+// Report takes a report that this host fetched, if it is newer than the one
+// held, and says whether it was.
 func (t *Table) Report(name string, r vetchtrail.LoadReport, leavingUntil time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s, ok := t.endpoints[name]
-	return ok && t.take(s, r, leavingUntil)
+	return ok && t.take(s, r, true, leavingUntil)
 }
 
-// ReportShort is Report for an endpoint by the short form of its name.
+// ReportShort takes a report that another host fetched, by the short form of
+// the endpoint's name.
 func (t *Table) ReportShort(short uint32, r vetchtrail.LoadReport, leavingUntil time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s, ok := t.shorts[short]
-	return ok && t.take(s, r, leavingUntil)
+	return ok && t.take(s, r, false, leavingUntil)
 }
 
 // Short is the short form of an endpoint's name between hosts. Two of the same
@@ -381,11 +383,11 @@
 func Short(name string) uint32 { return uint32(xxhash.Sum64String(name)) }
 
 // take takes a report if it is newer. The caller holds the lock.
-func (t *Table) take(s *state, r vetchtrail.LoadReport, leavingUntil time.Time) bool {
+func (t *Table) take(s *state, r vetchtrail.LoadReport, polled bool, leavingUntil time.Time) bool {
 	if s.reported && !r.At.After(s.report.At) {
 		return false
 	}
-	s.report, s.reported = r, true
+	s.report, s.reported, s.polled = r, true, polled
 	if s.backWhy == vetchtrail.ReasonUnreachable {
 		s.backOff = time.Time{} // it answers again
 	}
@@ -451,6 +453,25 @@
 	Report vetchtrail.LoadReport
 }
 
+// Fetched is a report that this host fetched itself.
+type Fetched struct {
+	Endpoint string
+	Report   vetchtrail.LoadReport
+}
+
+// Fetched returns the newest reports that this host fetched itself.
+func (t *Table) Fetched() []Fetched {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out []Fetched
+	for _, s := range t.endpoints {
+		if s.polled {
+			out = append(out, Fetched{Endpoint: s.Name, Report: s.report})
+		}
+	}
+	return out
+}
+
 // Rows returns the state of all endpoints.
 func (t *Table) Rows(now time.Time) []Row {
 	t.mu.Lock()
--- a/process/membership/digest.go
+++ b/process/membership/digest.go
@@ -149,7 +149,7 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	whole := m.mergeDigest(in.GetDigest(), now, now)
+	whole := m.mergeDigest(in.GetDigest(), now, now, true)
 	return &schema.Digests{From: m.cfg.Self.Name, Digest: own, WantMembers: !whole}
 }
 
@@ -157,15 +157,16 @@
 func (m *Membership) swapped(in *schema.Digests, sent, now time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.mergeDigest(in.GetDigest(), now, now)
+	m.mergeDigest(in.GetDigest(), now, now, true)
 	if r, ok := m.remotes[in.GetDigest().GetDataCentre()]; ok {
 		r.delay = now.Sub(sent) / 2
 	}
 }
 
 // mergeDigest takes a digest if it is newer. It returns false if the digest
-// came without its members and they are not held. The caller holds the lock.
-func (m *Membership) mergeDigest(d *schema.Digest, at, now time.Time) bool {
+// came without its members and they are not held. Direct: it was swapped for by
+// this host itself. The caller holds the lock.
+func (m *Membership) mergeDigest(d *schema.Digest, at, now time.Time, direct bool) bool {
 	name := d.GetDataCentre()
 	if name == m.self.DataCentre || name == "" {
 		return true
@@ -183,7 +184,7 @@
 	if len(d.GetMembers()) == 0 && ok {
 		d.Members = r.digest.GetMembers() // those told before
 	}
-	r.digest, r.at = d, at
+	r.digest, r.at, r.direct = d, at, direct
 	return hashOf(d.GetMembers()) == d.GetMembersHash()
 }
 
--- a/process/membership/exchange.go
+++ b/process/membership/exchange.go
@@ -163,28 +163,32 @@
 	return uint32(weigh(name, strconv.FormatUint(incarnation, 16)))
 }
 
+// loadsFor are the reports that this host fetched itself: each host hears of an
+// endpoint from those whose duty it is, and nothing is passed on twice.
 func (m *Membership) loadsFor(to *member, now time.Time) []*schema.Load {
 	var out []*schema.Load
-	for _, row := range m.cfg.Load.Rows(now) {
-		if !row.Report.At.After(to.sent[row.Name]) {
+	for _, f := range m.cfg.Load.Fetched() {
+		if !f.Report.At.After(to.sent[f.Endpoint]) {
 			continue
 		}
-		to.sent[row.Name] = row.Report.At
+		to.sent[f.Endpoint] = f.Report.At
 		out = append(out, &schema.Load{
-			Endpoint: load.Short(row.Name), Running: uint32(row.Report.Running), Queued: uint32(row.Report.Queued),
-			AgeMillis: millis(now.Sub(row.Report.At)), Leaving: row.Report.Leaving,
+			Endpoint: load.Short(f.Endpoint), Running: uint32(f.Report.Running), Queued: uint32(f.Report.Queued),
+			AgeMillis: millis(now.Sub(f.Report.At)), Leaving: f.Report.Leaving,
 		})
 	}
 	return out
 }
 
+// digestsFor are the digests that this host was given by other data centres
+// itself.
 func (m *Membership) digestsFor(to *member, now time.Time) []*schema.Digest {
 	var out []*schema.Digest
 	for name, d := range m.remotes {
-		if d.digest.GetSequence() <= to.digests[name] {
+		if !d.direct || !to.digests[name].due(d.digest, now) {
 			continue
 		}
-		to.digests[name] = d.digest.GetSequence()
+		to.digests[name] = relayed{at: now, newest: d.digest.GetNewest(), members: d.digest.GetMembersHash()}
 		out = append(out, to.told.digest(d.digest, millis(now.Sub(d.at))))
 	}
 	return out
@@ -216,7 +220,7 @@
 		whole = m.mergeMember(line, now) && whole
 	}
 	for _, d := range h.GetDigests() {
-		whole = m.mergeDigest(d, now.Add(-time.Duration(d.GetAgeMillis())*time.Millisecond), now) && whole
+		whole = m.mergeDigest(d, now.Add(-time.Duration(d.GetAgeMillis())*time.Millisecond), now, false) && whole
 	}
 	if from, ok := m.members[h.GetFrom()]; ok {
 		from.missing = from.missing || !whole
@@ -252,7 +256,7 @@
 	b, ok := m.members[line.GetName()]
 	switch {
 	case !ok || line.GetIncarnation() > b.Incarnation:
-		b = &member{sent: map[string]time.Time{}, digests: map[string]uint64{}}
+		b = &member{sent: map[string]time.Time{}, digests: map[string]relayed{}}
 		m.members[line.GetName()] = b
 	case line.GetIncarnation() < b.Incarnation || line.GetCounter() <= b.counter:
 		return true
--- a/process/membership/membership.go
+++ b/process/membership/membership.go
@@ -19,15 +19,19 @@
 	"vetchtrail/schema"
 )
 
+// Intervals and numbers that the traffic between hosts follows from.
 const (
-	Tick          = 500 * time.Millisecond // between heartbeats
-	Fanout        = 2                      // hosts asked at a tick
-	suspectAfter  = 2 * time.Second
-	deadAfter     = 4 * time.Second
-	forgetAfter   = time.Minute
-	SwapTick      = time.Second // between digests to another data centre
+	Tick         = 500 * time.Millisecond // between heartbeats
+	Fanout       = 2                      // hosts asked at a tick
+	suspectAfter = 2 * time.Second
+	deadAfter    = 4 * time.Second
+	forgetAfter  = time.Minute
+	SwapTick     = time.Second // between digests to another data centre
+	Owners       = 2           // hosts here that swap digests with a given data centre
+	// RelayEvery is how often a host of this data centre is handed on a digest of
+	// another that tells of nothing urgent.
+	RelayEvery    = 2 * time.Second
 	reachableFor  = 5 * time.Second
-	Owners        = 2 // hosts here that swap digests with a given data centre
 	leavingFor    = 10 * time.Minute
 	unreachedTime = 2 * time.Second // after a failed forward
 )
@@ -61,11 +65,24 @@
 	counter uint64
 	said    vetchtrail.HostState // by the host itself
 	sent    map[string]time.Time // newest load report sent to it, by endpoint
-	digests map[string]uint64    // newest digest sent to it, by data centre
+	digests map[string]relayed   // newest digest sent to it, by data centre
 	told    told
 	missing bool // it told less of something than we hold
 }
 
+// relayed is a digest as it was handed on.
+type relayed struct {
+	at      time.Time
+	newest  uint64
+	members uint32
+}
+
+// due says whether a digest is to be handed on again: after a while, or when it
+// tells of a newer configuration or of other members.
+func (r relayed) due(d *schema.Digest, now time.Time) bool {
+	return now.Sub(r.at) >= RelayEvery || d.GetNewest() > r.newest || d.GetMembersHash() != r.members
+}
+
 // told is what another host was told in full, so that it is told less again.
 // It is told in full again when it asks, when a message failed, and now and then.
 type told struct {
@@ -91,8 +108,8 @@
 // remote is another data centre.
 type remote struct {
 	digest *schema.Digest
+	direct bool      // the digest was given to this host itself
 	at     time.Time // when the digest was made, by this host's clock
-	direct time.Time // when this host last swapped with it itself
 	delay  time.Duration
 	own    map[string]int // this host's forwards in flight, by service
 	avoid  time.Time      // until when, after a failed forward
--- a/process/membership/membership_test.go
+++ b/process/membership/membership_test.go
@@ -37,8 +37,8 @@
 	a.merge(b.heartbeat(a.self.Peers, at), at)
 }
 
-func stateOf(m *Membership, name string, at time.Time) vetchtrail.HostState {
-	h, ok := m.Find(name, at)
+func stateOfC(m *Membership, at time.Time) vetchtrail.HostState {
+	h, ok := m.Find("c", at)
 	if !ok {
 		return vetchtrail.HostDead
 	}
@@ -52,23 +52,23 @@
 	swap(a, b, now)
 	swap(b, c, now)
 	swap(a, b, now)
-	assert.Equal(t, stateOf(a, "c", now), vetchtrail.HostReady, "heard of through b")
-	assert.Equal(t, stateOf(a, "c", now.Add(suspectAfter+1)), vetchtrail.HostSuspect)
+	assert.Equal(t, stateOfC(a, now), vetchtrail.HostReady, "heard of through b")
+	assert.Equal(t, stateOfC(a, now.Add(suspectAfter+1)), vetchtrail.HostSuspect)
 	// c can't reach a, but b can, and its counter grows.
 	c.counter++
 	swap(b, c, now.Add(time.Second))
 	swap(a, b, now.Add(time.Second))
-	assert.Equal(t, stateOf(a, "c", now.Add(suspectAfter+1)), vetchtrail.HostReady)
-	assert.Equal(t, stateOf(a, "c", now.Add(time.Second+deadAfter+1)), vetchtrail.HostDead)
+	assert.Equal(t, stateOfC(a, now.Add(suspectAfter+1)), vetchtrail.HostReady)
+	assert.Equal(t, stateOfC(a, now.Add(time.Second+deadAfter+1)), vetchtrail.HostDead)
 	// An old word can't bring it back, a new incarnation can.
 	later := now.Add(time.Minute / 2)
 	b.merge(a.heartbeat(b.self.Peers, later), later)
-	assert.Equal(t, stateOf(a, "c", later), vetchtrail.HostDead)
+	assert.Equal(t, stateOfC(a, later), vetchtrail.HostDead)
 	c2 := newMember("c", "dc", 3)
 	c2.self.Incarnation = 101
 	c2.SetState(vetchtrail.HostLeaving)
 	swap(a, c2, later)
-	assert.Equal(t, stateOf(a, "c", later), vetchtrail.HostLeaving)
+	assert.Equal(t, stateOfC(a, later), vetchtrail.HostLeaving)
 	swap(a, c, later)
 	h, _ := a.Find("c", later)
 	assert.Equal(t, h.Incarnation, uint64(101), "a delayed heartbeat of the old process")
@@ -191,7 +191,7 @@
 		x.Heard = at
 	}
 	for _, d := range m.remotes {
-		d.digest.Sequence++
+		d.digest.Newest++ // so that it is handed on
 		d.at = at
 	}
 	for _, row := range m.cfg.Load.Endpoints() {
--- a/request/once/once_test.go
+++ b/request/once/once_test.go
@@ -67,7 +67,6 @@
 			key  Key
 			rec  *Record
 			runs int // that may have run
-			end  vetchtrail.OutcomeKind
 		}
 		var keys []*state
 		pick := func() *state {
--- a/version/changelog/changelog.go
+++ b/version/changelog/changelog.go
@@ -19,6 +19,7 @@
 	"vetchtrail/version/rules"
 )
 
+// Names in the store, and how it is used.
 const (
 	logPrefix     = "vetchtrail/log/"
 	snapshotKey   = "vetchtrail/snapshot"
