--- a/process/load/load.go
+++ b/process/load/load.go
@@ -407,6 +407,16 @@
 	s.says = leaving
 }
 
+// Reported returns when an endpoint's newest report was true.
+func (t *Table) Reported(name string) time.Time {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if s, ok := t.endpoints[name]; ok {
+		return s.report.At
+	}
+	return time.Time{}
+}
+
 // Leave marks an endpoint as leaving until a moment; it is taken out of use at
 // once.
 func (t *Table) Leave(name string, until time.Time) {
@@ -459,13 +469,14 @@
 	Report   vetchtrail.LoadReport
 }
 
-// Fetched returns the newest reports that this host fetched itself.
+// Fetched returns the newest reports that this host fetched itself, and those
+// of leaving endpoints whoever fetched them: these are passed on by all.
 func (t *Table) Fetched() []Fetched {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var out []Fetched
 	for _, s := range t.endpoints {
-		if s.polled {
+		if s.polled || s.says {
 			out = append(out, Fetched{Endpoint: s.Name, Report: s.report})
 		}
 	}
--- a/process/membership/digest.go
+++ b/process/membership/digest.go
@@ -81,14 +81,17 @@
 
 func (m *Membership) swapTargets(now time.Time) []target {
 	m.mu.Lock()
-	names := make([]string, 0, len(m.remotes))
-	for name := range m.remotes {
-		names = append(names, name)
+	hosts := make(map[string]int, len(m.remotes)) // on whom the duty falls, by data centre
+	for name, d := range m.remotes {
+		hosts[name] = 1
+		if now.Sub(d.at) > standby {
+			hosts[name] = 2
+		}
 	}
 	m.mu.Unlock()
 	var out []target
-	for _, name := range names {
-		if m.OnDuty("digest "+name, Owners, now) {
+	for name, n := range hosts {
+		if m.OnDuty("digest "+name, n, now) {
 			out = append(out, m.anyOf(name)...)
 		}
 	}
--- a/process/membership/membership.go
+++ b/process/membership/membership.go
@@ -27,10 +27,12 @@
 	deadAfter    = 4 * time.Second
 	forgetAfter  = time.Minute
 	SwapTick     = time.Second // between digests to another data centre
-	Owners       = 2           // hosts here that swap digests with a given data centre
 	// RelayEvery is how often a host of this data centre is handed on a digest of
 	// another that tells of nothing urgent.
-	RelayEvery    = 2 * time.Second
+	RelayEvery = 2 * time.Second
+	// standby is the age of a digest at which the second host for its data centre
+	// swaps for it: the first may be slow or cut off from it.
+	standby       = 5 * SwapTick / 2
 	reachableFor  = 5 * time.Second
 	leavingFor    = 10 * time.Minute
 	unreachedTime = 2 * time.Second // after a failed forward
--- a/process/poll/poll.go
+++ b/process/poll/poll.go
@@ -20,8 +20,9 @@
 )
 
 const (
-	// Pollers is how many hosts poll an endpoint: one may be slow or cut off.
-	Pollers    = 2
+	// standby is after how many intervals without a report the second host for
+	// an endpoint polls it: the first may be slow or cut off from it.
+	standby    = 3
 	callTime   = time.Second
 	maxReport  = 1 << 20 // bytes
 	listEvery  = time.Second
@@ -82,12 +83,22 @@
 
 func (p *Poller) round(now time.Time) {
 	for _, e := range p.cfg.Table.Endpoints() {
-		if p.cfg.Duties.OnDuty("poll "+e.Name, Pollers, now) && p.begin(e.Name) {
+		if p.due(e.Name, now) && p.begin(e.Name) {
 			go p.poll(e)
 		}
 	}
 }
 
+// due says whether this host is to poll an endpoint now.
+func (p *Poller) due(name string, now time.Time) bool {
+	duty := "poll " + name
+	if p.cfg.Duties.OnDuty(duty, 1, now) {
+		return true
+	}
+	reported := p.cfg.Table.Reported(name)
+	return now.Sub(reported) > standby*p.cfg.Every && p.cfg.Duties.OnDuty(duty, 2, now)
+}
+
 func (p *Poller) begin(name string) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/standin/capacity/model.go
+++ b/standin/capacity/model.go
@@ -8,7 +8,6 @@
 
 	"vetchtrail/process/daemon"
 	"vetchtrail/process/membership"
-	"vetchtrail/process/poll"
 	"vetchtrail/process/settings"
 	"vetchtrail/version/changelog"
 )
@@ -126,13 +125,13 @@
 	every := settings.Default().Timing.Poll.Seconds()
 	exchanges := min(membership.Fanout, hosts-1) / membership.Tick.Seconds() // begun a second; as many are answered
 	messages := 2 * exchanges
-	polls := engines * min(poll.Pollers, hosts) / hosts / every
+	polls := engines / hosts / every
 	// A message to a host holds what is newer than the last one to it.
-	polled := engines * min(poll.Pollers, hosts) / hosts
+	polled := engines / hosts
 	toEach := messages / max(hosts-1, 1)
 	fresh := min(1, 1/every/max(toEach, 1e-9))
-	swaps := (s.DataCentres - 1) * min(membership.Owners, hosts) / hosts / membership.SwapTick.Seconds()
-	direct := (s.DataCentres - 1) * min(membership.Owners, hosts) / hosts * 2 // begun here, or answered here
+	swaps := (s.DataCentres - 1) / hosts / membership.SwapTick.Seconds()
+	direct := (s.DataCentres - 1) / hosts * 2 // begun here, or answered here
 	relays := min(toEach, 1/membership.RelayEvery.Seconds()) * (hosts - 1) * direct
 	changes := s.Changes / daySeconds
 	return []Row{
@@ -149,12 +148,12 @@
 			Memory: m.TableMemory.At(engines),
 		},
 		{
-			Role: "load poller", Mechanism: "two hosts an endpoint by rendezvous", Messages: polls,
+			Role: "load poller", Mechanism: "one host an endpoint by rendezvous, a second stands by", Messages: polls,
 			Bytes: polls * m.PollWire.At(polled) / 2,
 			CPU:   polls * m.PollCPU.At(polled) / 2 / 1e9, // of both sides
 		},
 		{
-			Role: "region representative", Mechanism: "two owners a data centre swap digests, and hand them on", Messages: 2 * swaps,
+			Role: "region representative", Mechanism: "one host a data centre swaps digests and hands them on, a second stands by", Messages: 2 * swaps,
 			Bytes:  2*swaps*(m.DigestBytes.Slope+m.ExchangeWire.At(0)/2) + relays*m.DigestBytes.Slope,
 			CPU:    swaps*m.ExchangeCPU.At(m.DigestBytes.Slope)/1e9 + relays*m.DigestCPU.Slope/1e9,
 			Memory: s.DataCentres * hosts * 256,
