Doubt late digests, trust full endpoints' reports, bound what a cache is worth

Reports of full endpoints were trusted no longer than a request lasts, though queues last longer, and all hosts sent away what the same late digest invited.

A stop of a host in the load run waited up to 10 s for idle connections: a daemon told to stop at once now cuts its connections. The line of waiting requests was last-in first-out between equals (found by TestOrder); it keeps their order now.

Tests: bad input, cut answers, callers that leave, settings with lines, keys between hosts, the line, the budget.

--- a/cmd/vetchtrail/config.go
+++ b/cmd/vetchtrail/config.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"fmt"
 	"os"
 	"text/tabwriter"
@@ -9,6 +10,7 @@
 	"github.com/go-faster/errors"
 
 	"vetchtrail"
+	"vetchtrail/connection/operator"
 	"vetchtrail/schema"
 	"vetchtrail/version/document"
 	"vetchtrail/version/rules"
@@ -36,15 +38,10 @@
 		return err
 	}
 	defer done()
-	wanted, err := readDocument(c.File)
+	held, edits, err := difference(ctx, client, c.File)
 	if err != nil {
 		return err
 	}
-	held, err := client.Rules(ctx)
-	if err != nil {
-		return err
-	}
-	edits := held.Difference(wanted)
 	if len(edits) == 0 {
 		return g.print(change{Result: "UNCHANGED", Revision: held.Revision()}, func(w *tabwriter.Writer) {
 			_, _ = fmt.Fprintf(w, "nothing to change: revision %d is what the file says\n", held.Revision())
@@ -56,6 +53,20 @@
 	return g.proposeOn(ctx, client, &c.changeFlags, edits)
 }
 
+// difference returns what the daemon holds and the edits that make it what a
+// file says.
+func difference(ctx context.Context, client *operator.Client, path string) (*rules.Rules, []vetchtrail.Edit, error) {
+	wanted, err := readDocument(path)
+	if err != nil {
+		return nil, nil, err
+	}
+	held, err := client.Rules(ctx)
+	if err != nil {
+		return nil, nil, err
+	}
+	return held, held.Difference(wanted), nil
+}
+
 func readDocument(path string) (*rules.Rules, error) {
 	text, err := os.ReadFile(path)
 	if err != nil {
@@ -108,16 +119,12 @@
 		return err
 	}
 	defer done()
-	wanted, err := readDocument(c.File)
-	if err != nil {
-		return err
-	}
-	held, err := client.Rules(ctx)
+	_, edits, err := difference(ctx, client, c.File)
 	if err != nil {
 		return err
 	}
 	lines := []string{}
-	for _, e := range held.Difference(wanted) {
+	for _, e := range edits {
 		lines = append(lines, describe(e))
 	}
 	return g.print(lines, func(w *tabwriter.Writer) {
--- a/connection/caller/caller.go
+++ b/connection/caller/caller.go
@@ -7,6 +7,7 @@
 	"bytes"
 	"context"
 	"net"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -46,8 +47,9 @@
 
 // Server is the callers' side of a daemon.
 type Server struct {
-	cfg Config
-	app *fiber.App
+	cfg   Config
+	app   *fiber.App
+	conns atomic.Pointer[conns]
 }
 
 // New returns a server that does not listen yet.
@@ -72,12 +74,21 @@
 
 // Serve answers on a listener until Shutdown.
 func (s *Server) Serve(l net.Listener) error {
-	return s.app.Listener(l, fiber.ListenConfig{DisableStartupMessage: true})
+	tracking := newConns(l)
+	s.conns.Store(tracking)
+	return s.app.Listener(tracking, fiber.ListenConfig{DisableStartupMessage: true})
 }
 
 // Shutdown stops listening and waits for the requests in flight.
 func (s *Server) Shutdown(ctx context.Context) error { return s.app.ShutdownWithContext(ctx) }
 
+// Cut closes all connections at once, whatever is under way on them.
+func (s *Server) Cut() {
+	if c := s.conns.Load(); c != nil {
+		c.closeAll()
+	}
+}
+
 // failed answers errors of the library: an unknown path, a body past the limit.
 func (s *Server) failed(c fiber.Ctx, err error) error {
 	var fe *fiber.Error
--- /dev/null
+++ b/connection/caller/caller_test.go
@@ -0,0 +1,159 @@
+package caller
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/go-faster/errors"
+	"gotest.tools/v3/assert"
+
+	"vetchtrail"
+	"vetchtrail/process/load"
+	"vetchtrail/process/membership"
+	"vetchtrail/request/once"
+	"vetchtrail/version/rules"
+)
+
+// fakeRunner runs requests by a function.
+type fakeRunner func(ctx context.Context, r *vetchtrail.Request, a vetchtrail.Answer) vetchtrail.Outcome
+
+func (f fakeRunner) Run(ctx context.Context, r *vetchtrail.Request, a vetchtrail.Answer) vetchtrail.Outcome {
+	return f(ctx, r, a)
+}
+
+func (f fakeRunner) Starting(*vetchtrail.Request) vetchtrail.Outcome {
+	return vetchtrail.Outcome{Kind: vetchtrail.NotRun, Status: 503, Reason: vetchtrail.ReasonStarting}
+}
+
+func serve(t *testing.T, run fakeRunner) netip.AddrPort {
+	t.Helper()
+	held, err := rules.Empty().Apply(vetchtrail.Change{Edits: []vetchtrail.Edit{
+		vetchtrail.PutRegion{Region: vetchtrail.Region{Name: "r", DataCentres: []string{"d"}}},
+		vetchtrail.PutService{Service: vetchtrail.Service{Name: "model", AnswerWithin: time.Minute}},
+		vetchtrail.PutService{Service: vetchtrail.Service{Name: "app", Kind: vetchtrail.KindPlain, AnswerWithin: time.Minute}},
+		vetchtrail.PutEndpoint{Endpoint: vetchtrail.Endpoint{Name: "e", Service: "model", Region: "r", DataCentre: "d", Addr: netip.MustParseAddrPort("127.0.0.1:1"), Slots: 1}},
+		vetchtrail.PutEndpoint{Endpoint: vetchtrail.Endpoint{Name: "p", Service: "app", Region: "r", DataCentre: "d", Addr: netip.MustParseAddrPort("127.0.0.1:1"), Slots: 1}},
+	}})
+	assert.NilError(t, err)
+	m := membership.New(membership.Config{
+		Self: vetchtrail.Host{Name: "h", State: vetchtrail.HostReady}, Load: load.New(), Revision: held.Revision,
+		Log: slog.New(slog.NewTextHandler(io.Discard, nil)),
+	})
+	s := New(Config{
+		Runner: run, Rules: func() *rules.Rules { return held }, Membership: m, Region: "r", BodyLimit: 4096,
+		Keeper: once.New(once.Config{Host: "h", KeyTime: time.Minute}),
+	})
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	go func() { _ = s.Serve(l) }()
+	t.Cleanup(func() { _ = s.Shutdown(context.Background()) })
+	return netip.MustParseAddrPort(l.Addr().String())
+}
+
+// TestBadInput: each gets a typed answer and reaches no runner.
+func TestBadInput(t *testing.T) {
+	addr := serve(t, func(context.Context, *vetchtrail.Request, vetchtrail.Answer) vetchtrail.Outcome {
+		t.Error("a bad request was run")
+		return vetchtrail.Outcome{}
+	})
+	good := `{"model":"model","prompt":"x"}`
+	cases := map[string]struct {
+		method, path, body string
+		header             [2]string
+		status             int
+		reason             vetchtrail.Reason
+		detail             string
+	}{
+		"malformed JSON":        {"POST", "/v1/completions", `{"model":`, [2]string{}, 400, vetchtrail.ReasonBadRequest, "not JSON"},
+		"no model":              {"POST", "/v1/completions", `{}`, [2]string{}, 400, vetchtrail.ReasonBadRequest, `no service in "model"`},
+		"body past the limit":   {"POST", "/v1/completions", strings.Repeat("x", 5000), [2]string{}, 413, vetchtrail.ReasonTooLarge, ""},
+		"timeout of 0":          {"POST", "/v1/completions", good, [2]string{"Request-Timeout", "0"}, 400, vetchtrail.ReasonBadRequest, "above 0"},
+		"timeout past the most": {"POST", "/v1/completions", good, [2]string{"Request-Timeout", "1e9"}, 400, vetchtrail.ReasonBadRequest, "at most 600"},
+		"timeout no number":     {"POST", "/v1/completions", good, [2]string{"Request-Timeout", "soon"}, 400, vetchtrail.ReasonBadRequest, "must be seconds"},
+		"workspace too long":    {"POST", "/v1/completions", good, [2]string{"X-Workspace", strings.Repeat("w", 200)}, 400, vetchtrail.ReasonBadRequest, "over 128"},
+		"event id":              {"POST", "/v1/completions", good, [2]string{"Last-Event-Id", "17"}, 400, vetchtrail.ReasonBadRequest, "not the id of an event"},
+		"plain asked as model":  {"POST", "/v1/completions", `{"model":"app"}`, [2]string{}, 400, vetchtrail.ReasonBadRequest, "kind plain"},
+		"model asked as plain":  {"GET", "/services/model/x", "", [2]string{}, 400, vetchtrail.ReasonBadRequest, "kind model"},
+		"no such path":          {"GET", "/nowhere", "", [2]string{}, 404, vetchtrail.ReasonBadRequest, ""},
+		"too many keys":         {"POST", "/v1/keys?count=101", "", [2]string{}, 400, vetchtrail.ReasonBadRequest, "from 1 to 100"},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			req, err := http.NewRequest(c.method, "http://"+addr.String()+c.path, strings.NewReader(c.body))
+			assert.NilError(t, err)
+			if c.header[0] != "" {
+				req.Header.Set(c.header[0], c.header[1])
+			}
+			resp, err := http.DefaultClient.Do(req)
+			assert.NilError(t, err)
+			defer func() { _ = resp.Body.Close() }()
+			var p Problem
+			assert.NilError(t, json.NewDecoder(resp.Body).Decode(&p))
+			assert.Equal(t, resp.StatusCode, c.status)
+			assert.Equal(t, resp.Header.Get("Content-Type"), "application/problem+json")
+			assert.Equal(t, p.Outcome, "not-run")
+			assert.Equal(t, p.Reason, string(c.reason))
+			assert.Assert(t, strings.Contains(p.Detail, c.detail), p.Detail)
+		})
+	}
+}
+
+// TestCutNeverLooksWhole: an answer that ends otherwise than answered breaks
+// its connection.
+func TestCutNeverLooksWhole(t *testing.T) {
+	cases := map[string]struct {
+		end   vetchtrail.Outcome
+		whole bool
+	}{
+		"answered": {vetchtrail.Outcome{Kind: vetchtrail.Answered}, true},
+		"cut":      {vetchtrail.Outcome{Kind: vetchtrail.Unknown, Begun: true, Err: errors.New("cut")}, false},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			addr := serve(t, func(_ context.Context, _ *vetchtrail.Request, a vetchtrail.Answer) vetchtrail.Outcome {
+				_ = a.Begin(200, nil)
+				_ = a.Write([]byte("half"))
+				return c.end
+			})
+			resp, err := http.Get("http://" + addr.String() + "/services/app/x")
+			assert.NilError(t, err)
+			defer func() { _ = resp.Body.Close() }()
+			text, err := io.ReadAll(resp.Body)
+			assert.Equal(t, string(text), "half")
+			assert.Equal(t, err == nil, c.whole)
+		})
+	}
+}
+
+// TestCallerGone: a caller that leaves before the first byte is noticed.
+func TestCallerGone(t *testing.T) {
+	gone := make(chan struct{})
+	begun := make(chan struct{})
+	addr := serve(t, func(ctx context.Context, _ *vetchtrail.Request, _ vetchtrail.Answer) vetchtrail.Outcome {
+		close(begun)
+		<-ctx.Done()
+		close(gone)
+		return vetchtrail.Outcome{Kind: vetchtrail.Unknown, Reason: vetchtrail.ReasonCallerGone}
+	})
+	c, err := net.Dial("tcp", addr.String())
+	assert.NilError(t, err)
+	w := bufio.NewWriter(c)
+	_, _ = w.WriteString("GET /services/app/x HTTP/1.1\r\nHost: h\r\n\r\n")
+	assert.NilError(t, w.Flush())
+	<-begun
+	assert.NilError(t, c.Close())
+	select {
+	case <-gone:
+	case <-time.After(30 * time.Second):
+		t.Fatal("the caller's leaving was not noticed")
+	}
+}
--- a/process/daemon/daemon.go
+++ b/process/daemon/daemon.go
@@ -176,6 +176,7 @@
 		}
 		return errors.Wrap(err, "daemon.Run: callers")
 	case <-ctx.Done():
+		d.callers.Cut()
 		d.shutdown(context.WithoutCancel(ctx))
 		return nil
 	case <-d.leave:
@@ -188,6 +189,9 @@
 		wait(ctx, drainLook)
 	}
 	wait(ctx, drainLook) // the last answers' last bytes
+	if ctx.Err() != nil {
+		d.callers.Cut()
+	}
 	d.shutdown(context.WithoutCancel(ctx))
 	return nil
 }
--- /dev/null
+++ b/process/daemon/tls_test.go
@@ -0,0 +1,101 @@
+package daemon
+
+import (
+	"context"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"io"
+	"log/slog"
+	"math/big"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"vetchtrail/connection/operator"
+	"vetchtrail/connection/peer"
+	"vetchtrail/process/settings"
+	"vetchtrail/schema"
+)
+
+// authorityFor makes an authority and a host's key signed by it.
+func authorityFor(t *testing.T, dir string) settings.TLS {
+	t.Helper()
+	newKey := func() *ecdsa.PrivateKey {
+		k, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+		assert.NilError(t, err)
+		return k
+	}
+	write := func(name, kind string, der []byte) string {
+		path := filepath.Join(dir, name)
+		assert.NilError(t, os.WriteFile(path, pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: der}), 0o600))
+		return path
+	}
+	caKey, key := newKey(), newKey()
+	ca := &x509.Certificate{
+		SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: "authority"}, NotAfter: time.Now().Add(time.Hour),
+		IsCA: true, BasicConstraintsValid: true, KeyUsage: x509.KeyUsageCertSign,
+	}
+	host := &x509.Certificate{
+		SerialNumber: big.NewInt(2), DNSNames: []string{peer.ServerName}, NotAfter: time.Now().Add(time.Hour),
+		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
+	}
+	caDER, err := x509.CreateCertificate(rand.Reader, ca, ca, caKey.Public(), caKey)
+	assert.NilError(t, err)
+	hostDER, err := x509.CreateCertificate(rand.Reader, host, ca, key.Public(), caKey)
+	assert.NilError(t, err)
+	keyDER, err := x509.MarshalPKCS8PrivateKey(key)
+	assert.NilError(t, err)
+	return settings.TLS{
+		Certificate: write("host.pem", "CERTIFICATE", hostDER), Key: write("host.key", "PRIVATE KEY", keyDER),
+		Authority: write("ca.pem", "CERTIFICATE", caDER),
+	}
+}
+
+// addr is on a loopback address that no other test uses.
+func addr(last byte, port uint16) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 77, 0, last}), port)
+}
+
+func startHost(t *testing.T, name string, last byte, keys settings.TLS, seeds ...netip.AddrPort) *Daemon {
+	t.Helper()
+	s := settings.Default()
+	s.Host, s.Region, s.DataCentre, s.TLS, s.Seeds = name, "r", "d", keys, seeds
+	s.Listen.Callers, s.Listen.Peers, s.Platform.Store = addr(last, 8080), addr(last, 7070), addr(last, 8500)
+	d, err := New(Config{Settings: s, Log: slog.New(slog.NewTextHandler(io.Discard, nil))})
+	assert.NilError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); _ = d.Run(ctx) }()
+	t.Cleanup(func() { cancel(); <-done })
+	return d
+}
+
+// TestKeys: hosts with keys of one authority hear of each other; one with
+// another's, and an operator without, get nothing.
+func TestKeys(t *testing.T) {
+	ours, others := authorityFor(t, t.TempDir()), authorityFor(t, t.TempDir())
+	a := startHost(t, "a", 1, ours)
+	b := startHost(t, "b", 2, ours, a.self.Peers)
+	c := startHost(t, "c", 3, others, a.self.Peers)
+	deadline := time.Now().Add(30 * time.Second)
+	for len(a.membership.Hosts(time.Now())) < 2 || len(b.membership.Hosts(time.Now())) < 2 {
+		assert.Assert(t, time.Now().Before(deadline), "hosts with the same authority do not hear of each other")
+		time.Sleep(10 * time.Millisecond)
+	}
+	assert.Equal(t, len(c.membership.Hosts(time.Now())), 1)
+	assert.Equal(t, len(a.membership.Hosts(time.Now())), 2)
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	op, err := operator.Dial(ctx, operator.Config{Addr: a.self.Peers})
+	assert.NilError(t, err)
+	_, err = op.Status(ctx, &schema.StatusRequest{})
+	assert.Assert(t, err != nil, "an operator without keys was answered")
+}
--- /dev/null
+++ b/process/load/learn.go
@@ -0,0 +1,137 @@
+package load
+
+import (
+	"math"
+	"time"
+
+	"vetchtrail"
+)
+
+// Observation is what a finished attempt showed of its endpoint.
+type Observation struct {
+	Outcome vetchtrail.Outcome
+	Timing  vetchtrail.Timing
+	Tokens  int  // of the prompt
+	Affine  bool // the prompt's prefix belongs there
+	Cancel  bool // the caller left: says nothing of the endpoint
+}
+
+// Release gives the room back and learns from the attempt.
+func (t *Table) Release(name string, o Observation, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s, ok := t.endpoints[name]
+	if !ok {
+		return
+	}
+	s.mark(now, -1)
+	t.wake(s.Service)
+	switch {
+	case o.Cancel:
+	case o.Outcome.Kind == vetchtrail.Answered:
+		s.answered(o, t.means[s.Service], now)
+	case o.Outcome.Reason == vetchtrail.ReasonRefused:
+		s.limit = math.Max(1, s.limit*limitCut)
+		s.avoid(vetchtrail.ReasonRefused, earlier(o.Outcome.RetryAt, now.Add(refusedMost)))
+	case o.Outcome.Step == vetchtrail.StepConnect:
+		s.avoid(vetchtrail.ReasonUnreachable, now.Add(downFor))
+		s.warmth = coldStart
+	case o.Outcome.Kind == vetchtrail.NotRun: // kept back here
+	default:
+		t.failed(s, now)
+	}
+}
+
+func (s *state) answered(o Observation, m *means, now time.Time) {
+	s.failures, s.ejects = 0, 0
+	s.warmth = math.Min(1, s.warmth+warmStep)
+	first := o.Timing.First.Sub(o.Timing.Sent).Seconds()
+	whole := o.Timing.Done.Sub(o.Timing.Sent).Seconds()
+	if whole <= 0 {
+		return
+	}
+	s.observed = now
+	s.service.observe(whole)
+	m.service.observe(whole)
+	if o.Tokens > 0 && s.own < s.Slots {
+		s.observePace(first/float64(o.Tokens), o.Affine, m)
+	}
+	s.adapt(first)
+}
+
+// observePace learns from the seconds a prompt token took on a slot that was
+// free.
+func (s *state) observePace(token float64, affine bool, m *means) {
+	expected := &m.miss
+	if affine {
+		expected = &m.hit
+	}
+	s.pace.observe(math.Min(math.Max(token/expected.value, fastest), slowest))
+	expected.observe(token / math.Max(s.pace.value, 1))
+}
+
+// adapt moves the limit: up while requests start in good time, down while they
+// are held back at the endpoint for longer than they take.
+func (s *state) adapt(first float64) {
+	if first > s.service.value {
+		s.limit = math.Max(1, s.limit*0.95)
+		return
+	}
+	if float64(s.own+1) >= s.limit {
+		s.limit = math.Min(limitRoom*float64(s.Slots), s.limit+1/s.limit)
+	}
+}
+
+// avoid takes an endpoint out of use for a while for a reason that is surely
+// its own, so that no share of them bounds it.
+func (s *state) avoid(why vetchtrail.Reason, until time.Time) { s.backWhy, s.backOff = why, until }
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
+// failed counts a failure; after some in a row the endpoint is ejected, unless
+// too many of its service are already.
+func (t *Table) failed(s *state, now time.Time) {
+	s.failures++
+	s.limit = math.Max(1, s.limit*limitCut)
+	if s.failures < failuresTo {
+		return
+	}
+	out := 0
+	for _, other := range t.services[s.Service] {
+		if now.Before(other.ejected) {
+			out++
+		}
+	}
+	if float64(out+1) > math.Max(1, ejectShare*float64(len(t.services[s.Service]))) {
+		return
+	}
+	s.ejected = now.Add(min(ejectFirst<<s.ejects, ejectMost))
+	s.ejects = min(s.ejects+1, 5)
+	s.failures = 0
+	s.warmth = coldStart
+}
+
+// notable is a ratio, or 1 if it is about that.
+func notable(ratio float64) float64 {
+	if math.Abs(ratio-1) < usual {
+		return 1
+	}
+	return ratio
+}
+
+// average is a running mean. The first observations weigh more, so that what
+// it started from is soon forgotten.
+type average struct {
+	value float64
+	seen  int
+}
+
+func (a *average) observe(x float64) {
+	a.seen++
+	a.value += math.Max(smoothing, 1/float64(a.seen+1)) * (x - a.value)
+}
--- /dev/null
+++ b/process/load/summary.go
@@ -0,0 +1,68 @@
+package load
+
+import (
+	"math"
+	"time"
+
+	"vetchtrail"
+)
+
+// Row is an endpoint's state for operators.
+type Row struct {
+	vetchtrail.Endpoint
+	View   vetchtrail.EndpointView
+	Report vetchtrail.LoadReport
+}
+
+// Rows returns the state of all endpoints.
+func (t *Table) Rows(now time.Time) []Row {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	out := make([]Row, 0, len(t.endpoints))
+	for _, s := range t.endpoints {
+		out = append(out, Row{Endpoint: s.Endpoint, View: s.view(t.means[s.Service], now), Report: s.report})
+	}
+	return out
+}
+
+// Summary is what other data centres are told of a service here.
+type Summary struct {
+	Service string
+	Free    int
+	Slots   int
+	Wait    time.Duration
+}
+
+// Summaries returns one for each service, in no order.
+func (t *Table) Summaries(now time.Time) []Summary {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	out := make([]Summary, 0, len(t.services))
+	for name, states := range t.services {
+		out = append(out, summarize(name, states, t.means[name], now))
+	}
+	return out
+}
+
+func summarize(name string, states []*state, m *means, now time.Time) Summary {
+	sum := Summary{Service: name}
+	best := math.Inf(1)
+	for _, s := range states {
+		v := s.view(m, now)
+		if v.Away {
+			continue
+		}
+		held := max(v.Own, v.Running+v.Queued+v.OwnSince)
+		sum.Slots += v.Slots
+		sum.Free += max(0, v.Slots-held)
+		wait := v.Service * 0.1
+		if held >= v.Slots {
+			wait += float64(held-v.Slots+1) * v.Service / float64(v.Slots)
+		}
+		best = math.Min(best, wait)
+	}
+	if !math.IsInf(best, 1) {
+		sum.Wait = time.Duration(best * float64(time.Second))
+	}
+	return sum
+}
--- /dev/null
+++ b/process/settings/settings_test.go
@@ -0,0 +1,78 @@
+package settings
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+const good = `host: a
+region: r
+data_centre: d
+listen:
+  callers: 127.0.0.1:8080
+  peers: 127.0.0.1:7070
+platform:
+  store: 127.0.0.1:8500
+seeds:
+  - 127.0.0.2:7070
+translate:
+  - from: 127.2.0.0/16
+    to: 127.3.0.0/16
+timing:
+  poll: 1s
+`
+
+func TestLoad(t *testing.T) {
+	cases := map[string]struct {
+		old, new string
+		want     string // empty: good
+	}{
+		"good":                {"", "", ""},
+		"unknown key":         {"seeds:", "seedz:", `[9:1] unknown field "seedz"`},
+		"wrong address":       {"127.0.0.1:7070", "127.0.0.1", `[6:10] "127.0.0.1": not an ip:port`},
+		"wrong seed":          {"127.0.0.2:7070", "nowhere:1", `[10:5] "nowhere:1"`},
+		"wrong network":       {"127.3.0.0/16", "127.3.0.0", `[13:9] "127.3.0.0"`},
+		"networks of a size":  {"127.3.0.0/16", "127.3.0.0/24", "translate[0] needs from and to as IPv4 networks of the same size"},
+		"wrong duration":      {"poll: 1s", "poll: 1x", `[15:9] "1x"`},
+		"duration too short":  {"poll: 1s", "poll: 1ms", "timing.poll must be from 50ms to 10s"},
+		"no host":             {"host: a\n", "", "host is missing"},
+		"no store":            {"  store: 127.0.0.1:8500", "  hosts: 127.0.0.1:1", "platform.store is missing"},
+		"unknown policy":      {"timing:", "policy: best\ntiming:", "policy is not one of"},
+		"open without keys":   {"peers: 127.0.0.1:7070", "peers: 10.0.0.1:7070", "must be a loopback address while tls is not set"},
+		"half of the keys":    {"timing:", "tls: {key: k}\ntiming:", "tls needs certificate, key and authority"},
+		"no YAML":             {"host: a", "host: [", "[1:"},
+		"wrong kind of value": {"poll: 1s", "poll: [1]", "15"},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			file := filepath.Join(t.TempDir(), "host.yaml")
+			assert.NilError(t, os.WriteFile(file, []byte(strings.Replace(good, c.old, c.new, 1)), 0o600))
+			s, err := Load(file)
+			if c.want == "" {
+				assert.NilError(t, err)
+				text, err := s.YAML()
+				assert.NilError(t, err)
+				again, err := Parse(text)
+				assert.NilError(t, err)
+				assert.Equal(t, again.Host, "a")
+				return
+			}
+			assert.ErrorContains(t, err, c.want)
+			assert.ErrorContains(t, err, file)
+		})
+	}
+}
+
+func TestExamples(t *testing.T) {
+	files, err := filepath.Glob("../../examples/*/settings/*.yaml")
+	assert.NilError(t, err)
+	assert.Equal(t, len(files), 15) // 8 hosts and 7
+	for _, f := range files {
+		_, err := Load(f)
+		assert.NilError(t, err)
+	}
+}
--- a/request/policy/weighted.go
+++ b/request/policy/weighted.go
@@ -20,6 +20,12 @@
 	batchDrag = 0.1
 	// wholeShare is how much the whole answer weighs beside its first token.
 	wholeShare = 0.1
+	// fullLasts is how many times longer than a request a full endpoint's queue
+	// lasts.
+	fullLasts = 5.0
+	// doubt is the share of a digest's age that is added to the wait it tells of:
+	// others have read the same.
+	doubt = 0.2
 	// evenSpread is the share of a request's service time by which two
 	// candidates' costs may differ and still be taken as equal.
 	evenSpread = 0.01
@@ -147,7 +153,9 @@
 	}
 }
 
-// cost returns an endpoint's cost, for the affine one with its cached part.
+// cost returns an endpoint's cost, for the affine one with its cached part: at
+// most what one more request there costs, so that a cache never unbalances the
+// load by more.
 func (s *scored) cost(i int, r *vetchtrail.Request, v *vetchtrail.View) float64 {
 	e := &v.Endpoints[i]
 	if i != s.affine && i < heldCosts {
@@ -158,7 +166,8 @@
 	}
 	cost := costOf(e, r, v, load(e, s.others))
 	if i == s.affine {
-		cost -= (v.Weights.Tail + v.Weights.Cost) * float64(r.Tokens) * min(v.CacheGain, e.Prefill)
+		gain := min(float64(r.Tokens)*min(v.CacheGain, e.Prefill), e.Service*batchDrag/float64(max(e.Slots, 1)))
+		cost -= (v.Weights.Tail + v.Weights.Cost) * gain
 	}
 	return cost
 }
@@ -210,6 +219,9 @@
 		return float64(e.Own) + others
 	}
 	late := e.Age.Seconds() / max(e.Service, 1e-3)
+	if e.Running+e.Queued >= e.Slots {
+		late /= fullLasts
+	}
 	trust := 1 / (1 + late + late*late/2)
 	return float64(e.Own) + others + trust*(float64(othersAt(e))-others)
 }
@@ -297,7 +309,7 @@
 			d.Note(m.DataCentre, 0, why)
 			continue
 		}
-		c := v.Weights.Tail*(2*m.Delay.Seconds()+m.Wait) + awayCost(m, v)
+		c := v.Weights.Tail*(2*m.Delay.Seconds()+m.Wait+doubt*m.Age.Seconds()) + awayCost(m, v)
 		d.Note(m.DataCentre, c, vetchtrail.ReasonCost)
 		if c < cost {
 			at, cost = i, c
--- a/request/queue/queue.go
+++ b/request/queue/queue.go
@@ -1,9 +1,10 @@
 // Package queue holds the requests that wait on a host for room at a service's
 // endpoints: a short bounded line ordered by priority, then by fair shares
-// between workspaces, then by deadline.
+// between workspaces, then by deadline, then by arrival.
 package queue
 
 import (
+	"cmp"
 	"slices"
 	"sync"
 	"time"
@@ -27,6 +28,7 @@
 
 	mu       sync.Mutex
 	waiting  []*Waiter // first goes next
+	joined   uint64
 	pumping  bool
 	clock    float64            // start tag of the last one served
 	finish   map[string]float64 // finish tag of the last request, by workspace
@@ -39,6 +41,7 @@
 	priority int8
 	start    float64 // fair-queueing start tag
 	deadline time.Time
+	number   uint64 // of its joining
 	turn     chan struct{}
 	late     chan struct{}
 }
@@ -61,8 +64,9 @@
 func (l *Line) Join(r *vetchtrail.Request, limit int, now time.Time) Verdict {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.joined++
 	w := &Waiter{
-		priority: r.Priority, deadline: r.Deadline,
+		priority: r.Priority, deadline: r.Deadline, number: l.joined,
 		start: max(l.clock, l.finish[r.Workspace]),
 		turn:  make(chan struct{}, 1), late: make(chan struct{}),
 	}
@@ -109,7 +113,7 @@
 	case a.start > b.start:
 		return 1
 	}
-	return a.deadline.Compare(b.deadline)
+	return cmp.Or(a.deadline.Compare(b.deadline), cmp.Compare(a.number, b.number))
 }
 
 // Turn receives when the request is first and there may be room.
--- /dev/null
+++ b/scenario/commands_test.go
@@ -0,0 +1,448 @@
+package scenario
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"vetchtrail/standin/client"
+	"vetchtrail/standin/deployment"
+)
+
+// start: fleet hosts=2 engines=2 slots=8 [engine flags as --step=5ms]
+func (s *script) start(ts *testscript.TestScript, args []string) (err error) {
+	o := parse(args)
+	var flags []string
+	for _, a := range args {
+		if strings.HasPrefix(a, "--") {
+			flags = append(flags, a)
+		}
+	}
+	s.fleet, s.d, err = newFleet(ts.MkAbs("."), o.number("hosts", 2), o.number("engines", 2), o.number("slots", usualSlots), flags)
+	if err != nil {
+		return err
+	}
+	ts.Defer(func() {
+		s.fleet.Close()
+		if keep := os.Getenv("VETCHTRAIL_KEEP"); keep != "" { // logs of a failed run
+			logs, _ := filepath.Glob(ts.MkAbs("*.log"))
+			for _, l := range logs {
+				text, _ := os.ReadFile(l)
+				_ = os.WriteFile(filepath.Join(keep, filepath.Base(l)), text, 0o600)
+			}
+		}
+	})
+	text, err := s.d.Document.YAML()
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(ts.MkAbs("configuration.yaml"), text, 0o600)
+}
+
+// apply: applies configuration.yaml and waits until all hosts are ready with it
+func (s *script) apply(ts *testscript.TestScript, _ []string) error {
+	if err := s.operate(ts, []string{s.d.Hosts[0].Host, "config", "apply", "configuration.yaml"}); err != nil {
+		return err
+	}
+	if err := s.inForce(ts, []string{"revision=1"}); err != nil {
+		return err
+	}
+	for _, h := range s.d.Hosts { // all know all data centres
+		err := s.fleet.Await(context.Background(), "data centres seen from "+h.Host, func() bool {
+			out, err := s.tool(ts, h.Host, "status", "--output=json")
+			return err == nil && strings.Count(out, `"reachable": true`) == len(s.d.Spec.Regions)-1
+		})
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// inForce: inforce revision=N [except=REGION]: waits until the hosts hold it
+func (s *script) inForce(ts *testscript.TestScript, args []string) error {
+	o := parse(args)
+	began := time.Now()
+	for _, h := range s.d.Hosts {
+		if h.Region == o["except"] {
+			continue
+		}
+		err := s.fleet.Await(context.Background(), h.Host+" with "+args[0], func() bool {
+			out, err := s.tool(ts, h.Host, "config", "show")
+			ready := s.fleet.Client.Get(context.Background(), h.Listen.Callers, "/readyz", nil) == nil
+			return err == nil && ready && strings.HasPrefix(out, "# revision "+o["revision"]+"\n")
+		})
+		if err != nil {
+			return err
+		}
+	}
+	ts.Logf("in force after %s", time.Since(began))
+	return nil
+}
+
+func (s *script) tool(ts *testscript.TestScript, host string, args ...string) (string, error) {
+	h, err := s.fleet.Settings(host)
+	if err != nil {
+		return "", err
+	}
+	cmd := exec.Command(filepath.Join(binaries, "vetchtrail"), append([]string{"--daemon", h.Listen.Peers.String()}, args...)...)
+	cmd.Dir = ts.MkAbs(".")
+	out, err := cmd.CombinedOutput()
+	return string(out), err
+}
+
+// operate HOST ARGS…: runs the operators' tool against a host
+func (s *script) operate(ts *testscript.TestScript, args []string) error {
+	out, err := s.tool(ts, args[0], args[1:]...)
+	ts.Logf("%s", out)
+	if err := os.WriteFile(ts.MkAbs("out"), []byte(out), 0o600); err != nil {
+		return err
+	}
+	return err
+}
+
+// ask NAME host=H [service= workspace= tokens= stream= key= timeout= window= stop= last= prompt=] or with path=/… to a plain service
+func (s *script) ask(_ *testscript.TestScript, args []string) error {
+	s.send(args)
+	return nil
+}
+
+func (s *script) send(args []string) {
+	name, o := args[0], parse(args[1:])
+	h, err := s.fleet.Settings(o["host"])
+	if err != nil {
+		s.keep(name, client.Ask{}, client.Result{Err: err})
+		return
+	}
+	ctx := context.Background()
+	if path, ok := o["path"]; ok {
+		method := o["method"]
+		if method == "" {
+			method = "GET"
+		}
+		s.keep(name, client.Ask{}, s.fleet.Client.Plain(ctx, h.Listen.Callers, method, s.d.Spec.Plain.Name, path, o["key"], o["workspace"], o["body"]))
+		return
+	}
+	timeout, _ := time.ParseDuration(o["timeout"])
+	a := client.Ask{
+		Host: h.Listen.Callers, Service: s.d.Spec.Model.Name, Workspace: o["workspace"], Prompt: o["prompt"], Tokens: o.number("tokens", 8),
+		Stream: o["stream"] == "true", Key: o["key"], Timeout: timeout, Window: o.number("window", 0), StopAfter: o.number("stop", 0),
+	}
+	if v, ok := o["service"]; ok {
+		a.Service = v
+	}
+	if from, ok := o["resume"]; ok {
+		s.mu.Lock()
+		a.LastID = s.results[from].LastID
+		s.mu.Unlock()
+	}
+	s.keep(name, a, s.fleet.Client.Do(ctx, a))
+}
+
+func (s *script) keep(name string, a client.Ask, r client.Result) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.asks[name], s.results[name] = a, r
+}
+
+// bg NAME …: as ask, without waiting; join NAME waits
+func (s *script) bg(_ *testscript.TestScript, args []string) error {
+	done := make(chan struct{})
+	s.mu.Lock()
+	s.pending[args[0]] = done
+	s.mu.Unlock()
+	go func() {
+		defer close(done)
+		s.send(args)
+	}()
+	return nil
+}
+
+func (s *script) join(_ *testscript.TestScript, args []string) error {
+	s.mu.Lock()
+	done := s.pending[args[0]]
+	s.mu.Unlock()
+	select {
+	case <-done:
+		return nil
+	case <-time.After(time.Minute):
+		return fmt.Errorf("%s is not answered", args[0])
+	}
+}
+
+// check NAME status= outcome= reason= right= whole= region= same=OTHER text= joined=OTHER (text of both together is right)
+func (s *script) check(_ *testscript.TestScript, args []string) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r, ok := s.results[args[0]]
+	if !ok {
+		return fmt.Errorf("no result %s", args[0])
+	}
+	a := s.asks[args[0]]
+	for k, want := range parse(args[1:]) {
+		var got string
+		switch k {
+		case "status":
+			got = strconv.Itoa(r.Status)
+		case "outcome":
+			got = r.Outcome
+		case "reason":
+			got = r.Reason
+		case "whole":
+			got = strconv.FormatBool(r.Whole)
+		case "right":
+			got = strconv.FormatBool(a.Right(r))
+		case "region":
+			got = s.regionOf(r.Where)
+		case "retry":
+			got = strconv.FormatBool(!r.RetryAt.IsZero())
+		case "cut": // the connection broke: the answer can't be taken for whole
+			got = strconv.FormatBool(r.Err != nil)
+		case "where":
+			got = r.Where
+		case "same":
+			got, want = r.Text, s.results[want].Text
+		case "joined":
+			got, want = s.results[want].Text+r.Text, s.asks[want].Want()
+		case "soon": // answered within so many seconds: a generous bound on "at once"
+			n, _ := strconv.Atoi(want)
+			got, want = strconv.FormatBool(r.Took < time.Duration(n)*time.Second), "true"
+		default:
+			return fmt.Errorf("check knows no %s", k)
+		}
+		if got != want {
+			return fmt.Errorf("%s: %s is %q instead of %q: %+v", args[0], k, got, want, r)
+		}
+	}
+	return nil
+}
+
+func (s *script) regionOf(endpoint string) string {
+	for _, e := range s.d.Document.Endpoints {
+		if e.Name == endpoint {
+			return e.Region
+		}
+	}
+	return ""
+}
+
+// until ask-words… -- check-words…: asks with ever new prompts until the check holds
+func (s *script) until(ts *testscript.TestScript, args []string) error {
+	at := 0
+	for at < len(args) && args[at] != "--" {
+		at++
+	}
+	var last error
+	n := 0
+	err := s.fleet.Await(context.Background(), strings.Join(args, " "), func() bool {
+		n++ // another prompt each time: the same one belongs to one endpoint's cache
+		s.send(append(append([]string{}, args[:at]...), fmt.Sprintf("prompt=%d", n)))
+		last = s.check(ts, append([]string{args[0]}, args[at+1:]...))
+		return last == nil
+	})
+	if err != nil {
+		return errors.Join(err, last)
+	}
+	return nil
+}
+
+// key VARIABLE HOST: gets a key from a host
+func (s *script) key(ts *testscript.TestScript, args []string) error {
+	h, err := s.fleet.Settings(args[1])
+	if err != nil {
+		return err
+	}
+	hosts, err := s.fleet.Client.Hosts(context.Background(), h.Listen.Callers)
+	ts.Setenv(args[0], hosts.Key)
+	return err
+}
+
+// ran [key=K] [workspace=W] [region=R] [endpoint=E] count=N|atleast=N: counts executions at the stand-ins
+func (s *script) ran(_ *testscript.TestScript, args []string) error {
+	o := parse(args)
+	all, err := s.fleet.Executions(context.Background())
+	if err != nil {
+		return err
+	}
+	n := 0
+	for endpoint, list := range all {
+		if (o["region"] != "" && s.regionOf(endpoint) != o["region"]) || (o["endpoint"] != "" && endpoint != o["endpoint"]) {
+			continue
+		}
+		for _, x := range list {
+			if (o["key"] == "" || x.Key == o["key"]) && (o["workspace"] == "" || x.Workspace == o["workspace"]) {
+				n++
+			}
+		}
+	}
+	if want, ok := o["count"]; ok && strconv.Itoa(n) != want {
+		return fmt.Errorf("%d executions instead of %s", n, want)
+	}
+	if n < o.number("atleast", 0) {
+		return fmt.Errorf("%d executions instead of at least %s", n, o["atleast"])
+	}
+	return nil
+}
+
+// process kill|stop|freeze|thaw|start|startendpoint|up NAME
+func (s *script) process(_ *testscript.TestScript, args []string) error {
+	switch args[0] {
+	case "kill":
+		return s.fleet.Kill(args[1])
+	case "stop":
+		return s.fleet.Stop(args[1])
+	case "freeze":
+		return s.fleet.Freeze(args[1])
+	case "thaw":
+		return s.fleet.Thaw(args[1])
+	case "start":
+		return s.fleet.StartHost(args[1])
+	case "startendpoint":
+		return s.fleet.StartEndpoint(args[1])
+	case "up":
+		return s.fleet.HostUp(context.Background(), args[1])
+	}
+	return fmt.Errorf("process knows no %s", args[0])
+}
+
+// link cut|heal FROM TO
+func (s *script) link(_ *testscript.TestScript, args []string) error {
+	return s.fleet.Cut(context.Background(), args[1], args[2], args[0] == "cut")
+}
+
+// isolate cut|heal REGION [keep=platform]: all links of a region
+func (s *script) isolate(_ *testscript.TestScript, args []string) error {
+	o, ctx := parse(args[2:]), context.Background()
+	for _, r := range s.d.Spec.Regions {
+		if r.Name == args[1] {
+			continue
+		}
+		if err := s.fleet.Cut(ctx, args[1], r.Name, args[0] == "cut"); err != nil {
+			return err
+		}
+		if err := s.fleet.Cut(ctx, r.Name, args[1], args[0] == "cut"); err != nil {
+			return err
+		}
+	}
+	if o["keep"] == "platform" {
+		return nil
+	}
+	return s.fleet.Cut(ctx, args[1], deployment.PlatformName, args[0] == "cut")
+}
+
+// fault store|ENDPOINT JSON
+func (s *script) fault(_ *testscript.TestScript, args []string) error {
+	addr := s.d.Store
+	if args[0] != "store" {
+		var err error
+		if addr, err = s.fleet.EndpointAddr(args[0]); err != nil {
+			return err
+		}
+	}
+	return s.fleet.Client.Put(context.Background(), addr, "/faults", json.RawMessage(args[1]))
+}
+
+// leaving ENDPOINT…: the platform's list says so, late
+func (s *script) leaving(_ *testscript.TestScript, args []string) error {
+	type line struct {
+		Endpoint string `json:"endpoint"`
+		State    string `json:"state"`
+	}
+	lines := []line{}
+	for _, a := range args {
+		lines = append(lines, line{a, "leaving"})
+	}
+	return s.fleet.Client.Put(context.Background(), s.d.HostList, "/hosts", lines)
+}
+
+// get HOST PATH: a GET that must be answered with 200
+func (s *script) get(_ *testscript.TestScript, args []string) error {
+	h, err := s.fleet.Settings(args[0])
+	if err != nil {
+		return err
+	}
+	return s.fleet.Client.Get(context.Background(), h.Listen.Callers, args[1], nil)
+}
+
+// repeat20 ask-words… -- check-words…: asks twenty times; the check must hold
+// each time
+func (s *script) repeat(ts *testscript.TestScript, args []string) error {
+	at := 0
+	for args[at] != "--" {
+		at++
+	}
+	for n := range 20 {
+		s.send(append([]string{"repeat", "prompt=" + strconv.Itoa(n)}, args[:at]...))
+		if err := s.check(ts, append([]string{"repeat"}, args[at+1:]...)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// sleep D: a promise's own time ("after a few seconds"), never a
+// synchronisation
+func (s *script) sleep(_ *testscript.TestScript, args []string) error {
+	d, err := time.ParseDuration(args[0])
+	time.Sleep(d)
+	return err
+}
+
+// await ran|check words…: repeats it until it holds
+func (s *script) await(ts *testscript.TestScript, args []string) error {
+	var last error
+	err := s.fleet.Await(context.Background(), strings.Join(args, " "), func() bool {
+		if args[0] == "ran" {
+			last = s.ran(ts, args[1:])
+		} else {
+			last = s.check(ts, args[1:])
+		}
+		return last == nil
+	})
+	if err != nil {
+		return errors.Join(err, last)
+	}
+	return nil
+}
+
+// firstready HOST N: the host's first moment in service must be on a revision
+// of N or later
+func (s *script) firstReady(_ *testscript.TestScript, args []string) error {
+	h, err := s.fleet.Settings(args[0])
+	if err != nil {
+		return err
+	}
+	err = s.fleet.Await(context.Background(), args[0]+" in service", func() bool {
+		return s.fleet.Client.Get(context.Background(), h.Listen.Callers, "/readyz", nil) == nil
+	})
+	if err != nil {
+		return err
+	}
+	want, _ := strconv.Atoi(args[1])
+	if got, ok := revisionOf(h.Listen.Peers); !ok || got < uint64(want) {
+		return fmt.Errorf("in service with revision %d instead of %d", got, want)
+	}
+	return nil
+}
+
+// inforcehost HOST N: waits until one host holds the revision
+func (s *script) inForceHost(_ *testscript.TestScript, args []string) error {
+	h, err := s.fleet.Settings(args[0])
+	if err != nil {
+		return err
+	}
+	want, _ := strconv.Atoi(args[1])
+	return s.fleet.Await(context.Background(), args[0]+" with "+args[1], func() bool {
+		got, ok := revisionOf(h.Listen.Peers)
+		return ok && got >= uint64(want)
+	})
+}
--- a/standin/link/link.go
+++ b/standin/link/link.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"vetchtrail/standin/listen"
 )
 
 // Pipe is one address that the link answers for another.
@@ -164,24 +166,20 @@
 	}
 }
 
-// Serve answers PUT /cut with {"link": …, "cut": …} until ctx ends.
+// cutCall is the body of PUT /cut.
+type cutCall struct {
+	Link string `json:"link"`
+	Cut  bool   `json:"cut"`
+}
+
+// Serve answers PUT /cut until ctx ends.
 func (r *Relay) Serve(ctx context.Context, l net.Listener) error {
-	stop := context.AfterFunc(ctx, func() { _ = l.Close() })
-	defer stop()
-	s := fasthttp.Server{NoDefaultServerHeader: true, Handler: func(c *fasthttp.RequestCtx) {
-		var q struct {
-			Link string `json:"link"`
-			Cut  bool   `json:"cut"`
-		}
+	return listen.Serve(ctx, l, func(c *fasthttp.RequestCtx) {
+		var q cutCall
 		if err := json.Unmarshal(c.PostBody(), &q); err != nil {
 			c.Error(err.Error(), fasthttp.StatusBadRequest)
 			return
 		}
 		r.Cut(q.Link, q.Cut)
-	}}
-	err := s.Serve(l)
-	if ctx.Err() != nil {
-		return nil
-	}
-	return err
+	})
 }
--- a/standin/loadrun/faults.go
+++ b/standin/loadrun/faults.go
@@ -28,6 +28,8 @@
 		r.lose()
 		time.Sleep(time.Until(second))
 		r.bringBack()
+	case Gone:
+		r.lose()
 	case Cut:
 		time.Sleep(time.Until(first))
 		r.links(true)
