--- a/connection/caller/parse.go
+++ b/connection/caller/parse.go
@@ -7,7 +7,6 @@
 	"strings"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/go-faster/errors"
 	"github.com/gofiber/fiber/v3"
 	"github.com/google/uuid"
@@ -25,9 +24,6 @@
 )
 
 const (
-	// prefixBytes is how much of a prompt decides which endpoint's cache it
-	// belongs to.
-	prefixBytes = 512
 	// bytesPerToken estimates a prompt's tokens.
 	bytesPerToken = 4
 	maxWorkspace  = 128 // bytes
@@ -71,7 +67,6 @@
 	r.Stream = p.Stream
 	text := p.text()
 	r.Tokens = len(text)/bytesPerToken + 1
-	r.Prefix = xxhash.Sum64(text[:min(len(text), prefixBytes)])
 	r.Repeats = r.Key == ""
 	if last := c.Get(headerLastEvent); last != "" {
 		if r.Resume, err = endpoint.ParsePosition(last); err != nil {
--- a/decision.go
+++ b/decision.go
@@ -37,7 +37,6 @@
 	Target     int // index in View.Endpoints or View.Remotes
 	Name       string
 	Reason     Reason
-	Affine     bool // the request's prefix belongs to the endpoint's cache
 	Cost       float64
 	Wait       time.Duration // predicted time to the first token
 	RetryAt    time.Time     // with Refuse: when asking again may help
@@ -66,7 +65,6 @@
 type View struct {
 	Region    RegionID
 	Weights   Weights
-	CacheGain float64        // seconds a prompt token takes less where its prefix belongs, as observed
 	Endpoints []EndpointView // of this data centre
 	Remotes   []RemoteView   // other data centres
 	Excluded  []string       // places tried before
@@ -90,7 +88,6 @@
 	Away     bool          // draining, leaving or ejected
 	Why      Reason        // with Away: the reason
 	Back     float64       // seconds until an endpoint that refused for its load may be asked again
-	Affine   uint64        // seed for prefix affinity
 }
 
 // RemoteView is what a host believes of another data centre.
--- a/process/load/learn.go
+++ b/process/load/learn.go
@@ -12,7 +12,6 @@
 	Outcome vetchtrail.Outcome
 	Timing  vetchtrail.Timing
 	Tokens  int  // of the prompt
-	Affine  bool // the prompt's prefix belongs there
 	Cancel  bool // the caller left: says nothing of the endpoint
 }
 
@@ -54,20 +53,16 @@
 	s.service.observe(whole)
 	m.service.observe(whole)
 	if o.Tokens > 0 && s.own < s.Slots {
-		s.observePace(first/float64(o.Tokens), o.Affine, m)
+		s.observePace(first/float64(o.Tokens), m)
 	}
 	s.adapt(first)
 }
 
 // observePace learns from the seconds a prompt token took on a slot that was
 // free.
-func (s *state) observePace(token float64, affine bool, m *means) {
-	expected := &m.miss
-	if affine {
-		expected = &m.hit
-	}
-	s.pace.observe(math.Min(math.Max(token/expected.value, fastest), slowest))
-	expected.observe(token / math.Max(s.pace.value, 1))
+func (s *state) observePace(token float64, m *means) {
+	s.pace.observe(math.Min(math.Max(token/m.token.value, fastest), slowest))
+	m.token.observe(token / math.Max(s.pace.value, 1))
 }
 
 // adapt moves the limit: up while requests start in good time, down while they
@@ -116,9 +111,10 @@
 	s.warmth = coldStart
 }
 
-// notable is a ratio, or 1 if it is about that.
-func notable(ratio float64) float64 {
-	if math.Abs(ratio-1) < usual {
+// notable is how much slower an endpoint is than its service, or 1 if that is
+// not sure.
+func notable(ratio float64, seen int) float64 {
+	if seen < fewSeen || ratio < 1+usual {
 		return 1
 	}
 	return ratio
--- a/process/load/load.go
+++ b/process/load/load.go
@@ -8,26 +8,23 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"vetchtrail"
 )
 
 const (
 	// smoothing is the weight of a new observation in a running mean.
 	smoothing = 0.05
-	// usual is how far an endpoint's mean may be from its service's and still be
-	// taken as the same: the means of few requests differ by chance, and small
-	// differences would unbalance the load.
-	usual = 0.4
+	// usual is how far an endpoint's mean may be over its service's and still be
+	// taken as the same, and fewSeen how many observations say nothing: means of
+	// few requests differ by chance, and would unbalance the load. One that seems
+	// faster is taken as the same too: it would draw load until it isn't.
+	fewSeen = 8
+	usual   = 0.4
 	// firstService and firstPrefill stand until something was observed.
 	firstService = 1.0    // seconds a request occupies a slot
 	firstPrefill = 0.0002 // seconds a prompt token takes
-	// firstGain is the share of it that a cached prefix is taken to save, until
-	// both kinds were observed.
-	firstGain = 0.5
-	fastest   = 0.1 // bounds of an endpoint's pace beside its service's
-	slowest   = 50.0
+	fastest      = 0.1    // bounds of an endpoint's pace beside its service's
+	slowest      = 50.0
 	// forget is the time in which an unrepeated observation of an endpoint falls
 	// to 1/e beside the mean of its service, so that one that was slow is tried
 	// again.
@@ -68,7 +65,6 @@
 type state struct {
 	vetchtrail.Endpoint
 	region   vetchtrail.RegionID
-	affine   uint64
 	report   vetchtrail.LoadReport
 	reported bool
 	polled   bool // the report was fetched by this host
@@ -98,15 +94,13 @@
 // means are a service's, over all its endpoints.
 type means struct {
 	service average // seconds a request occupies a slot
-	miss    average // seconds a prompt token takes, prefix not cached
-	hit     average // where the prefix belongs
+	token   average // seconds a prompt token takes to the first of the answer
 }
 
 func newMeans() *means {
 	return &means{
 		service: average{value: firstService},
-		miss:    average{value: firstPrefill},
-		hit:     average{value: firstPrefill * (1 - firstGain)},
+		token:   average{value: firstPrefill},
 	}
 }
 
@@ -140,7 +134,7 @@
 		if !ok || s.Addr != e.Addr || s.Service != e.Service {
 			s = &state{
 				limit: float64(e.Slots), service: average{value: firstService}, pace: average{value: 1},
-				warmth: 1, affine: xxhash.Sum64String(e.Name),
+				warmth: 1,
 			}
 		}
 		s.Endpoint, s.region = e.Endpoint, e.RegionID
@@ -183,9 +177,6 @@
 func (t *Table) Fill(v *vetchtrail.View, service string, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if m, ok := t.means[service]; ok {
-		v.CacheGain = math.Max(0, m.miss.value-m.hit.value)
-	}
 	for _, s := range t.services[service] {
 		v.Endpoints = append(v.Endpoints, s.view(t.means[service], now))
 	}
@@ -196,9 +187,9 @@
 	v := vetchtrail.EndpointView{
 		Name: s.Name, Region: s.region, Slots: s.Slots, Limit: s.allowedNow(), Own: s.own,
 		Running: s.report.Running, Queued: s.report.Queued, Age: -1,
-		Prefill: m.miss.value * notable(1+trust*(s.pace.value-1)),
-		Service: m.service.value * notable(1+trust*(s.service.value/m.service.value-1)),
-		Warmth:  s.warmth, Affine: s.affine,
+		Prefill: m.token.value * notable(1+trust*(s.pace.value-1), s.pace.seen),
+		Service: m.service.value * notable(1+trust*(s.service.value/m.service.value-1), s.service.seen),
+		Warmth:  s.warmth,
 	}
 	if s.reported {
 		v.Age = now.Sub(s.report.At)
--- a/request.go
+++ b/request.go
@@ -24,7 +24,6 @@
 	Header  []HeaderField
 	Body    []byte
 	Stream  bool   // the answer is a stream of events
-	Prefix  uint64 // hash of the prompt's beginning; 0: none
 	Tokens  int    // estimated prompt tokens
 	Key     string // at-most-once key; empty: none
 	Repeats bool   // it may run twice without harm
--- a/request/dispatch/dispatch.go
+++ b/request/dispatch/dispatch.go
@@ -210,7 +210,6 @@
 	endpoint   vetchtrail.Endpoint
 	host       vetchtrail.Host // with a data centre: elsewhere
 	dataCentre string
-	affine     bool // the request's prefix belongs to the endpoint
 }
 
 func (p placement) name() string {
@@ -229,7 +228,7 @@
 	}
 	o, timing := d.cfg.Endpoints.Call(ctx, p.endpoint, r, a)
 	d.cfg.Table.Release(p.endpoint.Name, load.Observation{
-		Outcome: o, Timing: timing, Tokens: r.Tokens, Affine: p.affine, Cancel: ctx.Err() != nil,
+		Outcome: o, Timing: timing, Tokens: r.Tokens, Cancel: ctx.Err() != nil,
 	}, time.Now())
 	return o
 }
--- a/request/dispatch/place.go
+++ b/request/dispatch/place.go
@@ -67,7 +67,7 @@
 		return placement{}, false
 	}
 	e, ok := d.cfg.Rules().Endpoint(dec.Name)
-	return placement{endpoint: e, affine: dec.Affine}, ok
+	return placement{endpoint: e}, ok
 }
 
 // wait stands in the service's line until there is room.
--- a/request/policy/weighted.go
+++ b/request/policy/weighted.go
@@ -12,9 +12,6 @@
 )
 
 const (
-	// boundedLoad is how far over the mean an endpoint's load may be and still
-	// take the requests with its prefixes.
-	boundedLoad = 1.25
 	// batchDrag is the share of a request's service time that a full batch
 	// adds to the time to its first token.
 	batchDrag = 0.1
@@ -28,7 +25,7 @@
 	doubt = 0.2
 	// evenSpread is the share of a request's service time by which two
 	// candidates' costs may differ and still be taken as equal.
-	evenSpread = 0.01
+	evenSpread = 0.002
 	// tooFar is how many spreads from the best a cost has no chance.
 	tooFar = 3.0
 	// staleAfter is the age after which a report says nothing.
@@ -51,15 +48,13 @@
 
 // scored is what is found on the pass over the endpoints.
 type scored struct {
-	costs   [heldCosts]float64 // of the first endpoints; unusable: the largest number
-	best    float64            // lowest cost
-	lowest  int                // endpoint that has it
-	open    int                // endpoints that may take a request now
-	full    int                // that may not for their limit only
-	wait    float64            // shortest predicted wait at those
-	affine  int                // endpoint that the request's prefix belongs to; -1: none
-	loadSum float64            // over open and full ones
-	others  float64            // requests of other hosts at an endpoint, in the mean
+	costs  [heldCosts]float64 // of the first endpoints; unusable: the largest number
+	best   float64            // lowest cost
+	lowest int                // endpoint that has it
+	open   int                // endpoints that may take a request now
+	full   int                // that may not for their limit only
+	wait   float64            // shortest predicted wait at those
+	others float64            // requests of other hosts at an endpoint, in the mean
 }
 
 // heldCosts is how many costs are held between the passes; those of further
@@ -89,9 +84,8 @@
 
 // score finds the cost of each endpoint and the lowest.
 func score(s *scored, d *vetchtrail.Decision, r *vetchtrail.Request, v *vetchtrail.View) {
-	s.best, s.wait, s.affine = math.Inf(1), math.Inf(1), -1
+	s.best, s.wait = math.Inf(1), math.Inf(1)
 	s.others = meanOthers(r, v)
-	top := uint64(0)
 	for i := range v.Endpoints {
 		e := &v.Endpoints[i]
 		if why := unfit(e, r, v); why != "" {
@@ -104,7 +98,6 @@
 			continue
 		}
 		n := load(e, s.others)
-		s.loadSum += n
 		if e.Own >= e.Limit {
 			wait := waitAt(e, n) + e.Service/float64(max(e.Slots, 1))
 			s.full++
@@ -117,11 +110,7 @@
 		cost := costOf(e, r, v, n)
 		s.hold(i, cost)
 		s.found(i, cost)
-		if h := mix(r.Prefix ^ e.Affine); r.Prefix != 0 && h > top {
-			top, s.affine = h, i
-		}
 	}
-	s.favour(r, v)
 }
 
 func (s *scored) hold(i int, cost float64) {
@@ -130,46 +119,22 @@
 	}
 }
 
-// favour lowers the cost of the endpoint whose cache should hold the request's
-// prefix, unless its load is over the bound.
-func (s *scored) favour(r *vetchtrail.Request, v *vetchtrail.View) {
-	if s.affine < 0 {
-		return
-	}
-	e := &v.Endpoints[s.affine]
-	bound := math.Ceil(boundedLoad * (s.loadSum + 1) / float64(s.open+s.full))
-	if load(e, s.others) >= bound {
-		s.affine = -1
-		return
-	}
-	cost := s.cost(s.affine, r, v)
-	s.hold(s.affine, cost)
-	s.found(s.affine, cost)
-}
-
 func (s *scored) found(i int, cost float64) {
 	if cost < s.best {
 		s.best, s.lowest = cost, i
 	}
 }
 
-// cost returns an endpoint's cost, for the affine one with its cached part: at
-// most what one more request there costs, so that a cache never unbalances the
-// load by more.
+// cost returns an endpoint's cost.
 func (s *scored) cost(i int, r *vetchtrail.Request, v *vetchtrail.View) float64 {
-	e := &v.Endpoints[i]
-	if i != s.affine && i < heldCosts {
+	if i < heldCosts {
 		return s.costs[i]
 	}
+	e := &v.Endpoints[i]
 	if unfit(e, r, v) != "" || e.Own >= e.Limit {
 		return math.MaxFloat64
 	}
-	cost := costOf(e, r, v, load(e, s.others))
-	if i == s.affine {
-		gain := min(float64(r.Tokens)*min(v.CacheGain, e.Prefill), e.Service*batchDrag/float64(max(e.Slots, 1)))
-		cost -= (v.Weights.Tail + v.Weights.Cost) * gain
-	}
-	return cost
+	return costOf(e, r, v, load(e, s.others))
 }
 
 // unfit says why an endpoint can't be used at all; empty: it can.
@@ -218,7 +183,7 @@
 	if !reported(e) {
 		return float64(e.Own) + others
 	}
-	late := e.Age.Seconds() / max(e.Service, 1e-3)
+	late := float64(e.Age) / float64(time.Second) / max(e.Service, 1e-3)
 	if e.Running+e.Queued >= e.Slots {
 		late /= fullLasts
 	}
@@ -248,13 +213,6 @@
 	return v.Weights.Tail*first + v.Weights.Cost*(prefill+e.Service)
 }
 
-// mix is the finalizer of splitmix64.
-func mix(x uint64) uint64 {
-	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
-	x = (x ^ x>>27) * 0x94d049bb133111eb
-	return x ^ x>>31
-}
-
 // runHere draws one of the endpoints whose costs are about the best.
 func runHere(d *vetchtrail.Decision, s *scored, now time.Time, r *vetchtrail.Request, v *vetchtrail.View, rnd *rand.Rand) vetchtrail.Decision {
 	chosen := draw(d, s, r, v, rnd)
@@ -264,7 +222,7 @@
 		return refuse(d, vetchtrail.ReasonDeadline, now, d.Wait)
 	}
 	d.Kind, d.Target, d.Name, d.Cost = vetchtrail.RunHere, chosen, e.Name, s.cost(chosen, r, v)
-	d.Reason, d.Affine = vetchtrail.ReasonChosen, chosen == s.affine
+	d.Reason = vetchtrail.ReasonChosen
 	return *d
 }
 
--- a/schema/convert.go
+++ b/schema/convert.go
@@ -154,7 +154,7 @@
 		Home: uint32(r.Home), Entry: uint32(r.Entry), Allowed: uint64(r.Allowed),
 		Priority: int32(r.Priority), Deadline: nanos(r.Deadline), Hops: int32(r.Hops), Revision: r.Revision,
 		Method: r.Method, Path: r.Path, Header: FromHeader(r.Header), Body: r.Body,
-		Stream: r.Stream, Prefix: r.Prefix, Tokens: int32(r.Tokens), Key: r.Key, Repeats: r.Repeats,
+		Stream: r.Stream, Tokens: int32(r.Tokens), Key: r.Key, Repeats: r.Repeats,
 		Resume: &StreamPosition{Endpoint: r.Resume.Endpoint, Stream: r.Resume.Stream, Offset: int32(r.Resume.Offset)},
 	}
 }
@@ -171,7 +171,7 @@
 		Allowed: vetchtrail.RegionSet(m.GetAllowed()), Priority: int8(m.GetPriority()),
 		Deadline: moment(m.GetDeadline()), Hops: int(m.GetHops()), Revision: m.GetRevision(),
 		Method: m.GetMethod(), Path: m.GetPath(), Header: ToHeader(m.GetHeader()), Body: m.GetBody(),
-		Stream: m.GetStream(), Prefix: m.GetPrefix(), Tokens: int(m.GetTokens()), Key: m.GetKey(), Repeats: m.GetRepeats(),
+		Stream: m.GetStream(), Tokens: int(m.GetTokens()), Key: m.GetKey(), Repeats: m.GetRepeats(),
 		Resume: vetchtrail.StreamPosition{Endpoint: p.GetEndpoint(), Stream: p.GetStream(), Offset: int(p.GetOffset())},
 	}, nil
 }
