--- a/scenario/commands_test.go
+++ b/scenario/commands_test.go
@@ -32,7 +32,7 @@
 		return err
 	}
 	ts.Defer(func() {
-		s.fleet.Close()
+		closeFleet(s.fleet)
 		if keep := os.Getenv("VETCHTRAIL_KEEP"); keep != "" { // logs of a failed run
 			logs, _ := filepath.Glob(ts.MkAbs("*.log"))
 			for _, l := range logs {
--- a/scenario/config_history_test.go
+++ b/scenario/config_history_test.go
@@ -96,7 +96,7 @@
 	t.Logf("seed %d", seed)
 	f, d, err := newFleet(t.TempDir(), 2, 1, usualSlots, nil)
 	assert.NilError(t, err)
-	defer f.Close()
+	defer closeFleet(f)
 	applyTo(t, f, d)
 	var r recorder
 	x := &readings{newest: map[string]uint64{}}
--- a/scenario/once_history_test.go
+++ b/scenario/once_history_test.go
@@ -142,7 +142,7 @@
 	ctx := context.Background()
 	f, d, err := newFleet(t.TempDir(), 2, 1, usualSlots, nil)
 	assert.NilError(t, err)
-	defer f.Close()
+	defer closeFleet(f)
 	applyTo(t, f, d)
 	var r recorder
 	stop := make(chan struct{})
--- a/scenario/scenario_test.go
+++ b/scenario/scenario_test.go
@@ -49,7 +49,26 @@
 		return 1
 	}
 	binaries = dir
-	return m.Run()
+	code := m.Run()
+	for _, c := range complaints.list {
+		fmt.Println("a program under test complained:", c)
+		code = 1
+	}
+	return code
+}
+
+// complaints are the data races and panics of the programs under test.
+var complaints struct {
+	sync.Mutex
+	list []string
+}
+
+// closeFleet ends a fleet and keeps what its programs complained of.
+func closeFleet(f *fleet.Fleet) {
+	f.Close()
+	complaints.Lock()
+	defer complaints.Unlock()
+	complaints.list = append(complaints.list, f.Complaints()...)
 }
 
 func newFleet(dir string, hosts, engines, engineSlots int, engineArgs []string) (*fleet.Fleet, deployment.Deployment, error) {
--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -12,6 +12,7 @@
 	"path/filepath"
 	"runtime"
 	"strconv"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -318,3 +319,25 @@
 	}
 	close(f.starter)
 }
+
+// Complaints returns the lines of the programs' logs that tell of a data race or
+// a panic: their exit codes are lost when they are killed.
+func (f *Fleet) Complaints() []string {
+	var out []string
+	logs, _ := filepath.Glob(filepath.Join(f.cfg.Directory, "*.log"))
+	for _, path := range logs {
+		text, err := os.ReadFile(path)
+		if err != nil {
+			continue
+		}
+		for _, sign := range []string{"WARNING: DATA RACE", "\npanic: ", "\nfatal error: "} {
+			if at := strings.Index(string(text), sign); at >= 0 {
+				out = append(out, filepath.Base(path)+": "+string(text[at:min(len(text), at+complaintSize)]))
+			}
+		}
+	}
+	return out
+}
+
+// complaintSize is how much of a complaint is kept, in bytes.
+const complaintSize = 3000
--- /dev/null
+++ b/standin/fleet/fleet_test.go
@@ -0,0 +1,28 @@
+package fleet
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+func TestComplaints(t *testing.T) {
+	cases := map[string]struct {
+		text string
+		want int
+	}{
+		"quiet": {"level=INFO msg=ready\n", 0},
+		"race":  {"level=INFO\nWARNING: DATA RACE\nRead at\n", 1},
+		"panic": {"level=INFO\npanic: index out of range\n", 1},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			dir := t.TempDir()
+			assert.NilError(t, os.WriteFile(filepath.Join(dir, "host.log"), []byte(c.text), 0o600))
+			f := &Fleet{cfg: Config{Directory: dir}}
+			assert.Equal(t, len(f.Complaints()), c.want)
+		})
+	}
+}
