--- a/process/membership/membership_test.go
+++ b/process/membership/membership_test.go
@@ -10,6 +10,7 @@
 
 	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
 
 	"vetchtrail"
 	"vetchtrail/process/load"
@@ -131,6 +132,74 @@
 	assert.Equal(t, view(back.Add(unreachedTime)).Reachable, true)
 }
 
+// TestGossip: whatever hosts meet, fail to, restart or fall silent, no view of a
+// host goes back to an older process, and once all have met, all agree.
+func TestGossip(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		const hosts = 4
+		name := func(i int) string { return fmt.Sprint("h", i) }
+		var all [hosts]*Membership
+		for i := range all {
+			all[i] = newMember(name(i), "dc", byte(i+1))
+		}
+		at, incarnation := now, uint64(100)
+		newest := map[string]uint64{} // by viewer and viewed
+		pick := func() int { return rapid.IntRange(0, hosts-1).Draw(rt, "host") }
+		rt.Repeat(map[string]func(*rapid.T){
+			"meet": func(rt *rapid.T) {
+				a, b := pick(), pick()
+				if a == b {
+					rt.Skip("itself")
+				}
+				all[a].counter++
+				h := all[a].heartbeat(all[b].self.Peers, at)
+				if rapid.Bool().Draw(rt, "lost") {
+					return
+				}
+				all[b].merge(h, at)
+				all[a].merge(all[b].heartbeat(all[a].self.Peers, at), at)
+			},
+			"restart": func(*rapid.T) {
+				i := pick()
+				incarnation++
+				all[i] = newMember(name(i), "dc", byte(i+1))
+				all[i].self.Incarnation = incarnation
+				for k := range all {
+					delete(newest, name(i)+name(k))
+				}
+			},
+			"silence": func(*rapid.T) { at = at.Add(suspectAfter) },
+			"": func(rt *rapid.T) {
+				for _, m := range all {
+					for seen, b := range m.members {
+						key := m.self.Name + seen
+						assert.Assert(rt, b.Incarnation >= newest[key], "%s went back", key)
+						newest[key] = b.Incarnation
+					}
+				}
+			},
+		})
+		for range 3 { // a short line may have to be asked for in full
+			for _, a := range all {
+				for _, b := range all {
+					if a != b {
+						a.counter++
+						swap(a, b, at)
+					}
+				}
+			}
+		}
+		for _, a := range all {
+			for _, b := range all {
+				h, ok := a.Find(b.self.Name, at)
+				assert.Assert(rt, ok, "%s does not know %s", a.self.Name, b.self.Name)
+				assert.Equal(rt, h.Incarnation, b.self.Incarnation)
+				assert.Equal(rt, h.State, vetchtrail.HostReady)
+			}
+		}
+	})
+}
+
 // pair is a sender and a receiver that know all there is.
 func pair(hosts, endpoints, dataCentres int) (a, b *Membership) {
 	a, b = newMember("dc-host-001", "dc", 1), newMember("dc-host-002", "dc", 2)
