--- a/answer.go
+++ b/answer.go
@@ -23,6 +23,14 @@
 	Forward(ctx context.Context, h Host, r *Request, a Answer) Outcome
 }
 
+// Observer hears of an endpoint's load while requests run there.
+type Observer interface {
+	// Started tells that an endpoint began to answer a request.
+	Started(e Endpoint, r *Request, now time.Time)
+	// Told tells what an endpoint said of its load in an answer.
+	Told(e Endpoint, l LoadReport)
+}
+
 // Timing is when things happened to a request at an endpoint.
 type Timing struct {
 	Sent  time.Time // the first byte was written
--- a/change.go
+++ b/change.go
@@ -25,6 +25,9 @@
 // PutEndpoint adds or replaces an endpoint.
 type PutEndpoint struct{ Endpoint Endpoint }
 
+// PutRoute adds or replaces a route.
+type PutRoute struct{ Route Route }
+
 // PutWorkspace adds or replaces a workspace.
 type PutWorkspace struct{ Workspace Workspace }
 
@@ -49,11 +52,13 @@
 	ItemService   ItemKind = "service"
 	ItemEndpoint  ItemKind = "endpoint"
 	ItemWorkspace ItemKind = "workspace"
+	ItemRoute     ItemKind = "route"
 )
 
 func (PutRegion) edit()     {}
 func (PutService) edit()    {}
 func (PutEndpoint) edit()   {}
+func (PutRoute) edit()      {}
 func (PutWorkspace) edit()  {}
 func (DrainEndpoint) edit() {}
 func (Remove) edit()        {}
--- a/cmd/vetchtrail/main.go
+++ b/cmd/vetchtrail/main.go
@@ -31,6 +31,7 @@
 	Config    configCommand    `cmd:"" help:"The configuration as a whole."`
 	Service   serviceCommand   `cmd:"" help:"Services."`
 	Region    regionCommand    `cmd:"" help:"Regions."`
+	Route     routeCommand     `cmd:"" help:"Routes by host name and path."`
 	Endpoint  endpointCommand  `cmd:"" help:"Endpoints."`
 	Workspace workspaceCommand `cmd:"" help:"Workspaces and their residency."`
 	Host      hostCommand      `cmd:"" help:"Entry hosts."`
--- a/cmd/vetchtraild/serve.go
+++ b/cmd/vetchtraild/serve.go
@@ -2,12 +2,17 @@
 
 import (
 	"context"
+	"io"
 	"log/slog"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
+	"vetchtrail/platform"
 	"vetchtrail/process/daemon"
+	"vetchtrail/process/logs"
+	"vetchtrail/process/membership"
 	"vetchtrail/process/settings"
 )
 
@@ -23,10 +28,15 @@
 	if err != nil {
 		return err
 	}
-	d, err := daemon.New(daemon.Config{Settings: s, Log: logger(s.Log)})
+	out := logs.New(os.Stdout)
+	defer func() { _ = out.Close() }()
+	log := logger(s.Log, out)
+	limitMemory(s.Limits.Memory)
+	d, err := daemon.New(daemon.Config{Settings: s, Log: log, Hosted: hosted(&s, log)})
 	if err != nil {
 		return err
 	}
+	log.Info("started", "host", s.Host, "region", s.Region, "data_centre", s.DataCentre, "platform", s.Platform.Kind)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	signals := make(chan os.Signal, 2)
@@ -40,14 +50,38 @@
 	return d.Run(ctx)
 }
 
-func logger(l settings.Log) *slog.Logger {
+// memoryShare is the share of the host's memory at which the collector works
+// harder; the rest is for what it doesn't count.
+const memoryShare = 0.6
+
+func limitMemory(mb int) {
+	if mb > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(mb) * (1 << 20)))
+	}
+}
+
+// hosted returns the connection to a hosted platform; nil: the settings name
+// none.
+func hosted(s *settings.Settings, log *slog.Logger) *daemon.Hosted {
+	if s.Platform.Kind != settings.PlatformHosted {
+		return nil
+	}
+	return &daemon.Hosted{
+		Feed:      platform.NewFeed(platform.FeedConfig{Store: s.Platform.Store, Places: s.Platform.DataCentres, Log: log}),
+		Registry:  platform.NewRegistry(s.Platform.Store, log),
+		Dialect:   platform.Dialect{},
+		Directory: func(m *membership.Membership) daemon.Directory { return platform.NewDirectory(m) },
+	}
+}
+
+func logger(l settings.Log, out io.Writer) *slog.Logger {
 	var level slog.Level
 	if err := level.UnmarshalText([]byte(l.Level)); err != nil {
 		level = slog.LevelInfo
 	}
 	options := &slog.HandlerOptions{Level: level}
 	if l.Format == "json" {
-		return slog.New(slog.NewJSONHandler(os.Stderr, options))
+		return slog.New(slog.NewJSONHandler(out, options))
 	}
-	return slog.New(slog.NewTextHandler(os.Stderr, options))
+	return slog.New(slog.NewTextHandler(out, options))
 }
--- a/connection/caller/answers.go
+++ b/connection/caller/answers.go
@@ -48,11 +48,14 @@
 	if o.Status == 0 {
 		o.Status = fiber.StatusBadGateway
 	}
-	p := Problem{
+	return c.Status(o.Status).JSON(problemOf(o), "application/problem+json")
+}
+
+func problemOf(o vetchtrail.Outcome) Problem {
+	return Problem{
 		Type: "about:blank", Title: o.Kind.String() + ": " + string(o.Reason), Status: o.Status,
 		Detail: o.Error(), Outcome: o.Kind.String(), Step: string(o.Step), Reason: string(o.Reason), Peer: o.Peer,
 	}
-	return c.Status(o.Status).JSON(p, "application/problem+json")
 }
 
 // hostLine is a host in the list that callers get.
--- a/connection/caller/caller.go
+++ b/connection/caller/caller.go
@@ -15,6 +15,7 @@
 	"github.com/gofiber/fiber/v3"
 
 	"vetchtrail"
+	"vetchtrail/connection/dialect"
 	"vetchtrail/connection/endpoint"
 	"vetchtrail/process/membership"
 	"vetchtrail/request/once"
@@ -22,10 +23,9 @@
 )
 
 const (
-	idleTime       = 30 * time.Second
-	headerLimit    = 16 << 10 // bytes
-	writeTime      = 30 * time.Second
-	longestRequest = 10 * time.Minute // a caller's deadline may be this far
+	idleTime    = 30 * time.Second
+	headerLimit = 32 << 10 // bytes
+	writeTime   = 30 * time.Second
 )
 
 // Runner runs a request to its end.
@@ -40,9 +40,11 @@
 	Rules      func() *rules.Rules
 	Membership *membership.Membership
 	Keeper     *once.Keeper
-	BodyLimit  int    // bytes
-	Explain    bool   // say in the answer's header where it ran
-	Region     string // of this host
+	BodyLimit  int                // bytes
+	Explain    bool               // say in the answer's header where it ran
+	Region     string             // of this host
+	Dialect    vetchtrail.Dialect // of routed requests; nil: the project's own
+	RoutesOnly bool               // the project's own interface is not served
 }
 
 // Server is the callers' side of a daemon.
@@ -50,15 +52,21 @@
 	cfg   Config
 	app   *fiber.App
 	conns atomic.Pointer[conns]
+
+	watcher *watcher
 }
 
 // New returns a server that does not listen yet.
 func New(c Config) *Server {
-	s := &Server{cfg: c}
+	if c.Dialect == nil {
+		c.Dialect = dialect.Plain{}
+	}
+	s := &Server{cfg: c, watcher: newWatcher()}
 	s.app = fiber.New(fiber.Config{
 		BodyLimit: c.BodyLimit, ReadBufferSize: headerLimit, IdleTimeout: idleTime, WriteTimeout: writeTime,
 		ErrorHandler: s.failed, UnescapePath: false, StreamRequestBody: false,
 	})
+	s.app.Use(s.routed)
 	s.app.Post("/v1/chat/completions", s.model)
 	s.app.Post("/v1/completions", s.model)
 	s.app.Get("/v1/models", s.models)
@@ -76,6 +84,8 @@
 func (s *Server) Serve(l net.Listener) error {
 	tracking := newConns(l)
 	s.conns.Store(tracking)
+	go s.watcher.run()
+	defer s.watcher.stop()
 	return s.app.Listener(tracking, fiber.ListenConfig{DisableStartupMessage: true})
 }
 
@@ -124,14 +134,8 @@
 	if state := s.cfg.Membership.Self().State; state == vetchtrail.HostStarting {
 		return s.problem(c, s.cfg.Runner.Starting(r))
 	}
-	p := newPipe(c.RequestCtx().Conn())
-	go p.run(s.cfg.Runner, r)
-	go p.watch()
-	select {
-	case <-p.begun:
-	case <-p.ended:
-	}
-	if !p.hasBegun() {
+	p, begun := s.begin(c, r)
+	if !begun {
 		return s.problem(c, p.outcome)
 	}
 	c.Status(p.status)
@@ -141,7 +145,27 @@
 		}
 	}
 	c.Set("X-Request-Id", r.ID)
-	if s.cfg.Membership.Self().State == vetchtrail.HostLeaving {
+	return s.send(c, r, p)
+}
+
+// begin runs a request until its answer begins, or ends without one.
+func (s *Server) begin(c fiber.Ctx, r *vetchtrail.Request) (p *pipe, begun bool) {
+	p = newPipe(c.RequestCtx().Conn())
+	s.watcher.add(p)
+	go func() {
+		defer s.watcher.remove(p)
+		p.run(s.cfg.Runner, r)
+	}()
+	select {
+	case <-p.begun:
+	case <-p.ended:
+	}
+	return p, p.hasBegun()
+}
+
+// send passes on the body of an answer that has begun.
+func (s *Server) send(c fiber.Ctx, r *vetchtrail.Request, p *pipe) error {
+	if s.leaving() {
 		c.Set(fiber.HeaderConnection, "close")
 	}
 	if r.Method == fiber.MethodHead {
@@ -150,3 +174,5 @@
 	}
 	return c.SendStream(p)
 }
+
+func (s *Server) leaving() bool { return s.cfg.Membership.Self().State == vetchtrail.HostLeaving }
--- a/connection/caller/parse.go
+++ b/connection/caller/parse.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"fmt"
-	"strconv"
 	"strings"
 	"time"
 
@@ -12,13 +11,13 @@
 	"github.com/google/uuid"
 
 	"vetchtrail"
+	"vetchtrail/connection/dialect"
 	"vetchtrail/connection/endpoint"
 )
 
 // Header fields of callers.
 const (
 	headerWorkspace = "X-Workspace"
-	headerTimeout   = "Request-Timeout" // seconds
 	headerKey       = "Idempotency-Key"
 	headerLastEvent = "Last-Event-Id"
 )
@@ -114,23 +113,14 @@
 	if known && conf.Kind != kind {
 		return nil, fmt.Errorf("service %s is of kind %s, which is not asked for in this way", service, conf.Kind)
 	}
-	within, err := timeout(c.Get(headerTimeout), conf.AnswerWithin)
+	within, err := dialect.ParseTimeout(c.Get(dialect.HeaderTimeout))
+	if within == 0 {
+		within = conf.AnswerWithin
+	}
 	r.Deadline = time.Now().Add(within)
 	return r, err
 }
 
-// timeout reads a caller's timeout; the service's stands if it sets none.
-func timeout(text string, usual time.Duration) (time.Duration, error) {
-	if text == "" {
-		return usual, nil
-	}
-	n, err := strconv.ParseFloat(text, 64)
-	if err != nil || !(n > 0) || n > longestRequest.Seconds() {
-		return 0, fmt.Errorf("%s is %q: it must be seconds above 0 and at most %g", headerTimeout, text, longestRequest.Seconds())
-	}
-	return time.Duration(n * float64(time.Second)), nil
-}
-
 // headerOf copies the fields that go on to an endpoint.
 func headerOf(c fiber.Ctx) []vetchtrail.HeaderField {
 	var out []vetchtrail.HeaderField
--- a/connection/caller/pipe.go
+++ b/connection/caller/pipe.go
@@ -5,19 +5,15 @@
 	"io"
 	"net"
 	"sync"
-	"time"
 
 	"github.com/go-faster/errors"
 
 	"vetchtrail"
-	"vetchtrail/connection/probe"
 )
 
 const (
 	// pipeParts is how many parts of an answer wait for a slow caller.
 	pipeParts = 16
-	// lookEvery is how often a waiting caller's connection is looked at.
-	lookEvery = 200 * time.Millisecond
 )
 
 var errGone = errors.New("the caller has gone")
@@ -54,26 +50,6 @@
 	close(p.ended)
 }
 
-// watch cancels the request when its caller closes the connection: the HTTP
-// library tells only when something is written.
-func (p *pipe) watch() {
-	t := time.NewTicker(lookEvery)
-	defer t.Stop()
-	for {
-		select {
-		case <-p.ended:
-			return
-		case <-p.ctx.Done():
-			return
-		case <-t.C:
-			if probe.Closed(p.conn) {
-				p.cancel()
-				return
-			}
-		}
-	}
-}
-
 func (p *pipe) hasBegun() bool {
 	select {
 	case <-p.begun:
--- a/connection/endpoint/endpoint.go
+++ b/connection/endpoint/endpoint.go
@@ -9,20 +9,17 @@
 	"context"
 	"encoding/json"
 	"io"
-	"net/netip"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/go-faster/errors"
 	"github.com/valyala/fasthttp"
 
 	"vetchtrail"
+	"vetchtrail/connection/dialect"
 )
 
-// NotStarted is the header of a 503 by which an endpoint says that it refused
-// a request before starting it. Status 429 says so by itself (RFC 6585).
-const NotStarted = "X-Not-Started"
-
 // HeaderEndpoint tells where a request ran, if the settings allow it.
 const HeaderEndpoint = "X-Vetchtrail-Endpoint"
 
@@ -31,13 +28,14 @@
 	// read whole before its first byte goes to the caller, so that a broken
 	// one can still be retried or refused.
 	wholeLimit  = 4 << 20
-	stallTime   = 30 * time.Second // between two parts of a stream
-	dialTime    = time.Second
-	defaultBack = time.Second // when an endpoint refuses without Retry-After
+	stallTime   = 30 * time.Second // between two parts of an answer
+	defaultBack = time.Second      // when an endpoint refuses without Retry-After
 	maxBack     = time.Minute
-	// identitySize is the library's length of a body that ends with its
-	// connection.
-	identitySize = -2
+	// foreignMost is how many answers to other requests are passed over on a
+	// connection before it is given up.
+	foreignMost = 2
+	// firstFailure is the lowest status of an endpoint's own failure.
+	firstFailure = fasthttp.StatusInternalServerError
 )
 
 // Guard is asked just before the first byte leaves for an endpoint, with the
@@ -46,53 +44,59 @@
 
 // Config is what a Caller needs.
 type Config struct {
-	Guard Guard
+	Guard    Guard
+	Dialect  vetchtrail.Dialect  // nil: the project's own
+	Observer vetchtrail.Observer // nil: none
 }
 
 // Caller is a vetchtrail.EndpointCaller.
 type Caller struct {
-	guard Guard
-	pool  pool
+	cfg  Config
+	pool pool
 }
 
 // New returns a caller without connections.
 func New(c Config) *Caller {
-	k := &Caller{guard: c.Guard}
-	k.pool.idle = map[netip.AddrPort][]*conn{}
-	k.pool.dialer.Timeout = dialTime
+	if c.Dialect == nil {
+		c.Dialect = dialect.Plain{}
+	}
+	k := &Caller{cfg: c}
+	k.pool.idle = map[place][]*conn{}
+	k.pool.dialer = dialer()
 	return k
 }
 
 // attempt is one call of an endpoint.
 type attempt struct {
+	of     *Caller
 	to     vetchtrail.Endpoint
 	req    *vetchtrail.Request
 	answer vetchtrail.Answer
 	conn   *conn
 	resp   *fasthttp.Response
+	body   *body
 	timing vetchtrail.Timing
 	begun  bool
+	kept   *vetchtrail.KeptAnswer // a failure that is kept back
 }
 
 // Call implements vetchtrail.EndpointCaller.
 func (k *Caller) Call(ctx context.Context, e vetchtrail.Endpoint, r *vetchtrail.Request, a vetchtrail.Answer) (vetchtrail.Outcome, vetchtrail.Timing) {
-	t := &attempt{to: e, req: r, answer: a}
-	// A request that may not run twice gets a new connection: one from the pool
-	// may have been closed by the endpoint in this very moment.
-	c, err := k.pool.get(ctx, e.Addr, !r.Repeats)
+	t := &attempt{of: k, to: e, req: r, answer: a}
+	c, err := k.pool.get(ctx, placeOf(e), r.Repeats)
 	if err != nil {
 		return t.notRun(vetchtrail.StepConnect, vetchtrail.ReasonUnreachable, err), t.timing
 	}
 	t.conn = c
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
 	defer stop()
-	if why := k.guard(e, r); why != "" {
-		k.pool.put(e.Addr, c)
+	if why := k.cfg.Guard(e, r); why != "" {
+		k.pool.put(placeOf(e), c)
 		return t.notRun(vetchtrail.StepResidency, why, nil), t.timing
 	}
 	o, reusable := t.run(ctx)
 	if reusable && stop() {
-		k.pool.put(e.Addr, c)
+		k.pool.put(placeOf(e), c)
 	} else {
 		_ = c.Close()
 	}
@@ -109,23 +113,35 @@
 	}
 	t.resp = fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(t.resp)
-	t.resp.StreamBody = true
-	t.resp.SkipBody = t.req.Method == fasthttp.MethodHead
-	if err := t.resp.ReadLimitBody(t.conn.in, 0); err != nil {
+	reading, err := t.head()
+	if err != nil {
 		return t.unknown(ctx, vetchtrail.StepAnswer, vetchtrail.ReasonLost, err), false
 	}
-	if refused := t.refusal(); refused {
+	t.conn.learnIdle(t.field("Keep-Alive"))
+	switch reading.Kind {
+	case vetchtrail.ReadingRefused:
 		o := t.notRun(vetchtrail.StepAnswer, vetchtrail.ReasonRefused, nil)
 		o.RetryAt = t.retryAt()
-		return o, false
+		o.Cold = max(0, reading.Cold)
+		return o, t.finish()
+	case vetchtrail.ReadingMisled:
+		return t.notRun(vetchtrail.StepAnswer, vetchtrail.ReasonMisled, nil), false
+	case vetchtrail.ReadingForeign, vetchtrail.ReadingDoubtful:
+		err := errors.Errorf("status %d without the endpoint's signs", t.resp.StatusCode())
+		return t.unknown(ctx, vetchtrail.StepAnswer, vetchtrail.ReasonBroken, err), false
 	}
 	if err := t.pass(); err != nil {
 		return t.unknown(ctx, vetchtrail.StepAnswer, vetchtrail.ReasonBroken, err), false
 	}
 	t.timing.Done = time.Now()
+	if t.kept != nil {
+		o := t.unknown(ctx, vetchtrail.StepAnswer, vetchtrail.ReasonFailed, nil)
+		o.Failure = t.kept
+		return o, t.reusable()
+	}
 	return vetchtrail.Outcome{
 		Kind: vetchtrail.Answered, Status: t.resp.StatusCode(), Step: vetchtrail.StepAnswer, Peer: t.to.Name, Begun: true,
-	}, !t.resp.ConnectionClose()
+	}, t.reusable()
 }
 
 // send writes the request.
@@ -133,96 +149,172 @@
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
 	req.Header.SetMethod(t.req.Method)
-	req.SetRequestURI("http://" + t.to.Addr.String() + t.req.Path)
+	req.Header.SetRequestURI(t.req.Path) // as it came: parsing would normalize it
+	req.Header.SetHost(t.to.Addr.String())
+	req.Header.SetNoDefaultContentType(true)
 	for _, f := range t.req.Header {
-		req.Header.Set(f.Name, f.Value)
+		if f.Name == fasthttp.HeaderHost {
+			req.Header.SetHost(f.Value)
+			continue
+		}
+		req.Header.Add(f.Name, f.Value)
+	}
+	t.timing.Sent = time.Now()
+	if t.req.Route == "" {
+		t.tellOwn(req)
+	} else {
+		t.of.cfg.Dialect.Tell(req.Header.Set, t.to, t.req, t.timing.Sent)
+	}
+	req.SetBodyRaw(t.req.Body)
+	out := bufio.NewWriterSize(t.conn, readBuffer)
+	if err := req.Write(out); err != nil {
+		return err
 	}
-	req.Header.Set("X-Request-Id", t.req.ID)
+	return out.Flush()
+}
+
+// tellOwn sets the fields of requests that name a service, which belong to the
+// project's own interface.
+func (t *attempt) tellOwn(req *fasthttp.Request) {
+	dialect.Plain{}.Tell(req.Header.Set, t.to, t.req, t.timing.Sent)
 	if t.req.Key != "" {
 		req.Header.Set("Idempotency-Key", t.req.Key)
 	}
 	if t.req.Resume.Endpoint != "" {
 		req.Header.Set("Last-Event-Id", strconv.Itoa(t.req.Resume.Offset))
 	}
-	req.SetBodyRaw(t.req.Body)
-	t.timing.Sent = time.Now()
-	out := bufio.NewWriter(t.conn)
-	if err := req.Write(out); err != nil {
-		return err
+}
+
+// head reads the head of the answer to the request. An endpoint may send the
+// answers of others before it: they belong to nobody.
+func (t *attempt) head() (vetchtrail.Reading, error) {
+	for range foreignMost + 1 {
+		if err := t.readHead(); err != nil {
+			return vetchtrail.Reading{}, err
+		}
+		reading := t.read()
+		if reading.Told && t.of.cfg.Observer != nil {
+			reading.Load.At = time.Now()
+			t.of.cfg.Observer.Told(t.to, reading.Load)
+		}
+		t.body = newBody(t.conn.in, &t.resp.Header, t.req.Method)
+		if reading.Kind != vetchtrail.ReadingForeign {
+			return reading, nil
+		}
+		if _, err := io.Copy(io.Discard, t.body); err != nil {
+			return vetchtrail.Reading{}, err
+		}
 	}
-	return out.Flush()
+	return vetchtrail.Reading{}, errors.New("answers to other requests only")
 }
 
-// refusal says whether the endpoint refused before starting.
-func (t *attempt) refusal() bool {
-	switch t.resp.StatusCode() {
-	case fasthttp.StatusTooManyRequests:
-		return true
-	case fasthttp.StatusServiceUnavailable:
-		return len(t.resp.Header.Peek(NotStarted)) > 0
+// readHead reads a head, passing over those that only announce another.
+func (t *attempt) readHead() error {
+	for {
+		t.resp.Header.Reset()
+		if err := t.resp.Header.Read(t.conn.in); err != nil {
+			return err
+		}
+		if t.resp.StatusCode() >= fasthttp.StatusOK {
+			return nil
+		}
 	}
-	return false
+}
+
+func (t *attempt) read() vetchtrail.Reading {
+	if t.req.Route == "" {
+		return dialect.Plain{}.Read(t.resp.StatusCode(), t.field, t.req)
+	}
+	return t.of.cfg.Dialect.Read(t.resp.StatusCode(), t.field, t.req)
+}
+
+func (t *attempt) field(name string) string { return string(t.resp.Header.Peek(name)) }
+
+// finish reads what is left of an answer that is not passed on, and says
+// whether its connection can be kept.
+func (t *attempt) finish() bool {
+	_, err := io.Copy(io.Discard, t.body)
+	return err == nil && t.reusable()
+}
+
+func (t *attempt) reusable() bool {
+	return !t.resp.ConnectionClose() && t.body.framed()
 }
 
 func (t *attempt) retryAt() time.Time {
 	after := defaultBack
-	if s, err := strconv.Atoi(string(t.resp.Header.Peek("Retry-After"))); err == nil && s >= 0 {
-		after = min(time.Duration(s)*time.Second, maxBack)
+	if s, err := strconv.ParseFloat(t.field(fasthttp.HeaderRetryAfter), 64); err == nil && s >= 0 {
+		after = min(time.Duration(s*float64(time.Second)), maxBack)
 	}
 	return time.Now().Add(after)
 }
 
 // pass hands the answer on.
 func (t *attempt) pass() error {
-	size := t.resp.Header.ContentLength()
 	switch {
+	case t.keepFailure():
+		return t.keep()
 	case t.events():
 		return t.passEvents()
-	case t.resp.BodyStream() == nil:
-		return t.begin()
-	case size >= 0 && size <= wholeLimit:
-		return t.passWhole(size)
-	case size == identitySize:
+	case t.body.size() >= 0 && t.body.size() <= wholeLimit, t.req.Route != "":
+		return t.passWhole()
+	case !t.body.framed():
 		return errors.New("the answer has neither a length nor chunks: its end can't be told from a cut")
 	}
-	return t.passParts(size)
+	return t.passParts()
+}
+
+// keepFailure says whether the answer is a failure that another attempt may
+// better.
+func (t *attempt) keepFailure() bool {
+	return t.req.Route != "" && t.req.Repeats && t.resp.StatusCode() >= firstFailure
+}
+
+func (t *attempt) keep() error {
+	whole, err := t.whole()
+	if err != nil {
+		return err
+	}
+	t.kept = &vetchtrail.KeptAnswer{Status: t.resp.StatusCode(), Header: t.header(), Body: whole}
+	return nil
 }
 
 // events says whether the answer is a stream of a model's events.
 func (t *attempt) events() bool {
-	return t.req.Kind == vetchtrail.KindModel &&
-		string(t.resp.Header.ContentType()) == "text/event-stream"
+	return (t.req.Kind == vetchtrail.KindModel || t.req.Stream) &&
+		strings.HasPrefix(string(t.resp.Header.ContentType()), "text/event-stream")
 }
 
-func (t *attempt) passWhole(size int) error {
-	body := make([]byte, size)
-	if err := readFull(t.resp.BodyStream(), body); err != nil {
+// whole reads the whole body.
+func (t *attempt) whole() ([]byte, error) {
+	whole, err := io.ReadAll(io.LimitReader(t.body, wholeLimit+1))
+	if err == nil && len(whole) > wholeLimit {
+		err = errors.Errorf("the answer is over %d bytes", wholeLimit)
+	}
+	return whole, err
+}
+
+func (t *attempt) passWhole() error {
+	whole, err := t.whole()
+	if err != nil {
 		return err
 	}
-	if t.req.Kind == vetchtrail.KindModel && t.resp.StatusCode() == fasthttp.StatusOK && !json.Valid(body) {
+	if t.req.Route == "" && t.req.Kind == vetchtrail.KindModel && t.resp.StatusCode() == fasthttp.StatusOK && !json.Valid(whole) {
 		return errors.New("the answer is not JSON")
 	}
-	if err := t.begin(); err != nil {
-		return err
-	}
-	return t.answer.Write(body)
+	return t.part(whole)
 }
 
-func (t *attempt) passParts(size int) error {
+func (t *attempt) passParts() error {
 	part := make([]byte, readBuffer)
-	passed := 0
 	for {
 		_ = t.conn.SetDeadline(time.Now().Add(stallTime))
-		n, err := t.resp.BodyStream().Read(part)
-		passed += n
+		n, err := t.body.Read(part)
 		if n > 0 {
 			if err := t.part(part[:n]); err != nil {
 				return err
 			}
 		}
-		if isEnd(err) && size >= 0 && passed < size {
-			return io.ErrUnexpectedEOF
-		}
 		if isEnd(err) {
 			return t.begin()
 		}
@@ -238,6 +330,9 @@
 	if err := t.begin(); err != nil {
 		return err
 	}
+	if len(p) == 0 {
+		return nil
+	}
 	return t.answer.Write(p)
 }
 
@@ -247,6 +342,9 @@
 	}
 	t.begun = true
 	t.timing.First = time.Now()
+	if t.of.cfg.Observer != nil {
+		t.of.cfg.Observer.Started(t.to, t.req, t.timing.First)
+	}
 	return t.answer.Begin(t.resp.StatusCode(), t.header())
 }
 
@@ -254,7 +352,7 @@
 var hopByHop = map[string]bool{
 	"Connection": true, "Keep-Alive": true, "Transfer-Encoding": true, "Te": true,
 	"Trailer": true, "Upgrade": true, "Content-Length": true, "Date": true, "Server": true,
-	"Proxy-Authenticate": true, "Proxy-Authorization": true,
+	"Proxy-Authenticate": true, "Proxy-Authorization": true, "Proxy-Connection": true, "Expect": true,
 }
 
 // HopByHop says whether a header field belongs to one connection only.
@@ -277,12 +375,17 @@
 	}
 }
 
+// unknown is the outcome of a request that was sent and has no whole answer.
 func (t *attempt) unknown(ctx context.Context, step vetchtrail.Step, why vetchtrail.Reason, err error) vetchtrail.Outcome {
-	if ctx.Err() != nil {
-		why = vetchtrail.ReasonCallerGone
-	}
-	return vetchtrail.Outcome{
+	o := vetchtrail.Outcome{
 		Kind: vetchtrail.Unknown, Status: fasthttp.StatusBadGateway, Step: step, Peer: t.to.Name,
 		Reason: why, Err: err, Begun: t.begun,
 	}
+	switch {
+	case ctx.Err() != nil:
+		o.Reason = vetchtrail.ReasonCallerGone
+	case !time.Now().Before(t.req.Deadline):
+		o.Reason, o.Status = vetchtrail.ReasonDeadline, fasthttp.StatusGatewayTimeout
+	}
+	return o
 }
--- a/connection/endpoint/events.go
+++ b/connection/endpoint/events.go
@@ -44,7 +44,10 @@
 // passEvents hands on whole events with their ids made global. A stream that
 // ends without its last event is broken.
 func (t *attempt) passEvents() error {
-	in := bufio.NewReaderSize(t.resp.BodyStream(), readBuffer)
+	if t.req.Route != "" {
+		return t.passRouted()
+	}
+	in := bufio.NewReaderSize(t.body, readBuffer)
 	stream := t.streamName()
 	done := false
 	for {
@@ -67,6 +70,55 @@
 	return nil
 }
 
+// passRouted hands on the whole events of a route's stream as they are. The
+// framing tells its end. Events that the caller has already, as its stream went
+// on from another endpoint, are passed over.
+func (t *attempt) passRouted() error {
+	in := bufio.NewReaderSize(t.body, readBuffer)
+	had, resumed := eventNumber(t.req.LastEvent)
+	for {
+		event, err := readEvent(in)
+		if isEnd(err) && len(event) == 0 {
+			return t.begin()
+		}
+		if err != nil {
+			return err
+		}
+		if resumed && alreadyHad(event, had) {
+			continue
+		}
+		if err := t.part(event); err != nil {
+			return err
+		}
+	}
+}
+
+// alreadyHad says whether an event's number is not above the last one had.
+func alreadyHad(event []byte, had uint64) bool {
+	id, ok := EventID(event)
+	if !ok {
+		return false
+	}
+	n, ok := eventNumber(id)
+	return ok && n <= had
+}
+
+// EventID returns the id of an event.
+func EventID(event []byte) (string, bool) {
+	for line := range bytes.Lines(event) {
+		name, value, ok := bytes.Cut(line, []byte(":"))
+		if ok && string(name) == "id" {
+			return string(bytes.TrimSpace(value)), true
+		}
+	}
+	return "", false
+}
+
+func eventNumber(id string) (uint64, bool) {
+	n, err := strconv.ParseUint(id, 10, 64)
+	return n, err == nil
+}
+
 // streamName is the endpoint's name for the stream: the request's id, which it
 // was given, or that of the request that began it.
 func (t *attempt) streamName() string {
@@ -117,14 +169,3 @@
 // isEnd tells the end of an answer from an end of the connection within it,
 // which the library wraps.
 func isEnd(err error) bool { return err == io.EOF } //nolint:errorlint // a wrapped EOF is a cut
-
-func readFull(r io.Reader, body []byte) error {
-	if len(body) == 0 {
-		return nil
-	}
-	_, err := io.ReadFull(r, body)
-	if errors.Is(err, io.EOF) {
-		return io.ErrUnexpectedEOF
-	}
-	return err
-}
--- a/connection/endpoint/pool.go
+++ b/connection/endpoint/pool.go
@@ -5,25 +5,55 @@
 	"context"
 	"net"
 	"net/netip"
+	"strconv"
+	"strings"
 	"sync"
 	"time"
 
+	"vetchtrail"
 	"vetchtrail/connection/probe"
 )
 
 const (
 	idleKept   = 64               // idle connections kept for an endpoint
-	idleFor    = 30 * time.Second // how long one is kept
+	idleFor    = 30 * time.Second // how long one is kept if the endpoint doesn't say
 	readBuffer = 8 << 10          // bytes
+	dialTime   = 700 * time.Millisecond
+	// idleMargin is how long before the announced end of an idle connection it is
+	// no longer used: the endpoint may close it while a request is on its way.
+	idleMargin = 500 * time.Millisecond
+	// onceIdle is how long a connection may have rested when it takes a request
+	// that may not run twice: endpoints forget idle connections without a word,
+	// and such a request is then lost.
+	onceIdle = 3 * time.Second
+	// Probes that find a connection to a host that has gone silent.
+	keepIdle     = time.Second
+	keepInterval = time.Second
+	keepCount    = 2
 )
 
+// place is an endpoint's process at an address: addresses are used again.
+type place struct {
+	addr     netip.AddrPort
+	instance string
+}
+
+func placeOf(e vetchtrail.Endpoint) place { return place{addr: e.Addr, instance: e.Instance} }
+
+func dialer() net.Dialer {
+	return net.Dialer{Timeout: dialTime, KeepAliveConfig: net.KeepAliveConfig{
+		Enable: true, Idle: keepIdle, Interval: keepInterval, Count: keepCount,
+	}}
+}
+
 // conn is a connection to an endpoint that counts what was written for the
 // request in hand, so that "no byte left" can be said truthfully.
 type conn struct {
 	net.Conn
 	in      *bufio.Reader
 	written int
-	expires time.Time // idle connections only
+	idleFor time.Duration // as the endpoint announced it
+	rested  time.Time     // since when it is idle
 }
 
 // Write implements io.Writer.
@@ -33,59 +63,95 @@
 	return n, err
 }
 
+// learnIdle reads the endpoint's Keep-Alive field.
+func (c *conn) learnIdle(field string) {
+	_, after, ok := strings.Cut(field, "timeout=")
+	if !ok {
+		return
+	}
+	digits, _, _ := strings.Cut(after, ",")
+	if n, err := strconv.Atoi(strings.TrimSpace(digits)); err == nil && n > 0 {
+		c.idleFor = time.Duration(n) * time.Second
+	}
+}
+
+// usable says whether a connection that rested may take a request now.
+func (c *conn) usable(repeats bool, now time.Time) bool {
+	rest := now.Sub(c.rested)
+	if rest > c.idleFor-idleMargin || (!repeats && rest > onceIdle) {
+		return false
+	}
+	return probe.Idle(c.Conn)
+}
+
 // pool keeps idle connections to the endpoints.
 type pool struct {
 	dialer net.Dialer
 	mu     sync.Mutex
-	idle   map[netip.AddrPort][]*conn
+	idle   map[place][]*conn
 }
 
 // get returns an idle connection that the endpoint hasn't closed, or a new one.
-// With fresh it is always a new one.
-func (p *pool) get(ctx context.Context, addr netip.AddrPort, fresh bool) (*conn, error) {
-	for !fresh {
-		c := p.take(addr)
+// A request that may not run twice only gets one that rested shortly.
+func (p *pool) get(ctx context.Context, at place, repeats bool) (*conn, error) {
+	for {
+		c := p.take(at)
 		if c == nil {
 			break
 		}
-		if time.Now().Before(c.expires) && probe.Idle(c.Conn) {
+		if c.usable(repeats, time.Now()) {
 			c.written = 0
 			return c, nil
 		}
 		_ = c.Close()
 	}
-	nc, err := p.dialer.DialContext(ctx, "tcp", addr.String())
+	nc, err := p.dialer.DialContext(ctx, "tcp", at.addr.String())
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: nc, in: bufio.NewReaderSize(nc, readBuffer)}, nil
+	return &conn{Conn: nc, in: bufio.NewReaderSize(nc, readBuffer), idleFor: idleFor}, nil
 }
 
-func (p *pool) take(addr netip.AddrPort) *conn {
+func (p *pool) take(at place) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	list := p.idle[addr]
+	list := p.idle[at]
 	if len(list) == 0 {
 		return nil
 	}
 	c := list[len(list)-1]
-	p.idle[addr] = list[:len(list)-1]
+	p.idle[at] = list[:len(list)-1]
 	return c
 }
 
 // put keeps a connection whose answer was read to its end.
-func (p *pool) put(addr netip.AddrPort, c *conn) {
+func (p *pool) put(at place, c *conn) {
 	if c.in.Buffered() > 0 {
 		_ = c.Close()
 		return
 	}
 	_ = c.SetDeadline(time.Time{})
-	c.expires = time.Now().Add(idleFor)
+	c.rested = time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if len(p.idle[addr]) >= idleKept {
+	if len(p.idle[at]) >= idleKept {
 		_ = c.Close()
 		return
 	}
-	p.idle[addr] = append(p.idle[addr], c)
+	p.idle[at] = append(p.idle[at], c)
+}
+
+// Forget closes the idle connections to endpoints that are no longer known.
+func (k *Caller) Forget(known func(vetchtrail.Endpoint) bool) {
+	k.pool.mu.Lock()
+	defer k.pool.mu.Unlock()
+	for at, list := range k.pool.idle {
+		if known(vetchtrail.Endpoint{Addr: at.addr, Instance: at.instance}) {
+			continue
+		}
+		for _, c := range list {
+			_ = c.Close()
+		}
+		delete(k.pool.idle, at)
+	}
 }
--- a/connection/peer/client.go
+++ b/connection/peer/client.go
@@ -155,7 +155,7 @@
 		return lost(vetchtrail.NotRun, vetchtrail.StepConnect, vetchtrail.ReasonUnreachable, h, err)
 	}
 	defer closer()
-	m := schema.FromRequest(r)
+	m := schema.FromRequest(r, time.Now())
 	m.Hops++
 	stream, err := client.Forward(ctx, m)
 	if err != nil {
@@ -205,7 +205,7 @@
 		case *schema.ForwardReply_Body:
 			err = a.Write(part.Body)
 		case *schema.ForwardReply_End:
-			o := schema.ToOutcome(part.End)
+			o := schema.ToOutcome(part.End, time.Now())
 			o.Begun = begun
 			return o
 		}
--- a/connection/peer/server.go
+++ b/connection/peer/server.go
@@ -86,12 +86,12 @@
 
 // Forward implements schema.DRPCPeersServer.
 func (s *Server) Forward(m *schema.ForwardRequest, stream schema.DRPCPeers_ForwardStream) error {
-	r, err := schema.ToRequest(m)
+	r, err := schema.ToRequest(m, time.Now())
 	if err != nil {
 		return err
 	}
 	o := s.cfg.Runner.Run(stream.Context(), r, &streamAnswer{stream: stream})
-	return stream.Send(&schema.ForwardReply{Part: &schema.ForwardReply_End{End: schema.FromOutcome(o)}})
+	return stream.Send(&schema.ForwardReply{Part: &schema.ForwardReply_End{End: schema.FromOutcome(o, time.Now())}})
 }
 
 // streamAnswer is a vetchtrail.Answer that goes back to the forwarding host.
--- a/decision.go
+++ b/decision.go
@@ -88,6 +88,9 @@
 	Away     bool          // draining, leaving or ejected
 	Why      Reason        // with Away: the reason
 	Back     float64       // seconds until an endpoint that refused for its load may be asked again
+	Backlog  float64       // seconds until it has read the prompts that it was sent before, as predicted
+	Base     float64       // seconds to the first of an answer beside the reading of its prompt
+	Kept     int           // tokens of the request's prompt that it is likely to hold
 }
 
 // RemoteView is what a host believes of another data centre.
--- a/endpoint.go
+++ b/endpoint.go
@@ -15,6 +15,14 @@
 	Slots      int  // requests it runs at once
 	Draining   bool // operators take it out of use
 	Fenced     bool // it checks the fencing token of orders
+
+	// Instance is the id of the endpoint's process, which it checks when it is
+	// named in a request; empty: it does not.
+	Instance string
+	// ColdUntil is until when the endpoint is cold after its start and bears no
+	// more than ColdRate requests a second.
+	ColdUntil time.Time
+	ColdRate  float64
 }
 
 // LoadReport is what an endpoint last said of itself.
@@ -23,4 +31,5 @@
 	Running int       // requests it runs
 	Queued  int       // requests it holds back
 	Leaving bool
+	Slots   int // as the endpoint tells them; 0: it doesn't
 }
--- /dev/null
+++ b/feed.go
@@ -0,0 +1,43 @@
+package vetchtrail
+
+import (
+	"context"
+	"net/netip"
+	"time"
+)
+
+// Snapshot is the whole configuration at a revision, as the edits that make it
+// from nothing.
+type Snapshot struct {
+	Revision uint64
+	Edits    []Edit
+}
+
+// Feed tells a host what its platform knows: the configuration, the endpoints
+// and the other hosts. It runs until ctx ends and outlives any outage of the
+// platform.
+type Feed interface {
+	Run(ctx context.Context, s Sink)
+}
+
+// Sink takes what a Feed tells. Its methods don't block.
+type Sink interface {
+	// Configured offers a configuration. One older than what is held is passed
+	// over; one that is not valid is an error and leaves what is held in force.
+	Configured(s Snapshot) error
+	// Listed replaces what is known of the platform's lists.
+	Listed(l Listing)
+}
+
+// Listing is the platform's lists at one revision.
+type Listing struct {
+	Revision  uint64
+	At        time.Time // when the platform was asked
+	Endpoints []Endpoint
+	Peers     []netip.AddrPort // of the hosts that have registered themselves
+}
+
+// Registry keeps a host in the platform's list of hosts while ctx lasts.
+type Registry interface {
+	Register(ctx context.Context, h Host)
+}
--- a/outcome.go
+++ b/outcome.go
@@ -32,6 +32,25 @@
 	RetryAt time.Time // when asking again may help; zero: it won't
 	Err     error
 	Begun   bool // part of an answer went to the caller
+	// Failure is an endpoint's own answer of a failure that was kept back, as
+	// another attempt may do better.
+	Failure *KeptAnswer
+	Cold    time.Duration // how much longer the endpoint said to be cold; 0: not
+}
+
+// KeptAnswer is a whole answer.
+type KeptAnswer struct {
+	Status int
+	Header []HeaderField
+	Body   []byte
+}
+
+// Replay gives the answer to a.
+func (k *KeptAnswer) Replay(a Answer) error {
+	if err := a.Begin(k.Status, k.Header); err != nil {
+		return err
+	}
+	return a.Write(k.Body)
 }
 
 // Error describes an outcome that is no answer.
@@ -97,4 +116,9 @@
 	ReasonUnsupported  Reason = "unsupported"
 	ReasonTooLarge     Reason = "too-large"
 	ReasonOverCapacity Reason = "over-capacity"
+	ReasonFailed       Reason = "endpoint-failed"
+	ReasonMisled       Reason = "other-process"
+	ReasonCold         Reason = "cold"
+	ReasonSilent       Reason = "endpoint-silent"
+	ReasonNoRoute      Reason = "no-route"
 )
--- a/process/daemon/daemon.go
+++ b/process/daemon/daemon.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -24,6 +25,7 @@
 	"vetchtrail/process/membership"
 	"vetchtrail/process/poll"
 	"vetchtrail/process/settings"
+	"vetchtrail/request/budget"
 	"vetchtrail/request/dispatch"
 	"vetchtrail/request/once"
 	"vetchtrail/request/policy"
@@ -38,12 +40,32 @@
 	aloneAfter   = 6 * time.Second // without the store, how long peers are listened to
 	drainLook    = 50 * time.Millisecond
 	shutdownTime = 10 * time.Second
+	// graceMargin is how long before it would be killed a host that leaves ends
+	// by itself.
+	graceMargin = 300 * time.Millisecond
 )
 
 // Config is what a Daemon needs.
 type Config struct {
 	Settings settings.Settings
 	Log      *slog.Logger
+	Hosted   *Hosted // nil: the project's own log and list
+}
+
+// Hosted is how the daemon speaks to a platform that keeps the configuration
+// and the list of endpoints.
+type Hosted struct {
+	Feed      vetchtrail.Feed
+	Registry  vetchtrail.Registry
+	Dialect   vetchtrail.Dialect
+	Directory func(*membership.Membership) Directory
+}
+
+// Directory answers callers that ask which hosts to use, and the platform's
+// question whether this host is ready.
+type Directory interface {
+	Serve(l net.Listener) error
+	Shutdown(ctx context.Context) error
 }
 
 // Daemon is one host.
@@ -61,6 +83,10 @@
 	poller     *poll.Poller
 	server     *peer.Server
 	tls        *tls.Config // for listening to peers; nil: plain
+	hosted     *Hosted     // nil: the project's own log and list
+	directory  Directory
+	endpoints  *endpoint.Caller
+	listing    atomic.Pointer[vetchtrail.Listing]
 
 	leave   chan struct{} // closed when the host is to leave
 	leaving sync.Once
@@ -68,7 +94,7 @@
 
 // New puts a daemon together. It does not listen yet.
 func New(c Config) (*Daemon, error) {
-	d := &Daemon{set: c.Settings, log: c.Log, table: load.New(), leave: make(chan struct{})}
+	d := &Daemon{set: c.Settings, log: c.Log, table: load.New(), hosted: c.Hosted, leave: make(chan struct{})}
 	d.log = c.Log.With("host", c.Settings.Host)
 	d.self = vetchtrail.Host{
 		Name: d.set.Host, Region: d.set.Region, DataCentre: d.set.DataCentre,
@@ -107,16 +133,24 @@
 	keeper := once.New(once.Config{
 		Host: d.self.Name, Incarnation: d.self.Incarnation, KeyTime: d.set.Timing.KeyTime, MaxBytes: d.set.Limits.Records,
 	})
-	ends := endpoint.New(endpoint.Config{Guard: func(e vetchtrail.Endpoint, r *vetchtrail.Request) vetchtrail.Reason {
-		return d.dispatcher.Guard(e, r)
-	}})
+	var dialect vetchtrail.Dialect
+	if d.hosted != nil {
+		dialect = d.hosted.Dialect
+		d.directory = d.hosted.Directory(d.membership)
+	}
+	d.endpoints = endpoint.New(endpoint.Config{
+		Dialect: dialect, Observer: d.table,
+		Guard: func(e vetchtrail.Endpoint, r *vetchtrail.Request) vetchtrail.Reason { return d.dispatcher.Guard(e, r) },
+	})
 	d.dispatcher = dispatch.New(dispatch.Config{
 		Self: d.self, Policy: p, Rules: d.changes.Rules, Table: d.table, Membership: d.membership,
-		Endpoints: ends, Peers: d.peers, Keeper: keeper, Journal: d.journal, Seed: d.seed(),
+		Endpoints: d.endpoints, Peers: d.peers, Keeper: keeper, Journal: d.journal, Seed: d.seed(),
+		Budget: d.budget(),
 	})
 	d.callers = caller.New(caller.Config{
 		Runner: d.dispatcher, Rules: d.changes.Rules, Membership: d.membership, Keeper: keeper,
 		BodyLimit: d.set.Limits.Body, Explain: d.set.Explain, Region: d.set.Region,
+		Dialect: dialect, RoutesOnly: d.hosted != nil,
 	})
 	return nil
 }
@@ -151,12 +185,14 @@
 	duties.Go(func() { _ = d.server.Serve(ctx, peers) })
 	duties.Go(func() { d.membership.Beat(ctx, d.peers) })
 	duties.Go(func() { d.membership.SwapDigests(ctx, d.peers) })
-	duties.Go(func() { d.configure(ctx) })
 	duties.Go(func() { d.pull(ctx) })
-	duties.Go(func() { d.start(ctx) })
-	duties.Go(func() { d.poller.Run(ctx) })
-	duties.Go(func() { d.poller.RunList(ctx) })
-	go d.changes.Watch(ctx, func() bool { return d.membership.OnDuty("watch the store", Watchers, time.Now()) })
+	if d.hosted != nil {
+		if err := d.runHosted(ctx, &duties); err != nil {
+			return err
+		}
+	} else {
+		d.runOwn(ctx, &duties)
+	}
 	served := make(chan error, 1)
 	go func() { served <- d.callers.Serve(callers) }()
 	err = d.until(ctx, served)
@@ -167,6 +203,27 @@
 	return err
 }
 
+// runOwn starts the duties of a host whose configuration is in the project's
+// own log.
+func (d *Daemon) runOwn(ctx context.Context, duties *conc.WaitGroup) {
+	duties.Go(func() { d.configure(ctx) })
+	duties.Go(func() { d.start(ctx) })
+	duties.Go(func() { d.poller.Run(ctx) })
+	duties.Go(func() { d.poller.RunList(ctx) })
+	go d.changes.Watch(ctx, func() bool { return d.membership.OnDuty("watch the store", Watchers, time.Now()) })
+}
+
+// budget is the bound on further attempts. One that is set for all hosts is
+// divided among them.
+func (d *Daemon) budget() budget.Config {
+	b := d.set.Retries
+	hosts := func() int { return 1 }
+	if d.hosted != nil {
+		hosts = d.membership.Count
+	}
+	return budget.Config{Window: b.Window, Share: b.Share, Base: b.Base, Hosts: hosts}
+}
+
 // until returns when the host has left, ctx has ended, or serving failed.
 func (d *Daemon) until(ctx context.Context, served <-chan error) error {
 	select {
@@ -185,7 +242,8 @@
 	d.membership.SetState(vetchtrail.HostLeaving)
 	wait(ctx, d.set.Timing.Leave) // others hear of it before the door closes
 	go d.shutdown(context.WithoutCancel(ctx))
-	for d.dispatcher.InFlight() > 0 && ctx.Err() == nil {
+	end := time.Now().Add(d.set.Timing.Grace - d.set.Timing.Leave - graceMargin)
+	for d.dispatcher.InFlight() > 0 && ctx.Err() == nil && (d.set.Timing.Grace == 0 || time.Now().Before(end)) {
 		wait(ctx, drainLook)
 	}
 	wait(ctx, drainLook) // the last answers' last bytes
--- /dev/null
+++ b/process/daemon/hosted.go
@@ -0,0 +1,117 @@
+package daemon
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"vetchtrail"
+	"vetchtrail/process/load"
+	"vetchtrail/schema"
+)
+
+// coldHosts is how many hosts of a region at most share what a cold endpoint
+// bears: a part below one request a second each would let all of them send one
+// in the same second.
+const coldHosts = 4
+
+// placeEvery is how often the endpoints are placed again though nothing was
+// listed: the parts of cold ones follow from live membership.
+const placeEvery = time.Second
+
+// runHosted starts the duties of a host on a platform that keeps the
+// configuration and the list of endpoints.
+func (d *Daemon) runHosted(ctx context.Context, duties *conc.WaitGroup) error {
+	for _, addr := range []netip.AddrPort{d.set.Listen.Ready, d.set.Listen.Directory} {
+		if !addr.IsValid() {
+			continue
+		}
+		l, err := listen(ctx, addr)
+		if err != nil {
+			return err
+		}
+		go func() {
+			if err := d.directory.Serve(l); err != nil {
+				d.log.Error("directory ended", "address", addr, "error", err)
+			}
+		}()
+	}
+	duties.Go(func() { d.hosted.Feed.Run(ctx, hostedSink{d}) })
+	duties.Go(func() { d.hosted.Registry.Register(ctx, d.membership.Self()) })
+	duties.Go(func() { d.placeOn(ctx) })
+	return nil
+}
+
+// hostedSink takes what the platform's feed tells.
+type hostedSink struct{ d *Daemon }
+
+// Configured implements vetchtrail.Sink.
+func (s hostedSink) Configured(c vetchtrail.Snapshot) error {
+	return s.d.changes.LearnSnapshot(&schema.Snapshot{Revision: c.Revision, Edits: schema.FromEdits(c.Edits)})
+}
+
+// Listed implements vetchtrail.Sink.
+func (s hostedSink) Listed(l vetchtrail.Listing) {
+	s.d.listing.Store(&l)
+	s.d.membership.SetSeeds(l.Peers)
+	s.d.place(time.Now())
+	s.d.readyWhenHeld()
+}
+
+// placeOn places the endpoints again now and then.
+func (d *Daemon) placeOn(ctx context.Context) {
+	for ctx.Err() == nil {
+		wait(ctx, placeEvery)
+		d.place(time.Now())
+		d.readyWhenHeld()
+	}
+}
+
+// place gives the endpoints that this host may call to the table: those of its
+// region.
+func (d *Daemon) place(now time.Time) {
+	l := d.listing.Load()
+	if l == nil {
+		return
+	}
+	held := d.changes.Rules()
+	var placed []load.Placed
+	known := make(map[vetchtrail.Endpoint]bool, len(l.Endpoints))
+	for _, e := range l.Endpoints {
+		known[vetchtrail.Endpoint{Addr: e.Addr, Instance: e.Instance}] = true
+		if e.Region != d.set.Region {
+			continue
+		}
+		e.ColdRate = d.coldPart(e, now)
+		g, _ := held.Region(e.Region)
+		placed = append(placed, load.Placed{Endpoint: e, RegionID: g.ID})
+	}
+	d.table.Configure(placed)
+	d.endpoints.Forget(func(e vetchtrail.Endpoint) bool { return known[e] })
+}
+
+// coldPart is this host's part of the requests a second that a cold endpoint
+// bears; negative: it has none.
+func (d *Daemon) coldPart(e vetchtrail.Endpoint, now time.Time) float64 {
+	if e.ColdRate == 0 || !now.Before(e.ColdUntil) {
+		return e.ColdRate
+	}
+	live, before := d.membership.InRegion("cold "+e.Name, now)
+	sharing := min(live, coldHosts)
+	if before >= sharing {
+		return -1
+	}
+	return e.ColdRate / float64(sharing)
+}
+
+// readyWhenHeld makes a starting host ready once it holds a configuration and
+// knows endpoints.
+func (d *Daemon) readyWhenHeld() {
+	if d.membership.Self().State != vetchtrail.HostStarting || d.changes.Revision() == 0 || d.listing.Load() == nil {
+		return
+	}
+	d.membership.SetState(vetchtrail.HostReady)
+	d.log.Info("ready", "revision", d.changes.Revision(), "listing", d.listing.Load().Revision)
+}
--- a/process/journal/journal.go
+++ b/process/journal/journal.go
@@ -56,7 +56,7 @@
 }
 
 // Note takes a record without waiting. A line that finds the ring full is not
-// written, unless it is a refusal, which waits.
+// written; it stays among the recent ones.
 func (j *Journal) Note(r Record) {
 	j.mu.Lock()
 	j.recent[j.count%kept] = r
@@ -67,10 +67,6 @@
 		return
 	default:
 	}
-	if r.Decision.Kind == vetchtrail.Refuse || (r.Ended && r.Outcome.Kind != vetchtrail.Answered) {
-		j.ring <- r
-		return
-	}
 	j.dropped.Add(1)
 }
 
--- a/process/load/learn.go
+++ b/process/load/learn.go
@@ -9,6 +9,7 @@
 
 // Observation is what a finished attempt showed of its endpoint.
 type Observation struct {
+	Request string // id
 	Outcome vetchtrail.Outcome
 	Timing  vetchtrail.Timing
 	Tokens  int  // of the prompt
@@ -24,11 +25,17 @@
 		return
 	}
 	s.mark(now, -1)
+	delete(s.reading, o.Request)
 	t.wake(s.Service)
+	if o.Outcome.Cold > 0 {
+		s.cold.configure(now.Add(o.Outcome.Cold), s.ColdRate)
+	}
 	switch {
 	case o.Cancel:
 	case o.Outcome.Kind == vetchtrail.Answered:
 		s.answered(o, t.means[s.Service], now)
+	case o.Outcome.Reason == vetchtrail.ReasonMisled:
+		s.leaving = now.Add(misledFor)
 	case o.Outcome.Reason == vetchtrail.ReasonRefused:
 		s.limit = math.Max(1, s.limit*limitCut)
 		s.avoid(vetchtrail.ReasonRefused, earlier(o.Outcome.RetryAt, now.Add(refusedMost)))
--- a/process/load/load.go
+++ b/process/load/load.go
@@ -39,8 +39,11 @@
 	downFor = time.Second
 	// refusedMost bounds how long an endpoint's own refusal is heeded.
 	refusedMost = 5 * time.Second
-	ejectFirst  = 2 * time.Second
-	ejectMost   = time.Minute
+	// misledFor is how long an endpoint is left alone whose address turned out to
+	// be another process's; the platform's list drops it sooner.
+	misledFor  = time.Minute
+	ejectFirst = 2 * time.Second
+	ejectMost  = time.Minute
 	// ejectShare is the share of a service's endpoints that may be ejected at
 	// once: beyond it the fault is not the endpoints'.
 	ejectShare = 0.34
@@ -78,6 +81,9 @@
 	warmth   float64
 	failures int
 	ejects   int
+	reading  map[string]int // tokens of own requests sent whose answers have not begun, by request
+	sessions sessions       // whose prompts this host sent here lately
+	cold     coldGate
 	ejected  time.Time // until when, for failures
 	backOff  time.Time // until when, by its own refusal or as it is down
 	backWhy  vetchtrail.Reason
@@ -95,12 +101,15 @@
 type means struct {
 	service average // seconds a request occupies a slot
 	token   average // seconds a prompt token takes to the first of the answer
+	prefill fit     // seconds to the first of the answer by tokens read
+	prompt  average // tokens that a request makes an endpoint read
 }
 
 func newMeans() *means {
 	return &means{
 		service: average{value: firstService},
 		token:   average{value: firstPrefill},
+		prefill: newFit(),
 	}
 }
 
@@ -134,9 +143,10 @@
 		if !ok || s.Addr != e.Addr || s.Service != e.Service {
 			s = &state{
 				limit: float64(e.Slots), service: average{value: firstService}, pace: average{value: 1},
-				warmth: 1,
+				warmth: 1, reading: map[string]int{}, sessions: sessions{},
 			}
 		}
+		s.cold.configure(e.ColdUntil, e.ColdRate)
 		s.Endpoint, s.region = e.Endpoint, e.RegionID
 		t.endpoints[e.Name] = s
 		t.shorts[Short(e.Name)] = s
@@ -162,6 +172,17 @@
 	return s.Endpoint, true
 }
 
+// Known returns an endpoint that requests were placed on, whatever became of it.
+func (t *Table) Known(name string) (vetchtrail.Endpoint, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s, ok := t.endpoints[name]
+	if !ok {
+		return vetchtrail.Endpoint{}, false
+	}
+	return s.Endpoint, true
+}
+
 // Endpoints returns all endpoints.
 func (t *Table) Endpoints() []vetchtrail.Endpoint {
 	t.mu.Lock()
@@ -173,12 +194,22 @@
 	return out
 }
 
-// Fill appends the endpoints of a service to a view.
-func (t *Table) Fill(v *vetchtrail.View, service string, now time.Time) {
+// Fill appends the endpoints of a request's service to a view.
+func (t *Table) Fill(v *vetchtrail.View, r *vetchtrail.Request, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for _, s := range t.services[service] {
-		v.Endpoints = append(v.Endpoints, s.view(t.means[service], now))
+	states := t.services[r.Service]
+	session, sticky := r.Session()
+	home := -1
+	if sticky {
+		home = homeOf(states, session.ID, now)
+	}
+	for i, s := range states {
+		e := s.view(t.means[r.Service], now)
+		if sticky && (i == home || s.sessions.holds(session.ID, now)) {
+			e.Kept = r.PromptTokens() - r.Prompt[len(r.Prompt)-1].Tokens
+		}
+		v.Endpoints = append(v.Endpoints, e)
 	}
 }
 
@@ -191,6 +222,10 @@
 		Service: m.service.value * notable(1+trust*(s.service.value/m.service.value-1), s.service.seen),
 		Warmth:  s.warmth,
 	}
+	if m.prefill.known() {
+		v.Base, v.Prefill = m.prefill.line()
+		v.Backlog = v.Prefill * (float64(s.unread()) + s.othersUnread(m, now))
+	}
 	if s.reported {
 		v.Age = now.Sub(s.report.At)
 		v.OwnSince = s.own - s.ownAt(s.report.At)
@@ -202,6 +237,8 @@
 		v.Away, v.Why = true, vetchtrail.ReasonEjected
 	case now.Before(s.backOff):
 		v.Away, v.Why, v.Back = true, s.backWhy, s.backOff.Sub(now).Seconds()
+	case !s.cold.open(now):
+		v.Away, v.Why, v.Back = true, vetchtrail.ReasonCold, s.cold.wait(now).Seconds()
 	}
 	return v
 }
@@ -229,16 +266,20 @@
 	s.marks++
 }
 
-// Acquire takes room for one request at an endpoint. It returns false when the
-// endpoint is out of use or at its limit.
-func (t *Table) Acquire(name string, now time.Time) bool {
+// Acquire takes room for a request at an endpoint. It returns false when the
+// endpoint is out of use, at its limit, or cold and given enough.
+func (t *Table) Acquire(name string, r *vetchtrail.Request, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s, ok := t.endpoints[name]
 	if !ok || s.Draining || now.Before(s.leaving) || now.Before(s.ejected) || now.Before(s.backOff) || s.own >= s.allowedNow() {
 		return false
 	}
+	if !s.cold.take(now) {
+		return false
+	}
 	s.mark(now, 1)
+	s.expect(r, t.means[s.Service], t.services[s.Service], now)
 	return true
 }
 
--- a/process/load/load_test.go
+++ b/process/load/load_test.go
@@ -25,7 +25,7 @@
 
 func viewOf(t *Table, at time.Time) vetchtrail.EndpointView {
 	var v vetchtrail.View
-	t.Fill(&v, "s", at)
+	t.Fill(&v, &vetchtrail.Request{Service: "s"}, at)
 	for _, e := range v.Endpoints {
 		if e.Name == "e000" {
 			return e
@@ -83,14 +83,14 @@
 			v := viewOf(tab, now.Add(c.at))
 			assert.Equal(t, v.Away, c.away)
 			assert.Equal(t, v.Why, c.why)
-			assert.Equal(t, tab.Acquire("e000", now.Add(c.at)), !c.away)
+			assert.Equal(t, tab.Acquire("e000", &vetchtrail.Request{}, now.Add(c.at)), !c.away)
 		})
 	}
 }
 
 func release(t *Table, o Observation, times int) {
 	for range times {
-		t.Acquire("e000", now)
+		t.Acquire("e000", &vetchtrail.Request{}, now)
 		t.Release("e000", o, now)
 	}
 }
@@ -111,7 +111,7 @@
 		}
 	}
 	var v vetchtrail.View
-	tab.Fill(&v, "s", now)
+	tab.Fill(&v, &vetchtrail.Request{Service: "s"}, now)
 	out := 0
 	for _, e := range v.Endpoints {
 		if e.Away {
@@ -131,7 +131,7 @@
 		limit := viewOf(tab, later).Limit
 		assert.Assert(t, limit >= last, "%d after %d", limit, last)
 		last = limit
-		assert.Assert(t, tab.Acquire("e000", later))
+		assert.Assert(t, tab.Acquire("e000", &vetchtrail.Request{}, later))
 		tab.Release("e000", answered(later), later)
 	}
 	assert.Equal(t, viewOf(tab, later).Warmth, 1.0)
@@ -143,7 +143,7 @@
 func TestReportsAreCorrected(t *testing.T) {
 	tab := table(1)
 	for i := range 3 {
-		tab.Acquire("e000", now.Add(time.Duration(i)*time.Second))
+		tab.Acquire("e000", &vetchtrail.Request{}, now.Add(time.Duration(i)*time.Second))
 	}
 	tab.Report("e000", vetchtrail.LoadReport{At: now.Add(1500 * time.Millisecond), Running: 5}, now)
 	v := viewOf(tab, now.Add(3*time.Second))
@@ -162,7 +162,7 @@
 			var v vetchtrail.View
 			for b.Loop() {
 				v.Endpoints = v.Endpoints[:0]
-				t.Fill(&v, "s", now)
+				t.Fill(&v, &vetchtrail.Request{Service: "s"}, now)
 			}
 			b.ReportMetric(float64(held), "heap-bytes")
 		})
--- /dev/null
+++ b/process/load/prefill.go
@@ -0,0 +1,204 @@
+package load
+
+import (
+	"math"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"vetchtrail"
+)
+
+const (
+	// keptFor is how long an endpoint is taken to hold the prompt of a session
+	// after its last use: longer than most sessions rest between two requests.
+	keptFor = 30 * time.Second
+	// sessionsMost bounds the sessions remembered for an endpoint.
+	sessionsMost = 1024
+	// queuedFades is the time in which an endpoint's word of those that wait for
+	// it falls to 1/e: about two prompts.
+	queuedFades = 300 * time.Millisecond
+	// fitFades is the weight that each observation leaves to those before it.
+	fitFades = 0.98
+	// fitFew is how many observations are needed before a fit is used.
+	fitFew = 3
+	// Bounds of what a fit may say: seconds, and seconds for a prompt token.
+	baseMost   = 1.0
+	tokenLeast = 1e-6
+	tokenMost  = 1e-3
+	// priorWeight is how many observations the first guess counts as.
+	priorWeight = 2.0
+	priorTokens = 4000.0
+)
+
+// sessions is when this host last sent a session's prompt to an endpoint.
+type sessions map[uint64]time.Time
+
+func (s sessions) holds(id uint64, now time.Time) bool {
+	at, ok := s[id]
+	return ok && now.Sub(at) < keptFor
+}
+
+func (s sessions) use(id uint64, now time.Time) {
+	if len(s) >= sessionsMost {
+		for old, at := range s {
+			if now.Sub(at) > keptFor/2 {
+				delete(s, old)
+			}
+		}
+	}
+	if len(s) < sessionsMost {
+		s[id] = now
+	}
+}
+
+// homeOf returns the endpoint that all hosts send a session to while it has
+// room, by rendezvous hashing over those in use; -1: none is.
+func homeOf(states []*state, session uint64, now time.Time) int {
+	best, at := uint64(0), -1
+	for i, s := range states {
+		if !s.inUse(now) {
+			continue
+		}
+		if w := weighSession(s, session); at < 0 || w > best {
+			best, at = w, i
+		}
+	}
+	return at
+}
+
+// inUse says whether all hosts are likely to use the endpoint.
+func (s *state) inUse(now time.Time) bool {
+	return !s.Draining && !now.Before(s.leaving) && !now.Before(s.ejected)
+}
+
+func weighSession(s *state, session uint64) uint64 {
+	return mix(xxhash.Sum64String(s.Name) ^ session*0x9e3779b97f4a7c15)
+}
+
+// mix spreads the bits of x (the finalizer of splitmix64).
+func mix(x uint64) uint64 {
+	x ^= x >> 30
+	x *= 0xbf58476d1ce4e5b9
+	x ^= x >> 27
+	x *= 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
+// expect notes what a request will make the endpoint read.
+func (s *state) expect(r *vetchtrail.Request, m *means, all []*state, now time.Time) {
+	tokens := r.PromptTokens()
+	if tokens == 0 {
+		return
+	}
+	if session, ok := r.Session(); ok {
+		home := homeOf(all, session.ID, now)
+		if s.sessions.holds(session.ID, now) || (home >= 0 && all[home] == s) {
+			tokens = r.Prompt[len(r.Prompt)-1].Tokens
+		}
+		s.sessions.use(session.ID, now)
+	}
+	s.reading[r.ID] = tokens
+	m.prompt.observe(float64(tokens))
+}
+
+// unread is the tokens of own requests that the endpoint has still to read.
+func (s *state) unread() int {
+	sum := 0
+	for _, n := range s.reading {
+		sum += n
+	}
+	return sum
+}
+
+// othersUnread estimates the tokens of other hosts' requests that wait there,
+// by what the endpoint said last.
+func (s *state) othersUnread(m *means, now time.Time) float64 {
+	if !s.reported {
+		return 0
+	}
+	waiting := max(0, s.report.Queued-len(s.reading))
+	fade := math.Exp(-now.Sub(s.report.At).Seconds() / queuedFades.Seconds())
+	return float64(waiting) * m.prompt.value * fade
+}
+
+// Started implements vetchtrail.Observer: the endpoint has read the prompt.
+func (t *Table) Started(e vetchtrail.Endpoint, r *vetchtrail.Request, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s, ok := t.endpoints[e.Name]
+	if !ok {
+		return
+	}
+	tokens, waited := s.reading[r.ID]
+	if !waited {
+		return
+	}
+	delete(s.reading, r.ID)
+	if len(s.reading) == 0 && s.report.Queued <= 1 {
+		if at, ok := s.lastSent(); ok {
+			t.means[s.Service].prefill.observe(float64(tokens), now.Sub(at).Seconds())
+		}
+	}
+	t.wake(s.Service)
+}
+
+// lastSent is when the newest request was sent here.
+func (s *state) lastSent() (time.Time, bool) {
+	if s.marks == 0 {
+		return time.Time{}, false
+	}
+	return s.history[(s.marks-1)%ownHistory].at, true
+}
+
+// Told implements vetchtrail.Observer: a load that an endpoint tells in an
+// answer is as good as a fetched report.
+func (t *Table) Told(e vetchtrail.Endpoint, l vetchtrail.LoadReport) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if s, ok := t.endpoints[e.Name]; ok {
+		t.take(s, l, true, time.Time{})
+	}
+}
+
+// fit is a line through observations, the older the lighter: seconds to the
+// first of an answer by the tokens read.
+type fit struct {
+	n, x, y, xx, xy float64
+	seen            int
+}
+
+// newFit returns a fit that starts from a guess.
+func newFit() fit {
+	var f fit
+	f.add(0, 0, priorWeight)
+	f.add(priorTokens, priorTokens*firstPrefill/10, priorWeight)
+	return f
+}
+
+func (f *fit) add(x, y, weight float64) {
+	f.n += weight
+	f.x += weight * x
+	f.y += weight * y
+	f.xx += weight * x * x
+	f.xy += weight * x * y
+}
+
+func (f *fit) observe(tokens, seconds float64) {
+	f.n, f.x, f.y, f.xx, f.xy = f.n*fitFades, f.x*fitFades, f.y*fitFades, f.xx*fitFades, f.xy*fitFades
+	f.add(tokens, seconds, 1)
+	f.seen++
+}
+
+func (f *fit) known() bool { return f.seen >= fitFew }
+
+// line returns the seconds without a token and those for each.
+func (f *fit) line() (base, token float64) {
+	spread := f.n*f.xx - f.x*f.x
+	if spread > 0 {
+		token = (f.n*f.xy - f.x*f.y) / spread
+	}
+	token = math.Min(math.Max(token, tokenLeast), tokenMost)
+	base = math.Min(math.Max((f.y-token*f.x)/f.n, 0), baseMost)
+	return base, token
+}
--- /dev/null
+++ b/process/logs/logs.go
@@ -0,0 +1,96 @@
+// Package logs writes a daemon's log without ever holding it up: lines go
+// through a bounded buffer to a thread that writes them, and those that find it
+// full are dropped, counted and told of.
+package logs
+
+import (
+	"fmt"
+	"io"
+	"sync"
+	"time"
+)
+
+const (
+	// bufferSize bounds what waits to be written, in bytes: a second of a busy
+	// host's lines.
+	bufferSize = 1 << 20
+	// flushEvery is how long lines are gathered: each write is a system call.
+	flushEvery = 100 * time.Millisecond
+)
+
+// Writer is an io.Writer that never blocks. Each call of Write is a line.
+type Writer struct {
+	to io.Writer
+
+	mu      sync.Mutex
+	waiting []byte
+	spare   []byte
+	dropped int
+	wake    chan struct{}
+	end     chan struct{}
+	ended   chan struct{}
+	once    sync.Once
+}
+
+// New returns a writer whose thread writes to w until Close.
+func New(w io.Writer) *Writer {
+	l := &Writer{to: w, wake: make(chan struct{}, 1), end: make(chan struct{}), ended: make(chan struct{})}
+	go l.run()
+	return l
+}
+
+// Write implements io.Writer.
+func (l *Writer) Write(line []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.waiting)+len(line) > bufferSize {
+		l.dropped++
+		return len(line), nil
+	}
+	l.waiting = append(l.waiting, line...)
+	select {
+	case l.wake <- struct{}{}:
+	default:
+	}
+	return len(line), nil
+}
+
+// Close writes what waits.
+func (l *Writer) Close() error {
+	l.once.Do(func() { close(l.end) })
+	<-l.ended
+	return nil
+}
+
+func (l *Writer) run() {
+	defer close(l.ended)
+	for {
+		select {
+		case <-l.end:
+			l.flush()
+			return
+		case <-l.wake:
+		}
+		select {
+		case <-l.end:
+		case <-time.After(flushEvery):
+		}
+		l.flush()
+	}
+}
+
+func (l *Writer) flush() {
+	l.mu.Lock()
+	out, dropped := l.waiting, l.dropped
+	l.waiting, l.dropped = l.spare[:0], 0
+	l.mu.Unlock()
+	if dropped > 0 {
+		out = fmt.Appendf(out, "{\"level\":\"WARN\",\"msg\":\"log lines dropped\",\"lines\":%d}\n", dropped)
+	}
+	if len(out) > 0 {
+		_, _ = l.to.Write(out) // nobody is left to tell
+	}
+	l.mu.Lock()
+	l.spare = out
+	l.mu.Unlock()
+}
--- a/process/membership/exchange.go
+++ b/process/membership/exchange.go
@@ -96,7 +96,7 @@
 		}
 	}
 	var out []netip.AddrPort
-	for _, s := range m.cfg.Seeds {
+	for _, s := range m.seeds {
 		if !known[s] {
 			out = append(out, s)
 		}
--- a/process/membership/membership.go
+++ b/process/membership/membership.go
@@ -59,6 +59,7 @@
 	members map[string]*member
 	shorts  map[uint32]string // names by their short forms
 	remotes map[string]*remote
+	seeds   []netip.AddrPort
 }
 
 // member is a host of this data centre.
@@ -127,6 +128,7 @@
 		members: map[string]*member{},
 		shorts:  map[uint32]string{},
 		remotes: map[string]*remote{},
+		seeds:   c.Seeds,
 	}
 	return m
 }
@@ -372,6 +374,84 @@
 	}
 }
 
+// Serving returns the ready hosts nearest to a place: those of its data centre,
+// or else of its region, or else all that can be reached.
+func (m *Membership) Serving(region, dataCentre string, now time.Time) []vetchtrail.Host {
+	var all []vetchtrail.Host
+	for _, h := range append(m.Hosts(now), m.Elsewhere(now)...) {
+		if h.State == vetchtrail.HostReady {
+			all = append(all, h)
+		}
+	}
+	for _, near := range []func(vetchtrail.Host) bool{
+		func(h vetchtrail.Host) bool { return h.DataCentre == dataCentre },
+		func(h vetchtrail.Host) bool { return h.Region == region },
+	} {
+		if found := filter(all, near); len(found) > 0 {
+			return found
+		}
+	}
+	return all
+}
+
+func filter(hosts []vetchtrail.Host, keep func(vetchtrail.Host) bool) []vetchtrail.Host {
+	var out []vetchtrail.Host
+	for _, h := range hosts {
+		if keep(h) {
+			out = append(out, h)
+		}
+	}
+	return out
+}
+
+// SetSeeds replaces the addresses at which unknown hosts are looked for.
+func (m *Membership) SetSeeds(seeds []netip.AddrPort) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.seeds = seeds
+}
+
+// InRegion returns how many hosts of the region are likely to live, this one
+// included, and how many of them go before this one for a duty.
+func (m *Membership) InRegion(duty string, now time.Time) (live, before int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	mine := weigh(duty, m.self.Name)
+	live = 1
+	count := func(name string) {
+		live++
+		if weigh(duty, name) > mine {
+			before++
+		}
+	}
+	for _, b := range m.members {
+		if b.state(now) != vetchtrail.HostDead {
+			count(b.Name)
+		}
+	}
+	for _, d := range m.remotes {
+		if d.digest.GetRegion() != m.self.Region {
+			continue
+		}
+		for _, line := range d.digest.GetMembers() {
+			count(line.GetName())
+		}
+	}
+	return live, before
+}
+
+// Count returns how many hosts are known, this one and those lately dead
+// included: limits that hold over all hosts are divided by it.
+func (m *Membership) Count() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	n := 1 + len(m.members)
+	for _, d := range m.remotes {
+		n += len(d.digest.GetMembers())
+	}
+	return max(n, len(m.seeds))
+}
+
 // Elsewhere returns the ready hosts of other data centres that can be reached.
 func (m *Membership) Elsewhere(now time.Time) []vetchtrail.Host {
 	m.mu.Lock()
--- a/process/settings/settings.go
+++ b/process/settings/settings.go
@@ -32,18 +32,42 @@
 	Explain    bool             `yaml:"explain"` // say in answers where they were made
 	Log        Log              `yaml:"log"`
 	TLS        TLS              `yaml:"tls"`
+	Retries    Retries          `yaml:"retries"`
 }
 
 // Listen holds the daemon's own addresses.
 type Listen struct {
 	Callers netip.AddrPort `yaml:"callers"`
-	Peers   netip.AddrPort `yaml:"peers"` // of hosts and operators
+	// Ready and Directory answer the hosted platform's own question and callers
+	// that ask where to go; Metrics serves this process's figures.
+	Ready     netip.AddrPort `yaml:"ready"`
+	Directory netip.AddrPort `yaml:"directory"`
+	Metrics   netip.AddrPort `yaml:"metrics"`
+	Peers     netip.AddrPort `yaml:"peers"` // of hosts and operators
 }
 
 // Platform holds the platform's addresses. Hosts may be left out.
 type Platform struct {
+	// Kind is own, where the configuration and the endpoints are kept by the
+	// project's own log, or hosted, where the platform keeps both.
+	Kind  string         `yaml:"kind"`
 	Store netip.AddrPort `yaml:"store"`
 	Hosts netip.AddrPort `yaml:"hosts"` // the list of live and leaving endpoints
+	// DataCentres gives each data centre's region, on a hosted platform.
+	DataCentres map[string]string `yaml:"data_centres"`
+}
+
+// Kinds of platform.
+const (
+	PlatformOwn    = "own"
+	PlatformHosted = "hosted"
+)
+
+// Retries bound the attempts beyond the first of all hosts together.
+type Retries struct {
+	Window time.Duration `yaml:"window"` // any span of this length counts
+	Share  float64       `yaml:"share"`  // of the requests for a service
+	Base   float64       `yaml:"base"`   // beside the share
 }
 
 // Translation maps a network's addresses to those it is reached under.
@@ -56,6 +80,7 @@
 type Limits struct {
 	Body    int `yaml:"body"`    // bytes of a caller's request
 	Records int `yaml:"records"` // bytes of answers kept for repeats
+	Memory  int `yaml:"memory"`  // MB that the process may take; 0: not bounded
 }
 
 // Timing holds the daemon's intervals.
@@ -63,6 +88,7 @@
 	Poll    time.Duration `yaml:"poll"`     // between two reports of an endpoint
 	KeyTime time.Duration `yaml:"key_time"` // from a key's issue to its expiry
 	Leave   time.Duration `yaml:"leave"`    // between announcing a stop and closing
+	Grace   time.Duration `yaml:"grace"`    // between being told to stop and being killed; 0: no end
 }
 
 // Log says how the daemon logs.
@@ -77,6 +103,9 @@
 	Certificate string `yaml:"certificate"` // PEM, of this host
 	Key         string `yaml:"key"`         // PEM
 	Authority   string `yaml:"authority"`   // PEM, that signed the others'
+	// PrivateNetwork says that nobody else reaches the hosts' network: peers are
+	// then spoken to without keys on any address.
+	PrivateNetwork bool `yaml:"private_network"`
 }
 
 // On says whether keys are set.
@@ -100,6 +129,10 @@
 		Limits: Limits{Body: defaultBody, Records: defaultRecords},
 		Timing: Timing{Poll: 500 * time.Millisecond, KeyTime: 15 * time.Minute, Leave: 3 * time.Second},
 		Log:    Log{Format: "text", Level: "info"},
+		// A host's own bound where none is set for all: a tenth, and a few that a
+		// quiet service starts with.
+		Retries:  Retries{Window: 10 * time.Second, Share: 0.1, Base: 5},
+		Platform: Platform{Kind: PlatformOwn},
 	}
 }
 
@@ -151,8 +184,15 @@
 		{outside(s.Timing.Leave, 0, maxLeave), "timing.leave", fmt.Sprintf("must be from 0s to %s", maxLeave)},
 		{s.Log.Format != "text" && s.Log.Format != "json", "log.format", "is not text or json"},
 		{s.TLS.On() && (s.TLS.Certificate == "" || s.TLS.Key == "" || s.TLS.Authority == ""), "tls", "needs certificate, key and authority"},
-		{!s.TLS.On() && s.Listen.Peers.IsValid() && !s.Listen.Peers.Addr().IsLoopback(), "listen.peers",
-			"must be a loopback address while tls is not set: peers and operators would be unprotected"},
+		{s.Platform.Kind != PlatformOwn && s.Platform.Kind != PlatformHosted, "platform.kind", "is not own or hosted"},
+		{s.Platform.Kind == PlatformHosted && s.Platform.DataCentres[s.DataCentre] != s.Region, "platform.data_centres",
+			"does not give this host's data centre its region"},
+		{s.Limits.Memory < 0, "limits.memory", "is below 0 MB"},
+		{s.Retries.Window < time.Second, "retries.window", "must be 1s or more"},
+		{s.Retries.Share < 0 || s.Retries.Base < 0, "retries", "must not be below 0"},
+		{s.TLS.On() && s.TLS.PrivateNetwork, "tls.private_network", "can't stand beside keys"},
+		{!s.TLS.On() && !s.TLS.PrivateNetwork && s.Listen.Peers.IsValid() && !s.Listen.Peers.Addr().IsLoopback(), "listen.peers",
+			"must be a loopback address while tls is not set and tls.private_network is false: peers and operators would be unprotected"},
 	} {
 		if p.bad {
 			return errors.Errorf("%s %s", p.name, p.text)
--- a/request.go
+++ b/request.go
@@ -28,6 +28,35 @@
 	Key     string // at-most-once key; empty: none
 	Repeats bool   // it may run twice without harm
 	Resume  StreamPosition
+
+	// The rest is set for requests that belong to a route.
+	Route     string
+	Attempts  int          // endpoints it may be sent to
+	Goal      time.Time    // until when its answer is worth all it can be
+	Prompt    []PromptPart // in the order of the prompt
+	Resumable bool         // its stream may go on at another endpoint
+	LastEvent string       // id of the last event that its caller has
+}
+
+// PromptTokens returns the tokens of the request's prompt.
+func (r *Request) PromptTokens() int {
+	if len(r.Prompt) == 0 {
+		return r.Tokens
+	}
+	sum := 0
+	for _, p := range r.Prompt {
+		sum += p.Tokens
+	}
+	return sum
+}
+
+// Session returns the part of the prompt that requests of the same session
+// share: the last but one, as the last belongs to the request alone.
+func (r *Request) Session() (PromptPart, bool) {
+	if len(r.Prompt) < 2 {
+		return PromptPart{}, false
+	}
+	return r.Prompt[len(r.Prompt)-2], true
 }
 
 // HeaderField is one field of an HTTP header.
--- a/request/dispatch/dispatch.go
+++ b/request/dispatch/dispatch.go
@@ -21,7 +21,10 @@
 )
 
 const (
-	maxAttempts = 2 // one retry
+	maxAttempts = 2 // one retry, for requests that belong to no route
+	// placesMost bounds the places tried for one request, those that could not
+	// be reached too.
+	placesMost = 4
 	// raceTries is how often a decision is made again when its endpoint was
 	// filled in between.
 	raceTries = 3
@@ -51,6 +54,7 @@
 	Keeper     *once.Keeper
 	Journal    *journal.Journal
 	Seed       uint64 // of the random choices
+	Budget     budget.Config
 }
 
 // Dispatcher runs requests. It is safe for use by many.
@@ -109,9 +113,9 @@
 // what the host that sent it allowed.
 func (d *Dispatcher) judge(r *vetchtrail.Request) (vetchtrail.Outcome, bool) {
 	now := d.cfg.Rules()
-	j, ok := now.Judge(r.Service, r.Workspace, r.Entry)
+	j, ok := judgement(now, r)
 	if !ok {
-		return d.refusal(vetchtrail.StepDecide, vetchtrail.ReasonNoService, time.Time{}), false
+		return d.refusal(vetchtrail.StepDecide, unknownTo(r), time.Time{}), false
 	}
 	r.Home, r.Priority = j.Home, j.Priority
 	if r.Hops == 0 {
@@ -125,6 +129,22 @@
 	return vetchtrail.Outcome{}, true
 }
 
+// judgement is what rules say of a request, by its route or its service.
+func judgement(held *rules.Rules, r *vetchtrail.Request) (rules.Judgement, bool) {
+	if r.Route != "" {
+		return held.JudgeRoute(r.Route, r.Service, r.Entry)
+	}
+	return held.Judge(r.Service, r.Workspace, r.Entry)
+}
+
+// unknownTo says what the rules lack of a request.
+func unknownTo(r *vetchtrail.Request) vetchtrail.Reason {
+	if r.Route != "" {
+		return vetchtrail.ReasonNoRoute
+	}
+	return vetchtrail.ReasonNoService
+}
+
 // Guard is asked just before the first byte of a request leaves for an
 // endpoint: the configuration may have changed while it waited.
 func (d *Dispatcher) Guard(e vetchtrail.Endpoint, r *vetchtrail.Request) vetchtrail.Reason {
@@ -133,7 +153,7 @@
 		return vetchtrail.ReasonDeadline
 	}
 	newest := d.cfg.Rules()
-	j, ok := newest.Judge(r.Service, r.Workspace, r.Entry)
+	j, ok := judgement(newest, r)
 	g, known := newest.Region(e.Region)
 	if !ok || !known || !(j.Allowed & r.Allowed).Has(g.ID) {
 		return vetchtrail.ReasonResidency
@@ -144,17 +164,18 @@
 	return ""
 }
 
-// tried is where a request was tried before.
+// tried is what became of a request's earlier attempts.
 type tried struct {
 	places  []string
 	refused bool // an endpoint here refused for its load
+	sent    int  // attempts that reached an endpoint
 	last    vetchtrail.Outcome
 }
 
 // total is the request's outcome when its last attempt ended so. After an
 // attempt that may have run, a later one that did not leaves it unknown.
 func (t *tried) total(o vetchtrail.Outcome) vetchtrail.Outcome {
-	if o.Kind != vetchtrail.NotRun || len(t.places) == 0 || t.last.Kind != vetchtrail.Unknown {
+	if o.Kind != vetchtrail.NotRun || t.last.Kind != vetchtrail.Unknown || t.last.Step == "" {
 		return o
 	}
 	first := t.last
@@ -162,49 +183,88 @@
 	return first
 }
 
-// attempts tries a request, and once more where it surely did not run or may
-// run twice.
+// attempts tries a request, and again where it surely did not run or may run
+// twice.
 func (d *Dispatcher) attempts(ctx context.Context, r *vetchtrail.Request, a vetchtrail.Answer) vetchtrail.Outcome {
 	var t tried
+	if r.Stream && r.Resumable {
+		a = &follower{to: a, req: r}
+	}
+	if r.Hops == 0 {
+		d.budget(r.Service).Earn(time.Now())
+	}
 	for n := 1; ; n++ {
 		p, o, ok := d.place(ctx, r, t, n)
 		if !ok {
-			return t.total(o)
+			return d.end(t.total(o), a)
 		}
 		o = d.try(ctx, r, p, a)
 		if o.Kind == vetchtrail.Answered {
-			d.budget(r.Service).Earn()
 			return o
 		}
+		t.note(p, o)
 		o = t.total(o)
-		if !d.mayRetry(ctx, r, o, n) {
-			return o
+		if !d.mayRetry(ctx, r, o, &t, n) {
+			return d.end(o, a)
 		}
 		t.last = o
-		t.places = append(t.places, p.name())
-		t.refused = t.refused || (o.Reason == vetchtrail.ReasonRefused && p.dataCentre == "")
 		if o, ok := d.judge(r); !ok {
-			return t.total(o)
+			return d.end(t.total(o), a)
 		}
 	}
 }
 
+// note remembers an attempt for the next.
+func (t *tried) note(p placement, o vetchtrail.Outcome) {
+	if o.Step != vetchtrail.StepConnect && o.Step != vetchtrail.StepResidency {
+		t.sent++
+	}
+	t.places = append(t.places, p.name())
+	t.refused = t.refused || (o.Reason == vetchtrail.ReasonRefused && p.dataCentre == "")
+}
+
+// end gives the caller the failure of an endpoint that no attempt bettered.
+func (d *Dispatcher) end(o vetchtrail.Outcome, a vetchtrail.Answer) vetchtrail.Outcome {
+	if o.Failure == nil || o.Begun {
+		return o
+	}
+	if err := o.Failure.Replay(a); err != nil {
+		o.Err = err
+		return o
+	}
+	o.Kind, o.Status, o.Begun = vetchtrail.Answered, o.Failure.Status, true
+	return o
+}
+
 // mayRetry says whether another attempt is safe and affordable. A host that
 // was passed the request leaves it to the sender.
-func (d *Dispatcher) mayRetry(ctx context.Context, r *vetchtrail.Request, o vetchtrail.Outcome, n int) bool {
+func (d *Dispatcher) mayRetry(ctx context.Context, r *vetchtrail.Request, o vetchtrail.Outcome, t *tried, n int) bool {
 	switch {
-	case n >= maxAttempts || r.Hops > 0 || o.Begun || ctx.Err() != nil:
+	case n >= placesMost || r.Hops > 0 || ctx.Err() != nil:
+		return false
+	case t.sent >= attemptsOf(r):
+		return false
+	case o.Begun && !r.Resumable:
 		return false
 	case !time.Now().Before(r.Deadline):
 		return false
 	case o.Kind == vetchtrail.Unknown && !r.Repeats:
 		return false
+	case t.sent == 0:
+		return true // no endpoint has seen it: it costs nobody anything
 	}
-	ok := d.budget(r.Service).Take()
+	ok := d.budget(r.Service).Take(time.Now())
 	countRetry(r.Service, ok)
 	return ok
 }
 
+func attemptsOf(r *vetchtrail.Request) int {
+	if r.Route == "" {
+		return maxAttempts
+	}
+	return r.Attempts
+}
+
 // placement is where an attempt goes, with room taken there.
 type placement struct {
 	endpoint   vetchtrail.Endpoint
@@ -224,20 +284,29 @@
 	if p.dataCentre != "" {
 		o := d.cfg.Peers.Forward(ctx, p.host, r, a)
 		d.cfg.Membership.Returned(p.dataCentre, r.Service, o, time.Now())
-		return o
+		return asSeenHere(o)
 	}
 	o, timing := d.cfg.Endpoints.Call(ctx, p.endpoint, r, a)
 	d.cfg.Table.Release(p.endpoint.Name, load.Observation{
-		Outcome: o, Timing: timing, Tokens: r.Tokens, Cancel: ctx.Err() != nil,
+		Request: r.ID, Outcome: o, Timing: timing, Tokens: r.PromptTokens(), Cancel: ctx.Err() != nil,
 	}, time.Now())
 	return o
 }
 
+// asSeenHere words the refusal of a host whose configuration is another one:
+// by the one held here the request is proper.
+func asSeenHere(o vetchtrail.Outcome) vetchtrail.Outcome {
+	if o.Kind == vetchtrail.NotRun && (o.Status == statusNotFound || o.Status == statusForbidden) {
+		o.Status, o.RetryAt = statusUnavailable, time.Now().Add(minBack)
+	}
+	return o
+}
+
 // refusal is the outcome of a request that was given up on without running.
 func (d *Dispatcher) refusal(step vetchtrail.Step, why vetchtrail.Reason, retryAt time.Time) vetchtrail.Outcome {
 	o := vetchtrail.Outcome{Kind: vetchtrail.NotRun, Step: step, Reason: why, Peer: d.cfg.Self.Name, RetryAt: retryAt}
 	switch why {
-	case vetchtrail.ReasonNoService:
+	case vetchtrail.ReasonNoService, vetchtrail.ReasonNoRoute:
 		o.Status = statusNotFound
 	case vetchtrail.ReasonResidency:
 		o.Status = statusForbidden
@@ -265,7 +334,7 @@
 	defer d.mu.Unlock()
 	b, ok := d.budgets[service]
 	if !ok {
-		b = &budget.Budget{}
+		b = budget.New(d.cfg.Budget)
 		d.budgets[service] = b
 	}
 	return b
--- a/request/dispatch/place.go
+++ b/request/dispatch/place.go
@@ -46,7 +46,7 @@
 	v.Region, v.Weights = here.ID, s.Weights
 	v.Endpoints, v.Remotes, v.Excluded = v.Endpoints[:0], v.Remotes[:0], t.places
 	v.Refused = t.refused
-	d.cfg.Table.Fill(v, r.Service, now)
+	d.cfg.Table.Fill(v, r, now)
 	d.cfg.Membership.Fill(v, r.Service, func(name string) (vetchtrail.RegionID, bool) {
 		g, ok := held.Region(name)
 		return g.ID, ok
@@ -63,10 +63,10 @@
 		return placement{host: h, dataCentre: dec.Name}, ok
 	}
 	now := time.Now()
-	if !d.cfg.Table.Acquire(dec.Name, now) {
+	if !d.cfg.Table.Acquire(dec.Name, r, now) {
 		return placement{}, false
 	}
-	e, ok := d.cfg.Rules().Endpoint(dec.Name)
+	e, ok := d.cfg.Table.Known(dec.Name)
 	return placement{endpoint: e}, ok
 }
 
--- a/request/policy/weighted.go
+++ b/request/policy/weighted.go
@@ -91,7 +91,7 @@
 		if why := unfit(e, r, v); why != "" {
 			s.hold(i, math.MaxFloat64)
 			d.Note(e.Name, 0, why)
-			if why == vetchtrail.ReasonRefused {
+			if why == vetchtrail.ReasonRefused || why == vetchtrail.ReasonCold {
 				s.full++
 				s.wait = min(s.wait, e.Back)
 			}
@@ -205,19 +205,30 @@
 
 // costOf weighs one more request at an endpoint with n requests.
 func costOf(e *vetchtrail.EndpointView, r *vetchtrail.Request, v *vetchtrail.View, n float64) float64 {
-	prefill := float64(r.Tokens) * e.Prefill
-	first := waitAt(e, n) + prefill + e.Service*wholeShare
+	prefill := readTime(e, r)
+	first := firstAt(e, r, n) + e.Service*wholeShare
 	if v.Refused {
 		first += refusedPenalty
 	}
 	return v.Weights.Tail*first + v.Weights.Cost*(prefill+e.Service)
 }
 
+// readTime predicts the seconds that an endpoint reads at a request's prompt.
+func readTime(e *vetchtrail.EndpointView, r *vetchtrail.Request) float64 {
+	return float64(max(0, r.PromptTokens()-e.Kept)) * e.Prefill
+}
+
+// firstAt predicts the seconds until the first of an answer arrives from an
+// endpoint with n requests.
+func firstAt(e *vetchtrail.EndpointView, r *vetchtrail.Request, n float64) float64 {
+	return waitAt(e, n) + e.Base + e.Backlog + readTime(e, r)
+}
+
 // runHere draws one of the endpoints whose costs are about the best.
 func runHere(d *vetchtrail.Decision, s *scored, now time.Time, r *vetchtrail.Request, v *vetchtrail.View, rnd *rand.Rand) vetchtrail.Decision {
 	chosen := draw(d, s, r, v, rnd)
 	e := &v.Endpoints[chosen]
-	d.Wait = seconds(waitAt(e, load(e, s.others)) + float64(r.Tokens)*e.Prefill)
+	d.Wait = seconds(firstAt(e, r, load(e, s.others)))
 	if now.Add(d.Wait).After(r.Deadline) {
 		return refuse(d, vetchtrail.ReasonDeadline, now, d.Wait)
 	}
@@ -267,7 +278,7 @@
 			d.Note(m.DataCentre, 0, why)
 			continue
 		}
-		c := v.Weights.Tail*(2*m.Delay.Seconds()+m.Wait+doubt*m.Age.Seconds()) + awayCost(m, v)
+		c := v.Weights.Tail*(2*m.Delay.Seconds()+m.Wait+doubt*m.Age.Seconds()) + awayCost(m, v) + usualCost(r, v)
 		d.Note(m.DataCentre, c, vetchtrail.ReasonCost)
 		if c < cost {
 			at, cost = i, c
@@ -276,6 +287,17 @@
 	return at, cost
 }
 
+// usualCost is what a request costs at an idle endpoint, as far as those here
+// show it: elsewhere it is no less.
+func usualCost(r *vetchtrail.Request, v *vetchtrail.View) float64 {
+	if len(v.Endpoints) == 0 || r.Route == "" {
+		return 0
+	}
+	e := &v.Endpoints[0]
+	whole := float64(r.PromptTokens()) * e.Prefill
+	return v.Weights.Tail*(e.Base+whole+e.Service*wholeShare) + v.Weights.Cost*(whole+e.Service)
+}
+
 // awayCost is what leaving the region costs; going to another data centre of
 // the same region is not leaving it.
 func awayCost(m *vetchtrail.RemoteView, v *vetchtrail.View) float64 {
--- a/schema/convert.go
+++ b/schema/convert.go
@@ -76,6 +76,8 @@
 			Name: e.Workspace.Name, Home: e.Workspace.Home, Allowed: e.Workspace.Allowed,
 			Priority: int32(e.Workspace.Priority),
 		}}}
+	case vetchtrail.PutRoute:
+		return &Edit{Edit: &Edit_PutRoute{PutRoute: fromRoute(e.Route)}}
 	case vetchtrail.DrainEndpoint:
 		return &Edit{Edit: &Edit_DrainEndpoint{DrainEndpoint: &DrainEndpoint{Endpoint: e.Endpoint, Draining: e.Draining}}}
 	case vetchtrail.Remove:
@@ -104,6 +106,8 @@
 		return vetchtrail.PutWorkspace{Workspace: vetchtrail.Workspace{
 			Name: w.GetName(), Home: w.GetHome(), Allowed: w.GetAllowed(), Priority: int8(w.GetPriority()),
 		}}, nil
+	case *Edit_PutRoute:
+		return vetchtrail.PutRoute{Route: toRoute(e.PutRoute)}, nil
 	case *Edit_DrainEndpoint:
 		return vetchtrail.DrainEndpoint{Endpoint: e.DrainEndpoint.GetEndpoint(), Draining: e.DrainEndpoint.GetDraining()}, nil
 	case *Edit_Remove:
@@ -112,6 +116,30 @@
 	return nil, errors.New("an edit of a kind unknown to this version")
 }
 
+func fromRoute(r vetchtrail.Route) *Route {
+	m := &Route{
+		Name: r.Name, Host: r.Host, PathPrefix: r.PathPrefix, Kind: uint32(r.Kind), Attempts: int32(r.Attempts),
+		AnswerWithin: int64(r.AnswerWithin), Goal: int64(r.Goal), Rank: int32(r.Rank), Homes: r.Homes,
+		Sticky: r.Sticky, Resumable: r.Resumable,
+	}
+	for _, t := range r.Targets {
+		m.Targets = append(m.Targets, &Target{Service: t.Service, Weight: int32(t.Weight)})
+	}
+	return m
+}
+
+func toRoute(m *Route) vetchtrail.Route {
+	r := vetchtrail.Route{
+		Name: m.GetName(), Host: m.GetHost(), PathPrefix: m.GetPathPrefix(), Kind: vetchtrail.RouteKind(m.GetKind()),
+		Attempts: int(m.GetAttempts()), AnswerWithin: time.Duration(m.GetAnswerWithin()), Goal: time.Duration(m.GetGoal()),
+		Rank: int8(m.GetRank()), Homes: m.GetHomes(), Sticky: m.GetSticky(), Resumable: m.GetResumable(),
+	}
+	for _, t := range m.GetTargets() {
+		r.Targets = append(r.Targets, vetchtrail.Target{Service: t.GetService(), Weight: int(t.GetWeight())})
+	}
+	return r
+}
+
 func fromService(s vetchtrail.Service) *Service {
 	return &Service{
 		Name: s.Name, Kind: uint32(s.Kind), Allowed: s.Allowed,
@@ -147,20 +175,54 @@
 	}, nil
 }
 
-// FromRequest returns the message that passes a request on.
-func FromRequest(r *vetchtrail.Request) *ForwardRequest {
+// FromRequest returns the message that passes a request on. Its times are told
+// as what is left of them at now, as clocks of hosts differ.
+func FromRequest(r *vetchtrail.Request, now time.Time) *ForwardRequest {
 	return &ForwardRequest{
 		Id: r.ID, Service: r.Service, Kind: uint32(r.Kind), Workspace: r.Workspace,
 		Home: uint32(r.Home), Entry: uint32(r.Entry), Allowed: uint64(r.Allowed),
-		Priority: int32(r.Priority), Deadline: nanos(r.Deadline), Hops: int32(r.Hops), Revision: r.Revision,
+		Priority: int32(r.Priority), Remaining: int64(r.Deadline.Sub(now)), Hops: int32(r.Hops), Revision: r.Revision,
 		Method: r.Method, Path: r.Path, Header: FromHeader(r.Header), Body: r.Body,
 		Stream: r.Stream, Tokens: int32(r.Tokens), Key: r.Key, Repeats: r.Repeats,
 		Resume: &StreamPosition{Endpoint: r.Resume.Endpoint, Stream: r.Resume.Stream, Offset: int32(r.Resume.Offset)},
+		Route:  r.Route, GoalRemaining: left(r.Goal, now), Prompt: fromPrompt(r.Prompt), Resumable: r.Resumable, LastEvent: r.LastEvent,
+	}
+}
+
+func fromPrompt(in []vetchtrail.PromptPart) []*PromptPart {
+	out := make([]*PromptPart, 0, len(in))
+	for _, p := range in {
+		out = append(out, &PromptPart{Id: p.ID, Tokens: uint32(p.Tokens)})
+	}
+	return out
+}
+
+func toPrompt(in []*PromptPart) []vetchtrail.PromptPart {
+	out := make([]vetchtrail.PromptPart, 0, len(in))
+	for _, p := range in {
+		out = append(out, vetchtrail.PromptPart{ID: p.GetId(), Tokens: int(p.GetTokens())})
+	}
+	return out
+}
+
+// left is the time from now to a moment; 0 for none.
+func left(t, now time.Time) int64 {
+	if t.IsZero() {
+		return 0
+	}
+	return int64(t.Sub(now))
+}
+
+// after is the moment that is left away from now; none for 0.
+func after(left int64, now time.Time) time.Time {
+	if left == 0 {
+		return time.Time{}
 	}
+	return now.Add(time.Duration(left))
 }
 
-// ToRequest returns the request of a message.
-func ToRequest(m *ForwardRequest) (*vetchtrail.Request, error) {
+// ToRequest returns the request of a message that arrived now.
+func ToRequest(m *ForwardRequest, now time.Time) (*vetchtrail.Request, error) {
 	if m.GetHome() >= vetchtrail.MaxRegions || m.GetEntry() >= vetchtrail.MaxRegions {
 		return nil, errors.New("schema.ToRequest: region id out of range")
 	}
@@ -169,10 +231,12 @@
 		ID: m.GetId(), Service: m.GetService(), Kind: vetchtrail.ServiceKind(m.GetKind()), Workspace: m.GetWorkspace(),
 		Home: vetchtrail.RegionID(m.GetHome()), Entry: vetchtrail.RegionID(m.GetEntry()),
 		Allowed: vetchtrail.RegionSet(m.GetAllowed()), Priority: int8(m.GetPriority()),
-		Deadline: moment(m.GetDeadline()), Hops: int(m.GetHops()), Revision: m.GetRevision(),
+		Deadline: now.Add(time.Duration(m.GetRemaining())), Hops: int(m.GetHops()), Revision: m.GetRevision(),
 		Method: m.GetMethod(), Path: m.GetPath(), Header: ToHeader(m.GetHeader()), Body: m.GetBody(),
 		Stream: m.GetStream(), Tokens: int(m.GetTokens()), Key: m.GetKey(), Repeats: m.GetRepeats(),
 		Resume: vetchtrail.StreamPosition{Endpoint: p.GetEndpoint(), Stream: p.GetStream(), Offset: int(p.GetOffset())},
+		Route:  m.GetRoute(), Goal: after(m.GetGoalRemaining(), now), Prompt: toPrompt(m.GetPrompt()),
+		Resumable: m.GetResumable(), LastEvent: m.GetLastEvent(),
 	}, nil
 }
 
@@ -195,10 +259,10 @@
 }
 
 // FromOutcome returns the message for an outcome.
-func FromOutcome(o vetchtrail.Outcome) *Outcome {
+func FromOutcome(o vetchtrail.Outcome, now time.Time) *Outcome {
 	m := &Outcome{
 		Kind: uint32(o.Kind), Status: int32(o.Status), Step: string(o.Step), Peer: o.Peer,
-		Reason: string(o.Reason), RetryAt: nanos(o.RetryAt), Begun: o.Begun,
+		Reason: string(o.Reason), RetryAfter: left(o.RetryAt, now), Begun: o.Begun,
 	}
 	if o.Err != nil {
 		m.Error = o.Err.Error()
@@ -207,10 +271,10 @@
 }
 
 // ToOutcome returns the outcome of a message.
-func ToOutcome(m *Outcome) vetchtrail.Outcome {
+func ToOutcome(m *Outcome, now time.Time) vetchtrail.Outcome {
 	o := vetchtrail.Outcome{
 		Kind: vetchtrail.OutcomeKind(m.GetKind()), Status: int(m.GetStatus()), Step: vetchtrail.Step(m.GetStep()),
-		Peer: m.GetPeer(), Reason: vetchtrail.Reason(m.GetReason()), RetryAt: moment(m.GetRetryAt()), Begun: m.GetBegun(),
+		Peer: m.GetPeer(), Reason: vetchtrail.Reason(m.GetReason()), RetryAt: after(m.GetRetryAfter(), now), Begun: m.GetBegun(),
 	}
 	if m.GetError() != "" {
 		o.Err = errors.New(m.GetError())
--- a/version/document/document.go
+++ b/version/document/document.go
@@ -19,6 +19,7 @@
 	Regions    []Region    `yaml:"regions"`
 	Services   []Service   `yaml:"services"`
 	Endpoints  []Endpoint  `yaml:"endpoints"`
+	Routes     []Route     `yaml:"routes,omitempty"`
 	Workspaces []Workspace `yaml:"workspaces,omitempty"`
 }
 
@@ -58,6 +59,28 @@
 	Fenced     bool           `yaml:"fenced,omitempty"`
 }
 
+// Route is a route.
+type Route struct {
+	Name         string        `yaml:"name"`
+	Host         string        `yaml:"host"`
+	PathPrefix   string        `yaml:"path_prefix"`
+	Kind         string        `yaml:"kind"` // unsafe, safe or stream
+	Targets      []Target      `yaml:"targets"`
+	Attempts     int           `yaml:"attempts"`
+	AnswerWithin time.Duration `yaml:"answer_within"`
+	Goal         time.Duration `yaml:"goal"`
+	Rank         int8          `yaml:"rank"`
+	Homes        []string      `yaml:"homes,omitempty"`
+	Sticky       bool          `yaml:"sticky,omitempty"`
+	Resumable    bool          `yaml:"resumable,omitempty"`
+}
+
+// Target is a service that takes a share of a route's requests.
+type Target struct {
+	Service string `yaml:"service"`
+	Weight  int    `yaml:"weight"`
+}
+
 // Workspace is a workspace.
 type Workspace struct {
 	Name     string   `yaml:"name"`
@@ -77,6 +100,11 @@
 			return d, errors.Errorf("document.Parse: service %s: kind %q is not model or plain", d.Services[i].Name, d.Services[i].Kind)
 		}
 	}
+	for i := range d.Routes {
+		if _, ok := vetchtrail.ParseRouteKind(d.Routes[i].Kind); !ok {
+			return d, errors.Errorf("document.Parse: route %s: kind %q is not unsafe, safe or stream", d.Routes[i].Name, d.Routes[i].Kind)
+		}
+	}
 	return d, nil
 }
 
@@ -102,7 +130,10 @@
 		}})
 	}
 	for _, e := range d.Endpoints {
-		out = append(out, vetchtrail.PutEndpoint{Endpoint: vetchtrail.Endpoint(e)})
+		out = append(out, vetchtrail.PutEndpoint{Endpoint: e.endpoint()})
+	}
+	for i := range d.Routes {
+		out = append(out, vetchtrail.PutRoute{Route: d.Routes[i].route()})
 	}
 	for _, w := range d.Workspaces {
 		out = append(out, vetchtrail.PutWorkspace{Workspace: vetchtrail.Workspace(w)})
@@ -125,7 +156,9 @@
 				AnswerWithin: s.AnswerWithin, QueueLimit: s.QueueLimit,
 			})
 		case vetchtrail.PutEndpoint:
-			d.Endpoints = append(d.Endpoints, Endpoint(e.Endpoint))
+			d.Endpoints = append(d.Endpoints, endpointOf(e.Endpoint))
+		case vetchtrail.PutRoute:
+			d.Routes = append(d.Routes, routeOf(e.Route))
 		case vetchtrail.PutWorkspace:
 			d.Workspaces = append(d.Workspaces, Workspace(e.Workspace))
 		}
@@ -133,6 +166,43 @@
 	return d
 }
 
+func (e *Endpoint) endpoint() vetchtrail.Endpoint {
+	return vetchtrail.Endpoint{
+		Name: e.Name, Service: e.Service, Region: e.Region, DataCentre: e.DataCentre, Addr: e.Addr, Slots: e.Slots,
+		Draining: e.Draining, Fenced: e.Fenced,
+	}
+}
+
+func endpointOf(e vetchtrail.Endpoint) Endpoint {
+	return Endpoint{
+		Name: e.Name, Service: e.Service, Region: e.Region, DataCentre: e.DataCentre, Addr: e.Addr, Slots: e.Slots,
+		Draining: e.Draining, Fenced: e.Fenced,
+	}
+}
+
+func (r *Route) route() vetchtrail.Route {
+	kind, _ := vetchtrail.ParseRouteKind(r.Kind)
+	out := vetchtrail.Route{
+		Name: r.Name, Host: r.Host, PathPrefix: r.PathPrefix, Kind: kind, Attempts: r.Attempts, AnswerWithin: r.AnswerWithin,
+		Goal: r.Goal, Rank: r.Rank, Homes: r.Homes, Sticky: r.Sticky, Resumable: r.Resumable,
+	}
+	for _, t := range r.Targets {
+		out.Targets = append(out.Targets, vetchtrail.Target(t))
+	}
+	return out
+}
+
+func routeOf(r vetchtrail.Route) Route {
+	out := Route{
+		Name: r.Name, Host: r.Host, PathPrefix: r.PathPrefix, Kind: r.Kind.String(), Attempts: r.Attempts,
+		AnswerWithin: r.AnswerWithin, Goal: r.Goal, Rank: r.Rank, Homes: r.Homes, Sticky: r.Sticky, Resumable: r.Resumable,
+	}
+	for _, t := range r.Targets {
+		out.Targets = append(out.Targets, Target(t))
+	}
+	return out
+}
+
 // YAML returns the document as a file.
 func (d *Document) YAML() ([]byte, error) {
 	out, err := yaml.Marshal(d)
--- a/version/rules/apply.go
+++ b/version/rules/apply.go
@@ -45,6 +45,7 @@
 			return nil, &vetchtrail.ChangeError{Edit: i, Item: item, Text: text}
 		}
 	}
+	b.next.paths = pathsOf(b.next)
 	return b.next, nil
 }
 
@@ -53,6 +54,7 @@
 	next.regions = maps.Clone(r.regions)
 	next.services = maps.Clone(r.services)
 	next.endpoints = maps.Clone(r.endpoints)
+	next.routes = maps.Clone(r.routes)
 	return &next
 }
 
@@ -71,6 +73,8 @@
 		return "service " + e.Service.Name, b.putService(e.Service)
 	case vetchtrail.PutEndpoint:
 		return "endpoint " + e.Endpoint.Name, b.putEndpoint(e.Endpoint)
+	case vetchtrail.PutRoute:
+		return "route " + e.Route.Name, b.putRoute(e.Route)
 	case vetchtrail.PutWorkspace:
 		return "workspace " + e.Workspace.Name, b.putWorkspace(e.Workspace)
 	case vetchtrail.DrainEndpoint:
@@ -223,6 +227,11 @@
 			return "is unknown"
 		}
 		delete(b.next.endpoints, e.Name)
+	case vetchtrail.ItemRoute:
+		if _, ok := b.next.routes[e.Name]; !ok {
+			return "is unknown"
+		}
+		delete(b.next.routes, e.Name)
 	case vetchtrail.ItemWorkspace:
 		shard := b.shard(e.Name)
 		if _, ok := shard[e.Name]; !ok {
--- /dev/null
+++ b/version/rules/route.go
@@ -0,0 +1,141 @@
+package rules
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"strings"
+
+	"vetchtrail"
+)
+
+// path is a route with what a match needs looked up.
+type path struct {
+	vetchtrail.Route
+	allowed vetchtrail.RegionSet
+}
+
+// Match is what the rules say of a request that belongs to a route.
+type Match struct {
+	vetchtrail.Route
+	Allowed vetchtrail.RegionSet
+}
+
+// Match returns the route of a request: of its host name, the one with the
+// longest prefix of its path.
+func (r *Rules) Match(host, urlPath string) (Match, bool) {
+	for i := range r.paths[host] {
+		p := &r.paths[host][i]
+		if strings.HasPrefix(urlPath, p.PathPrefix) {
+			return Match{Route: p.Route, Allowed: p.allowed}, true
+		}
+	}
+	return Match{}, false
+}
+
+// Target draws one of the route's services by their weights; u is from 0 to 1.
+func (m *Match) Target(u float64) string {
+	total := 0
+	for _, t := range m.Targets {
+		total += t.Weight
+	}
+	at := u * float64(total)
+	for _, t := range m.Targets {
+		at -= float64(t.Weight)
+		if at < 0 {
+			return t.Service
+		}
+	}
+	return m.Targets[len(m.Targets)-1].Service
+}
+
+// JudgeRoute says where a request of a route may be processed by these rules.
+// Its service may have been taken from the route meanwhile: then it may not.
+func (r *Rules) JudgeRoute(name, service string, entry vetchtrail.RegionID) (Judgement, bool) {
+	t, ok := r.routes[name]
+	if !ok || !slices.ContainsFunc(t.Targets, func(x vetchtrail.Target) bool { return x.Service == service }) {
+		return Judgement{}, false
+	}
+	return Judgement{Home: entry, Allowed: r.homesOf(&t), Priority: -t.Rank}, true
+}
+
+// homesOf returns the regions that may process a route's requests. A home that
+// is not known allows nothing.
+func (r *Rules) homesOf(t *vetchtrail.Route) vetchtrail.RegionSet {
+	if len(t.Homes) == 0 {
+		return vetchtrail.AllRegions
+	}
+	var set vetchtrail.RegionSet
+	for _, name := range t.Homes {
+		if g, ok := r.regions[name]; ok {
+			set |= vetchtrail.RegionsOf(g.ID)
+		}
+	}
+	return set
+}
+
+// Routes returns all routes in the order of their names.
+func (r *Rules) Routes() []vetchtrail.Route {
+	out := make([]vetchtrail.Route, 0, len(r.routes))
+	for _, n := range slices.Sorted(maps.Keys(r.routes)) {
+		out = append(out, r.routes[n])
+	}
+	return out
+}
+
+// pathsOf sorts the routes for Match.
+func pathsOf(r *Rules) map[string][]path {
+	out := map[string][]path{}
+	for _, t := range r.routes {
+		out[t.Host] = append(out[t.Host], path{Route: t, allowed: r.homesOf(&t)})
+	}
+	for _, list := range out {
+		slices.SortFunc(list, func(a, b path) int {
+			return cmp.Or(len(b.PathPrefix)-len(a.PathPrefix), strings.Compare(a.PathPrefix, b.PathPrefix))
+		})
+	}
+	return out
+}
+
+func (b *builder) putRoute(t vetchtrail.Route) string {
+	if p := nameProblem(t.Name); p != "" {
+		return p
+	}
+	switch {
+	case t.Host == "":
+		return "has no host name"
+	case !strings.HasPrefix(t.PathPrefix, "/") || !strings.HasSuffix(t.PathPrefix, "/"):
+		return "its path prefix does not begin and end with a slash"
+	case t.Attempts < 1:
+		return "attempts is not above 0"
+	case t.AnswerWithin <= 0:
+		return "answer_within is not above 0"
+	case t.Goal < 0:
+		return "goal is below 0"
+	}
+	if p := b.targetProblem(t.Targets); p != "" {
+		return p
+	}
+	if _, unknown := b.set(t.Homes); unknown != "" {
+		return "names the unknown region " + unknown
+	}
+	b.next.routes[t.Name] = t
+	return ""
+}
+
+func (b *builder) targetProblem(targets []vetchtrail.Target) string {
+	total := 0
+	for _, t := range targets {
+		if _, ok := b.next.services[t.Service]; !ok {
+			return "names the unknown service " + t.Service
+		}
+		if t.Weight < 0 {
+			return "a weight is below 0"
+		}
+		total += t.Weight
+	}
+	if total == 0 {
+		return "has no service with a weight above 0"
+	}
+	return ""
+}
--- a/version/rules/rules.go
+++ b/version/rules/rules.go
@@ -26,6 +26,8 @@
 	names      [vetchtrail.MaxRegions]string
 	services   map[string]service
 	endpoints  map[string]vetchtrail.Endpoint
+	routes     map[string]vetchtrail.Route
+	paths      map[string][]path // by host name, longest prefix first
 	workspaces [workspaceShards]map[string]workspace
 }
 
@@ -55,6 +57,7 @@
 		regions:   map[string]vetchtrail.Region{},
 		services:  map[string]service{},
 		endpoints: map[string]vetchtrail.Endpoint{},
+		routes:    map[string]vetchtrail.Route{},
 	}
 }
 
@@ -151,6 +154,9 @@
 	for _, e := range r.Endpoints("") {
 		out = append(out, vetchtrail.PutEndpoint{Endpoint: e})
 	}
+	for _, t := range r.Routes() {
+		out = append(out, vetchtrail.PutRoute{Route: t})
+	}
 	for _, w := range r.Workspaces() {
 		out = append(out, vetchtrail.PutWorkspace{Workspace: w})
 	}
--- a/version/rules/state.go
+++ b/version/rules/state.go
@@ -50,6 +50,8 @@
 		return vetchtrail.ItemService, e.Service.Name
 	case vetchtrail.PutEndpoint:
 		return vetchtrail.ItemEndpoint, e.Endpoint.Name
+	case vetchtrail.PutRoute:
+		return vetchtrail.ItemRoute, e.Route.Name
 	case vetchtrail.PutWorkspace:
 		return vetchtrail.ItemWorkspace, e.Workspace.Name
 	case vetchtrail.DrainEndpoint:
