Streams that go on stay streams; failures of endpoints are theirs; SIGHUP reloads

It reloads the settings now, and so does a change of the file; what needs a restart is told. - An endpoint's own 500 cut this host's limit for it and, after three, ejected even the only endpoint of a region; requests then waited to their deadline. Such failures now only make an endpoint cost more than others of its service. - A request that had not run by its deadline got 504, which leaves open whether it ran; it gets 503.

Ruled out for the long waits: a shortage of slots (6 at 40 requests/s of 20 ms).

--- a/cmd/vetchtraild/serve.go
+++ b/cmd/vetchtraild/serve.go
@@ -30,7 +30,8 @@
 	}
 	out := logs.New(os.Stdout)
 	defer func() { _ = out.Close() }()
-	log := logger(s.Log, out)
+	var level slog.LevelVar
+	log := logger(s.Log, &level, out)
 	limitMemory(s.Limits.Memory)
 	d, err := daemon.New(daemon.Config{Settings: s, Log: log, Hosted: hosted(&s, log)})
 	if err != nil {
@@ -39,6 +40,8 @@
 	log.Info("started", "host", s.Host, "region", s.Region, "data_centre", s.DataCentre, "platform", s.Platform.Kind)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
+	r := &reloader{file: c.File, daemon: d, level: &level, log: log}
+	go r.run(ctx)
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	go func() {
@@ -67,21 +70,26 @@
 		return nil
 	}
 	return &daemon.Hosted{
-		Feed:      platform.NewFeed(platform.FeedConfig{Store: s.Platform.Store, Places: s.Platform.DataCentres, Log: log}),
-		Registry:  platform.NewRegistry(s.Platform.Store, log),
-		Dialect:   platform.Dialect{},
-		Directory: func(m *membership.Membership) daemon.Directory { return platform.NewDirectory(m) },
+		Feed:     platform.NewFeed(platform.FeedConfig{Store: s.Platform.Store, Places: s.Platform.DataCentres, Log: log}),
+		Registry: platform.NewRegistry(s.Platform.Store, log),
+		Dialect:  platform.Dialect{},
+		Directory: func(m *membership.Membership, homes func(string) []string) daemon.Directory {
+			return platform.NewDirectory(m, homes)
+		},
 	}
 }
 
-func logger(l settings.Log, out io.Writer) *slog.Logger {
-	var level slog.Level
-	if err := level.UnmarshalText([]byte(l.Level)); err != nil {
-		level = slog.LevelInfo
-	}
+func logger(l settings.Log, level *slog.LevelVar, out io.Writer) *slog.Logger {
+	setLevel(l, level)
 	options := &slog.HandlerOptions{Level: level}
 	if l.Format == "json" {
 		return slog.New(slog.NewJSONHandler(out, options))
 	}
 	return slog.New(slog.NewTextHandler(out, options))
 }
+
+func setLevel(l settings.Log, level *slog.LevelVar) {
+	if err := level.UnmarshalText([]byte(l.Level)); err != nil {
+		level.Set(slog.LevelInfo) // as the settings' check lets no other text through
+	}
+}
--- a/connection/caller/routed.go
+++ b/connection/caller/routed.go
@@ -20,6 +20,9 @@
 	startingBack = 300 * time.Millisecond
 	// leastBack is the least time that a refused caller is told to wait.
 	leastBack = 50 * time.Millisecond
+	// patienceShare is the part of its route's goal that a request may wait for
+	// room: refused by then, its caller can still be served in time.
+	patienceShare = 4
 	// noDeadline is the time of a caller that sets none; the route's bound stands.
 	noDeadline = time.Hour
 )
@@ -91,6 +94,7 @@
 		r.Deadline = bound
 	}
 	r.Goal = now.Add(m.Goal)
+	r.Patience = now.Add(m.Goal / patienceShare)
 	r.Header = s.routedHeader(c)
 	r.Body = append([]byte(nil), c.Body()...)
 }
--- a/connection/endpoint/endpoint.go
+++ b/connection/endpoint/endpoint.go
@@ -30,7 +30,10 @@
 	wholeLimit  = 4 << 20
 	stallTime   = 30 * time.Second // between two parts of an answer
 	defaultBack = time.Second      // when an endpoint refuses without Retry-After
-	maxBack     = time.Minute
+	// routedBack is the same for requests of routes, whose endpoints hold queues
+	// of some tens of milliseconds and whose callers come back soon.
+	routedBack = 100 * time.Millisecond
+	maxBack    = time.Minute
 	// foreignMost is how many answers to other requests are passed over on a
 	// connection before it is given up.
 	foreignMost = 2
@@ -242,16 +245,26 @@
 }
 
 func (t *attempt) retryAt() time.Time {
-	after := defaultBack
+	after := t.back()
 	if s, err := strconv.ParseFloat(t.field(fasthttp.HeaderRetryAfter), 64); err == nil && s >= 0 {
 		after = min(time.Duration(s*float64(time.Second)), maxBack)
 	}
 	return time.Now().Add(after)
 }
 
+// back is how long an endpoint that refused without saying is left alone.
+func (t *attempt) back() time.Duration {
+	if t.req.Route != "" {
+		return routedBack
+	}
+	return defaultBack
+}
+
 // pass hands the answer on.
 func (t *attempt) pass() error {
 	switch {
+	case t.req.Begun && (t.resp.StatusCode() != fasthttp.StatusOK || !t.events()):
+		return errors.Errorf("status %d where a stream should go on", t.resp.StatusCode())
 	case t.keepFailure():
 		return t.keep()
 	case t.events():
@@ -371,7 +384,7 @@
 func (t *attempt) notRun(step vetchtrail.Step, why vetchtrail.Reason, err error) vetchtrail.Outcome {
 	return vetchtrail.Outcome{
 		Kind: vetchtrail.NotRun, Status: fasthttp.StatusServiceUnavailable, Step: step, Peer: t.to.Name,
-		Reason: why, RetryAt: time.Now().Add(defaultBack), Err: err,
+		Reason: why, RetryAt: time.Now().Add(t.back()), Err: err, Begun: t.req.Begun,
 	}
 }
 
@@ -379,7 +392,7 @@
 func (t *attempt) unknown(ctx context.Context, step vetchtrail.Step, why vetchtrail.Reason, err error) vetchtrail.Outcome {
 	o := vetchtrail.Outcome{
 		Kind: vetchtrail.Unknown, Status: fasthttp.StatusBadGateway, Step: step, Peer: t.to.Name,
-		Reason: why, Err: err, Begun: t.begun,
+		Reason: why, Err: err, Begun: t.begun || t.req.Begun,
 	}
 	switch {
 	case ctx.Err() != nil:
--- a/decision.go
+++ b/decision.go
@@ -88,6 +88,7 @@
 	Away     bool          // draining, leaving or ejected
 	Why      Reason        // with Away: the reason
 	Back     float64       // seconds until an endpoint that refused for its load may be asked again
+	Failing  float64       // how much more often than its service it answers with a failure, 0 to 1
 	Backlog  float64       // seconds until it has read the prompts that it was sent before, as predicted
 	Base     float64       // seconds to the first of an answer beside the reading of its prompt
 	Kept     int           // tokens of the request's prompt that it is likely to hold
--- a/process/daemon/daemon.go
+++ b/process/daemon/daemon.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -58,7 +59,7 @@
 	Feed      vetchtrail.Feed
 	Registry  vetchtrail.Registry
 	Dialect   vetchtrail.Dialect
-	Directory func(*membership.Membership) Directory
+	Directory func(m *membership.Membership, homes func(name string) []string) Directory
 }
 
 // Directory answers callers that ask which hosts to use, and the platform's
@@ -87,6 +88,7 @@
 	directory  Directory
 	endpoints  *endpoint.Caller
 	listing    atomic.Pointer[vetchtrail.Listing]
+	timing     atomic.Pointer[settings.Timing]
 
 	leave   chan struct{} // closed when the host is to leave
 	leaving sync.Once
@@ -95,6 +97,7 @@
 // New puts a daemon together. It does not listen yet.
 func New(c Config) (*Daemon, error) {
 	d := &Daemon{set: c.Settings, log: c.Log, table: load.New(), hosted: c.Hosted, leave: make(chan struct{})}
+	d.timing.Store(&d.set.Timing)
 	d.log = c.Log.With("host", c.Settings.Host)
 	d.self = vetchtrail.Host{
 		Name: d.set.Host, Region: d.set.Region, DataCentre: d.set.DataCentre,
@@ -136,7 +139,7 @@
 	var dialect vetchtrail.Dialect
 	if d.hosted != nil {
 		dialect = d.hosted.Dialect
-		d.directory = d.hosted.Directory(d.membership)
+		d.directory = d.hosted.Directory(d.membership, func(name string) []string { return d.changes.Rules().HomesOf(name) })
 	}
 	d.endpoints = endpoint.New(endpoint.Config{
 		Dialect: dialect, Observer: d.table,
@@ -145,7 +148,7 @@
 	d.dispatcher = dispatch.New(dispatch.Config{
 		Self: d.self, Policy: p, Rules: d.changes.Rules, Table: d.table, Membership: d.membership,
 		Endpoints: d.endpoints, Peers: d.peers, Keeper: keeper, Journal: d.journal, Seed: d.seed(),
-		Budget: d.budget(),
+		Budget: d.budget(d.set.Retries),
 	})
 	d.callers = caller.New(caller.Config{
 		Runner: d.dispatcher, Rules: d.changes.Rules, Membership: d.membership, Keeper: keeper,
@@ -155,6 +158,27 @@
 	return nil
 }
 
+// Reload takes what may change while the daemon runs: the times of a stop and
+// the bounds on further attempts. It returns the names of settings that differ
+// and need a restart.
+func (d *Daemon) Reload(s settings.Settings) []string {
+	d.timing.Store(&s.Timing)
+	d.dispatcher.SetBudget(d.budget(s.Retries))
+	var waits []string
+	for name, same := range map[string]bool{
+		"host": s.Host == d.set.Host, "region": s.Region == d.set.Region, "data_centre": s.DataCentre == d.set.DataCentre,
+		"listen": s.Listen == d.set.Listen, "policy": s.Policy == d.set.Policy, "tls": s.TLS == d.set.TLS,
+		"platform.store": s.Platform.Store == d.set.Platform.Store, "explain": s.Explain == d.set.Explain,
+		"limits.body": s.Limits.Body == d.set.Limits.Body, "limits.records": s.Limits.Records == d.set.Limits.Records,
+	} {
+		if !same {
+			waits = append(waits, name)
+		}
+	}
+	slices.Sort(waits)
+	return waits
+}
+
 // seed makes the hosts' random choices differ, and the same host's the same.
 func (d *Daemon) seed() uint64 { return xxhash.Sum64String(d.set.Host) }
 
@@ -215,8 +239,7 @@
 
 // budget is the bound on further attempts. One that is set for all hosts is
 // divided among them.
-func (d *Daemon) budget() budget.Config {
-	b := d.set.Retries
+func (d *Daemon) budget(b settings.Retries) budget.Config {
 	hosts := func() int { return 1 }
 	if d.hosted != nil {
 		hosts = d.membership.Count
@@ -240,10 +263,11 @@
 	}
 	d.log.Info("leaving: taking no new work", "in_flight", d.dispatcher.InFlight())
 	d.membership.SetState(vetchtrail.HostLeaving)
-	wait(ctx, d.set.Timing.Leave) // others hear of it before the door closes
+	timing := d.timing.Load()
+	wait(ctx, timing.Leave) // others hear of it before the door closes
 	go d.shutdown(context.WithoutCancel(ctx))
-	end := time.Now().Add(d.set.Timing.Grace - d.set.Timing.Leave - graceMargin)
-	for d.dispatcher.InFlight() > 0 && ctx.Err() == nil && (d.set.Timing.Grace == 0 || time.Now().Before(end)) {
+	end := time.Now().Add(timing.Grace - timing.Leave - graceMargin)
+	for d.dispatcher.InFlight() > 0 && ctx.Err() == nil && (timing.Grace == 0 || time.Now().Before(end)) {
 		wait(ctx, drainLook)
 	}
 	wait(ctx, drainLook) // the last answers' last bytes
--- a/process/load/learn.go
+++ b/process/load/learn.go
@@ -32,7 +32,10 @@
 	}
 	switch {
 	case o.Cancel:
+	case o.Outcome.Reason == vetchtrail.ReasonFailed, o.Outcome.Status >= firstFailure && o.Outcome.Kind == vetchtrail.Answered:
+		s.failing(1, t.means[s.Service], now)
 	case o.Outcome.Kind == vetchtrail.Answered:
+		s.failing(0, t.means[s.Service], now)
 		s.answered(o, t.means[s.Service], now)
 	case o.Outcome.Reason == vetchtrail.ReasonMisled:
 		s.leaving = now.Add(misledFor)
@@ -65,6 +68,26 @@
 	s.adapt(first)
 }
 
+// firstFailure is the lowest status by which an endpoint says that it failed.
+const firstFailure = 500
+
+// failing learns how often an endpoint answers with a failure of its own. It is
+// not out of use for that, as others may fail as often: it only costs more.
+func (s *state) failing(failed float64, m *means, now time.Time) {
+	s.fails.observe(failed)
+	m.fails.observe(failed)
+	s.failsAt = now
+}
+
+// excess is how much more often than its service an endpoint fails.
+func (s *state) excess(m *means, now time.Time) float64 {
+	if s.fails.seen < fewSeen {
+		return 0
+	}
+	trust := math.Exp(-now.Sub(s.failsAt).Seconds() / forget.Seconds())
+	return trust * math.Max(0, s.fails.value-m.fails.value)
+}
+
 // observePace learns from the seconds a prompt token took on a slot that was
 // free.
 func (s *state) observePace(token float64, m *means) {
@@ -109,7 +132,7 @@
 			out++
 		}
 	}
-	if float64(out+1) > math.Max(1, ejectShare*float64(len(t.services[s.Service]))) {
+	if float64(out+1) > math.Max(1, ejectShare*float64(len(t.services[s.Service]))) || t.alone(s, now) {
 		return
 	}
 	s.ejected = now.Add(min(ejectFirst<<s.ejects, ejectMost))
@@ -118,6 +141,17 @@
 	s.warmth = coldStart
 }
 
+// alone says whether no other endpoint of the service is in use here: with the
+// last one out, its requests could only be refused.
+func (t *Table) alone(s *state, now time.Time) bool {
+	for _, other := range t.services[s.Service] {
+		if other != s && other.inUse(now) {
+			return false
+		}
+	}
+	return true
+}
+
 // notable is how much slower an endpoint is than its service, or 1 if that is
 // not sure.
 func notable(ratio float64, seen int) float64 {
--- a/process/load/load.go
+++ b/process/load/load.go
@@ -84,6 +84,8 @@
 	reading  map[string]int // tokens of own requests sent whose answers have not begun, by request
 	sessions sessions       // whose prompts this host sent here lately
 	cold     coldGate
+	fails    average   // share of its answers that were failures of its own
+	failsAt  time.Time // when one was last seen
 	ejected  time.Time // until when, for failures
 	backOff  time.Time // until when, by its own refusal or as it is down
 	backWhy  vetchtrail.Reason
@@ -102,6 +104,7 @@
 	service average // seconds a request occupies a slot
 	token   average // seconds a prompt token takes to the first of the answer
 	prefill fit     // seconds to the first of the answer by tokens read
+	fails   average // share of the answers that were failures of the endpoints
 	prompt  average // tokens that a request makes an endpoint read
 }
 
@@ -220,7 +223,7 @@
 		Running: s.report.Running, Queued: s.report.Queued, Age: -1,
 		Prefill: m.token.value * notable(1+trust*(s.pace.value-1), s.pace.seen),
 		Service: m.service.value * notable(1+trust*(s.service.value/m.service.value-1), s.service.seen),
-		Warmth:  s.warmth,
+		Warmth:  s.warmth, Failing: s.excess(m, now),
 	}
 	if m.prefill.known() {
 		v.Base, v.Prefill = m.prefill.line()
--- a/process/membership/membership.go
+++ b/process/membership/membership.go
@@ -375,8 +375,8 @@
 }
 
 // Serving returns the ready hosts nearest to a place: those of its data centre,
-// or else of its region, or else all that can be reached.
-func (m *Membership) Serving(region, dataCentre string, now time.Time) []vetchtrail.Host {
+// or else of its region, or else of the homes, or else all that can be reached.
+func (m *Membership) Serving(region, dataCentre string, homes []string, now time.Time) []vetchtrail.Host {
 	var all []vetchtrail.Host
 	for _, h := range append(m.Hosts(now), m.Elsewhere(now)...) {
 		if h.State == vetchtrail.HostReady {
@@ -386,6 +386,7 @@
 	for _, near := range []func(vetchtrail.Host) bool{
 		func(h vetchtrail.Host) bool { return h.DataCentre == dataCentre },
 		func(h vetchtrail.Host) bool { return h.Region == region },
+		func(h vetchtrail.Host) bool { return slices.Contains(homes, h.Region) },
 	} {
 		if found := filter(all, near); len(found) > 0 {
 			return found
--- a/request.go
+++ b/request.go
@@ -36,6 +36,18 @@
 	Prompt    []PromptPart // in the order of the prompt
 	Resumable bool         // its stream may go on at another endpoint
 	LastEvent string       // id of the last event that its caller has
+	Begun     bool         // part of its answer went to the caller: only a stream that goes on may follow
+	// Patience is until when it may wait for room: a caller that is refused
+	// early can still be served in time elsewhere. Zero: until its deadline.
+	Patience time.Time
+}
+
+// WaitUntil is until when the request may wait for room.
+func (r *Request) WaitUntil() time.Time {
+	if r.Patience.IsZero() || r.Deadline.Before(r.Patience) {
+		return r.Deadline
+	}
+	return r.Patience
 }
 
 // PromptTokens returns the tokens of the request's prompt.
--- a/request/budget/budget.go
+++ b/request/budget/budget.go
@@ -36,6 +36,16 @@
 	further  ring
 }
 
+// Set replaces the bounds. A window of another length begins anew.
+func (b *Budget) Set(c Config) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if c.Window != b.cfg.Window {
+		b.requests, b.further, b.began = ring{}, ring{}, time.Time{}
+	}
+	b.cfg = c
+}
+
 // ring counts by parts of the window; the part under way comes on top of them,
 // so that what is counted is never less than the window.
 type ring struct {
--- a/request/dispatch/dispatch.go
+++ b/request/dispatch/dispatch.go
@@ -39,7 +39,6 @@
 	statusConflict    = 409
 	statusBadGateway  = 502
 	statusUnavailable = 503
-	statusTimeout     = 504
 )
 
 // Config is what a Dispatcher needs.
@@ -199,6 +198,7 @@
 			return d.end(t.total(o), a)
 		}
 		o = d.try(ctx, r, p, a)
+		o.Begun = o.Begun || r.Begun
 		if o.Kind == vetchtrail.Answered {
 			return o
 		}
@@ -311,13 +311,23 @@
 	case vetchtrail.ReasonResidency:
 		o.Status = statusForbidden
 	case vetchtrail.ReasonDeadline:
-		o.Status = statusTimeout
+		o.Status = statusUnavailable // as 504 would leave open whether it ran
 	default:
 		o.Status = statusUnavailable
 	}
 	return o
 }
 
+// SetBudget replaces the bounds on further attempts. What was spent still counts.
+func (d *Dispatcher) SetBudget(c budget.Config) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.cfg.Budget = c
+	for _, b := range d.budgets {
+		b.Set(c)
+	}
+}
+
 func (d *Dispatcher) line(service string) *queue.Line {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/request/dispatch/follow.go
+++ b/request/dispatch/follow.go
@@ -9,17 +9,16 @@
 // event, so that another attempt goes on after it. The head of the first
 // attempt stays.
 type follower struct {
-	to    vetchtrail.Answer
-	req   *vetchtrail.Request
-	begun bool
+	to  vetchtrail.Answer
+	req *vetchtrail.Request
 }
 
 // Begin implements vetchtrail.Answer.
 func (f *follower) Begin(status int, header []vetchtrail.HeaderField) error {
-	if f.begun {
+	if f.req.Begun {
 		return nil
 	}
-	f.begun = true
+	f.req.Begun = true
 	return f.to.Begin(status, header)
 }
 
--- a/request/dispatch/place.go
+++ b/request/dispatch/place.go
@@ -79,7 +79,7 @@
 		return d.giveUp(r, verdict.Reason, time.Now().Add(max(verdict.Wait, minBack)), attempt)
 	}
 	w := verdict.Waiter
-	timeout := time.NewTimer(time.Until(r.Deadline))
+	timeout := time.NewTimer(time.Until(r.WaitUntil()))
 	defer timeout.Stop()
 	for {
 		select {
--- a/request/policy/weighted.go
+++ b/request/policy/weighted.go
@@ -37,6 +37,9 @@
 	// refused: where load is balanced, the next one is as full, and a second
 	// refusal is final.
 	refusedPenalty = 4.0
+	// failureCost is what an endpoint's failure costs, in seconds: about the time
+	// of another attempt with a caller's own pause.
+	failureCost = 1.0
 	// minRetry and maxRetry bound the time to come back that a refusal names.
 	minRetry = 200 * time.Millisecond
 	maxRetry = 30 * time.Second
@@ -210,7 +213,7 @@
 	if v.Refused {
 		first += refusedPenalty
 	}
-	return v.Weights.Tail*first + v.Weights.Cost*(prefill+e.Service)
+	return v.Weights.Tail*(first+failureCost*e.Failing) + v.Weights.Cost*(prefill+e.Service)
 }
 
 // readTime predicts the seconds that an endpoint reads at a request's prompt.
--- a/request/queue/queue.go
+++ b/request/queue/queue.go
@@ -66,13 +66,13 @@
 	defer l.mu.Unlock()
 	l.joined++
 	w := &Waiter{
-		priority: r.Priority, deadline: r.Deadline, number: l.joined,
+		priority: r.Priority, deadline: r.WaitUntil(), number: l.joined,
 		start: max(l.clock, l.finish[r.Workspace]),
 		turn:  make(chan struct{}, 1), late: make(chan struct{}),
 	}
 	at, _ := slices.BinarySearchFunc(l.waiting, w, compare)
 	wait := time.Duration(at+1) * l.interval
-	if now.Add(wait).After(r.Deadline) {
+	if now.Add(wait).After(w.deadline) {
 		return Verdict{Reason: vetchtrail.ReasonDeadline, Wait: wait}
 	}
 	if len(l.waiting) >= limit && !l.displace(w, now) {
--- a/schema/convert.go
+++ b/schema/convert.go
@@ -186,6 +186,7 @@
 		Stream: r.Stream, Tokens: int32(r.Tokens), Key: r.Key, Repeats: r.Repeats,
 		Resume: &StreamPosition{Endpoint: r.Resume.Endpoint, Stream: r.Resume.Stream, Offset: int32(r.Resume.Offset)},
 		Route:  r.Route, GoalRemaining: left(r.Goal, now), Prompt: fromPrompt(r.Prompt), Resumable: r.Resumable, LastEvent: r.LastEvent,
+		Begun: r.Begun, PatienceRemaining: left(r.Patience, now),
 	}
 }
 
@@ -237,6 +238,7 @@
 		Resume: vetchtrail.StreamPosition{Endpoint: p.GetEndpoint(), Stream: p.GetStream(), Offset: int(p.GetOffset())},
 		Route:  m.GetRoute(), Goal: after(m.GetGoalRemaining(), now), Prompt: toPrompt(m.GetPrompt()),
 		Resumable: m.GetResumable(), LastEvent: m.GetLastEvent(),
+		Begun: m.GetBegun(), Patience: after(m.GetPatienceRemaining(), now),
 	}, nil
 }
 
--- a/version/rules/route.go
+++ b/version/rules/route.go
@@ -74,6 +74,25 @@
 	return set
 }
 
+// HomesOf returns the regions that may process the requests of all routes of a
+// host name that have homes; none: no route of it has.
+func (r *Rules) HomesOf(host string) []string {
+	set := vetchtrail.AllRegions
+	for i := range r.paths[host] {
+		set &= r.paths[host][i].allowed
+	}
+	if set == vetchtrail.AllRegions {
+		return nil
+	}
+	var out []string
+	for id, name := range r.names {
+		if name != "" && set.Has(vetchtrail.RegionID(id)) {
+			out = append(out, name)
+		}
+	}
+	return out
+}
+
 // Routes returns all routes in the order of their names.
 func (r *Rules) Routes() []vetchtrail.Route {
 	out := make([]vetchtrail.Route, 0, len(r.routes))
