Cold endpoints are shared by a fixed few hosts; a fresh directory names no far hosts

Change: hosts register with their region, a rank among the registered decides who sends to a cold endpoint, and each of four gets a quarter; where a name has homes and no host of them or of the caller's region is known, the directory leaves the answer to another. Ruled out: leases that lapse (they outlive the cut).

--- a/feed.go
+++ b/feed.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/netip"
 	"time"
 )
 
@@ -34,7 +33,7 @@
 	Revision  uint64
 	At        time.Time // when the platform was asked
 	Endpoints []Endpoint
-	Peers     []netip.AddrPort // of the hosts that have registered themselves
+	Hosts     []Host // that have registered themselves, live or not long dead
 }
 
 // Registry keeps a host in the platform's list of hosts while ctx lasts.
--- a/process/daemon/hosted.go
+++ b/process/daemon/hosted.go
@@ -12,9 +12,10 @@
 	"vetchtrail/schema"
 )
 
-// coldHosts is how many hosts of a region at most share what a cold endpoint
-// bears: a part below one request a second each would let all of them send one
-// in the same second.
+// coldHosts is how many hosts of a region share what a cold endpoint bears,
+// whoever lives: after a power cut of all, each believes for a while that it is
+// the only one. With a few requests a second to share, more hosts would each have
+// so little that all could still send one in the same second.
 const coldHosts = 4
 
 // placeEvery is how often the endpoints are placed again though nothing was
@@ -55,7 +56,7 @@
 // Listed implements vetchtrail.Sink.
 func (s hostedSink) Listed(l vetchtrail.Listing) {
 	s.d.listing.Store(&l)
-	s.d.membership.SetSeeds(l.Peers)
+	s.d.membership.SetListed(l.Hosts)
 	s.d.place(time.Now())
 	s.d.readyWhenHeld()
 }
@@ -98,12 +99,10 @@
 	if e.ColdRate == 0 || !now.Before(e.ColdUntil) {
 		return e.ColdRate
 	}
-	live, before := d.membership.InRegion("cold "+e.Name, now)
-	sharing := min(live, coldHosts)
-	if before >= sharing {
+	if d.membership.Before("cold "+e.Name, now) >= coldHosts {
 		return -1
 	}
-	return e.ColdRate / float64(sharing)
+	return e.ColdRate / coldHosts
 }
 
 // readyWhenHeld makes a starting host ready once it holds a configuration and
--- a/process/membership/membership.go
+++ b/process/membership/membership.go
@@ -60,6 +60,7 @@
 	shorts  map[uint32]string // names by their short forms
 	remotes map[string]*remote
 	seeds   []netip.AddrPort
+	listed  []vetchtrail.Host // by the platform
 }
 
 // member is a host of this data centre.
@@ -375,7 +376,8 @@
 }
 
 // Serving returns the ready hosts nearest to a place: those of its data centre,
-// or else of its region, or else of the homes, or else all that can be reached.
+// or else of its region, or else of the homes; where there are no homes, all that
+// can be reached.
 func (m *Membership) Serving(region, dataCentre string, homes []string, now time.Time) []vetchtrail.Host {
 	var all []vetchtrail.Host
 	for _, h := range append(m.Hosts(now), m.Elsewhere(now)...) {
@@ -392,6 +394,9 @@
 			return found
 		}
 	}
+	if len(homes) > 0 {
+		return nil // a host that has just started knows few: another answers better
+	}
 	return all
 }
 
@@ -405,40 +410,42 @@
 	return out
 }
 
-// SetSeeds replaces the addresses at which unknown hosts are looked for.
-func (m *Membership) SetSeeds(seeds []netip.AddrPort) {
+// SetListed replaces the hosts that the platform lists: the unknown ones are
+// looked for at their addresses.
+func (m *Membership) SetListed(hosts []vetchtrail.Host) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.seeds = seeds
+	m.listed = hosts
+	m.seeds = nil
+	for _, h := range hosts {
+		m.seeds = append(m.seeds, h.Peers)
+	}
 }
 
-// InRegion returns how many hosts of the region are likely to live, this one
-// included, and how many of them go before this one for a duty.
-func (m *Membership) InRegion(duty string, now time.Time) (live, before int) {
+// Before returns how many hosts of this host's region go before it for a duty:
+// the listed ones and those heard of, though some may be dead.
+func (m *Membership) Before(duty string, now time.Time) int {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	mine := weigh(duty, m.self.Name)
-	live = 1
-	count := func(name string) {
-		live++
-		if weigh(duty, name) > mine {
-			before++
-		}
-	}
+	names := map[string]bool{}
 	for _, b := range m.members {
-		if b.state(now) != vetchtrail.HostDead {
-			count(b.Name)
-		}
+		names[b.Name] = b.state(now) != vetchtrail.HostDead
 	}
 	for _, d := range m.remotes {
-		if d.digest.GetRegion() != m.self.Region {
-			continue
-		}
 		for _, line := range d.digest.GetMembers() {
-			count(line.GetName())
+			names[line.GetName()] = d.digest.GetRegion() == m.self.Region
+		}
+	}
+	for _, h := range m.listed {
+		names[h.Name] = names[h.Name] || h.Region == m.self.Region
+	}
+	mine, before := weigh(duty, m.self.Name), 0
+	for name, counts := range names {
+		if counts && name != m.self.Name && weigh(duty, name) > mine {
+			before++
 		}
 	}
-	return live, before
+	return before
 }
 
 // Count returns how many hosts are known, this one and those lately dead
--- a/process/membership/membership_test.go
+++ b/process/membership/membership_test.go
@@ -283,3 +283,50 @@
 		})
 	}
 }
+
+// TestServing: which hosts a caller is sent to.
+func TestServing(t *testing.T) {
+	here := []string{"a1"}
+	cases := map[string]struct {
+		region, centre string
+		homes          []string
+		want           []string
+	}{
+		"its data centre":                      {"ra", "a", nil, here},
+		"its region":                           {"ra", "a2", nil, here},
+		"another region":                       {"rb", "b", nil, here},
+		"its region, though it is no home":     {"ra", "a", []string{"rb"}, here},
+		"a home":                               {"rb", "b", []string{"ra"}, here},
+		"neither: another host answers better": {"rb", "b", []string{"rc"}, nil},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			m := New(Config{
+				Self: vetchtrail.Host{Name: "a1", Region: "ra", DataCentre: "a", State: vetchtrail.HostReady}, Load: load.New(),
+				Revision: func() uint64 { return 1 }, Log: slog.New(slog.NewTextHandler(io.Discard, nil)),
+			})
+			var got []string
+			for _, h := range m.Serving(c.region, c.centre, c.homes, time.Now()) {
+				got = append(got, h.Name)
+			}
+			assert.DeepEqual(t, got, c.want)
+		})
+	}
+}
+
+// TestBefore: the rank of a host for a duty counts the hosts that the platform
+// lists, so that hosts that have just started don't all go first.
+func TestBefore(t *testing.T) {
+	var listed []vetchtrail.Host
+	for i := range 9 {
+		listed = append(listed, vetchtrail.Host{Name: fmt.Sprintf("h%d", i), Region: "r"})
+	}
+	listed = append(listed, vetchtrail.Host{Name: "far", Region: "other"})
+	seen := map[int]bool{}
+	for _, self := range listed[:9] {
+		m := New(Config{Self: self, Load: load.New(), Revision: func() uint64 { return 1 }, Log: slog.New(slog.NewTextHandler(io.Discard, nil))})
+		m.SetListed(listed)
+		seen[m.Before("duty", time.Now())] = true
+	}
+	assert.Equal(t, len(seen), 9, "each host has a rank of its own: %v", seen)
+}
