Limits of endpoints stand where answers are read whole

Change: only a first byte four times later than usual is taken as held back. Test: TestLimitStands, seen failing on the code before.

--- a/process/load/learn.go
+++ b/process/load/learn.go
@@ -96,9 +96,10 @@
 }
 
 // adapt moves the limit: up while requests start in good time, down while they
-// are held back at the endpoint for longer than they take.
+// are held back at the endpoint for clearly longer than they take. An answer that
+// is read whole begins when it ends, so that half of them take longer than usual.
 func (s *state) adapt(first float64) {
-	if first > s.service.value {
+	if first > heldBack*s.service.value {
 		s.limit = math.Max(1, s.limit*0.95)
 		return
 	}
--- a/process/load/load.go
+++ b/process/load/load.go
@@ -31,9 +31,12 @@
 	forget = 10 * time.Second
 	// limitRoom is how far over its slots an endpoint's limit may grow: what it
 	// may hold back itself.
-	limitRoom  = 2.0
-	limitCut   = 0.7 // on a refusal or a timeout
-	failuresTo = 3   // failures in a row until an endpoint is ejected
+	limitRoom = 2.0
+	limitCut  = 0.7 // on a refusal or a timeout
+	// heldBack is how many times longer than a usual request one must take to its
+	// first byte to be taken as held back: beyond what requests differ by.
+	heldBack   = 4.0
+	failuresTo = 3 // failures in a row until an endpoint is ejected
 	// downFor is how long an endpoint that refuses connections is left alone;
 	// the next report puts it back sooner.
 	downFor = time.Second
--- a/process/load/load_test.go
+++ b/process/load/load_test.go
@@ -168,3 +168,18 @@
 		})
 	}
 }
+
+// TestLimitStands: answers that are read whole, and so begin when they end,
+// don't close an endpoint's limit by taking a little longer than usual.
+func TestLimitStands(t *testing.T) {
+	tab := table(1)
+	for i := range 300 {
+		sent := now.Add(time.Duration(i) * 100 * time.Millisecond)
+		done := sent.Add(time.Duration(15+i%20) * time.Millisecond)
+		assert.Assert(t, tab.Acquire("e000", &vetchtrail.Request{}, sent))
+		tab.Release("e000", Observation{
+			Outcome: vetchtrail.Outcome{Kind: vetchtrail.Answered}, Timing: vetchtrail.Timing{Sent: sent, First: done, Done: done},
+		}, done)
+	}
+	assert.Assert(t, viewOf(tab, now.Add(time.Minute)).Limit >= 4)
+}
