--- a/decision.go
+++ b/decision.go
@@ -39,6 +39,9 @@
 	Reason     Reason
 	Cost       float64
 	Wait       time.Duration // predicted time to the first token
+	Backlog    time.Duration // of the target: until it has read the prompts before this one
+	Holds      int           // tokens of the prompt that the target is likely to hold
+	Age        time.Duration // of what the target last told of its load; negative: nothing
 	RetryAt    time.Time     // with Refuse: when asking again may help
 	Looked     int           // candidates looked at
 	Candidates [MaxCandidates]Candidate
--- a/request/policy/weighted.go
+++ b/request/policy/weighted.go
@@ -237,6 +237,7 @@
 	}
 	d.Kind, d.Target, d.Name, d.Cost = vetchtrail.RunHere, chosen, e.Name, s.cost(chosen, r, v)
 	d.Reason = vetchtrail.ReasonChosen
+	d.Backlog, d.Holds, d.Age = seconds(e.Backlog), e.Kept, e.Age
 	return *d
 }
 
