--- a/outcome.go
+++ b/outcome.go
@@ -31,7 +31,8 @@
 	Reason  Reason
 	RetryAt time.Time // when asking again may help; zero: it won't
 	Err     error
-	Begun   bool // part of an answer went to the caller
+	Begun   bool      // part of an answer went to the caller
+	First   time.Time // when the first of an answer arrived here; zero: none did
 	// Failure is an endpoint's own answer of a failure that was kept back, as
 	// another attempt may do better.
 	Failure *KeptAnswer
--- a/process/journal/journal.go
+++ b/process/journal/journal.go
@@ -114,7 +114,7 @@
 	if r.Ended {
 		j.log.Info("outcome", "request", r.Request, "service", r.Service, "outcome", r.Outcome.Kind.String(),
 			"step", string(r.Outcome.Step), "peer", r.Outcome.Peer, "reason", string(r.Outcome.Reason),
-			"hops", r.Hops, "took", r.Took)
+			"hops", r.Hops, "took", r.Took, "first", first(r))
 		return
 	}
 	j.log.Info("decision", "request", r.Request, "service", r.Service, "workspace", r.Workspace, "home", r.Home,
@@ -124,6 +124,15 @@
 		"candidates", candidates(&r.Decision), "revision", r.Revision, "hops", r.Hops, "attempt", r.Attempt)
 }
 
+// first is the time from a request's arrival to the first of its answer; 0 for
+// one that ran elsewhere or has no answer.
+func first(r *Record) time.Duration {
+	if r.Outcome.First.IsZero() {
+		return 0
+	}
+	return r.Outcome.First.Sub(r.At)
+}
+
 // candidate is a losing candidate as a log line shows it.
 type candidate struct {
 	Name   string  `json:"name"`
