Backlog counts what an endpoint reads before a request of the same priority

Cause: under overload the predicted time to the first event was twice the observed median, as engines let the more urgent requests in first and the backlog counted all.

--- a/process/load/load.go
+++ b/process/load/load.go
@@ -84,8 +84,8 @@
 	warmth   float64
 	failures int
 	ejects   int
-	reading  map[string]int // tokens of own requests sent whose answers have not begun, by request
-	sessions sessions       // whose prompts this host sent here lately
+	reading  map[string]unread // prompts of own requests whose answers have not begun, by request
+	sessions sessions          // whose prompts this host sent here lately
 	cold     coldGate
 	fails    average   // share of its answers that were failures of its own
 	failsAt  time.Time // when one was last seen
@@ -149,7 +149,7 @@
 		if !ok || s.Addr != e.Addr || s.Service != e.Service {
 			s = &state{
 				limit: float64(e.Slots), service: average{value: firstService}, pace: average{value: 1},
-				warmth: 1, reading: map[string]int{}, sessions: sessions{},
+				warmth: 1, reading: map[string]unread{}, sessions: sessions{},
 			}
 		}
 		s.cold.configure(e.ColdUntil, e.ColdRate)
@@ -212,6 +212,7 @@
 	}
 	for i, s := range states {
 		e := s.view(t.means[r.Service], now)
+		e.Backlog = e.Prefill * s.backlog(r.Priority, t.means[r.Service], now)
 		if sticky && (i == home || s.sessions.holds(session.ID, now)) {
 			e.Kept = r.PromptTokens() - r.Prompt[len(r.Prompt)-1].Tokens
 		}
@@ -230,7 +231,6 @@
 	}
 	if m.prefill.known() {
 		v.Base, v.Prefill = m.prefill.line()
-		v.Backlog = v.Prefill * (float64(s.unread()) + s.othersUnread(m, now))
 	}
 	if s.reported {
 		v.Age = now.Sub(s.report.At)
--- a/process/load/prefill.go
+++ b/process/load/prefill.go
@@ -98,21 +98,41 @@
 		}
 		s.sessions.use(session.ID, now)
 	}
-	s.reading[r.ID] = tokens
+	s.reading[r.ID] = unread{tokens: tokens, priority: r.Priority}
 	m.prompt.observe(float64(tokens))
 }
 
-// unread is the tokens of own requests that the endpoint has still to read.
-func (s *state) unread() int {
-	sum := 0
-	for _, n := range s.reading {
-		sum += n
+// unread is a prompt that an endpoint was sent and has still to read.
+type unread struct {
+	tokens   int
+	priority int8
+}
+
+// ahead is the tokens of own requests that the endpoint reads before a request
+// of a priority: it lets the more urgent ones in first.
+func (s *state) ahead(priority int8) (tokens, all int) {
+	for _, u := range s.reading {
+		all += u.tokens
+		if u.priority >= priority {
+			tokens += u.tokens
+		}
+	}
+	return tokens, all
+}
+
+// backlog estimates the tokens that the endpoint reads before a request of a
+// priority: own ones, and those of other hosts that wait there by what the
+// endpoint said last, split as the own are.
+func (s *state) backlog(priority int8, m *means, now time.Time) float64 {
+	ahead, all := s.ahead(priority)
+	share := 1.0
+	if all > 0 {
+		share = float64(ahead) / float64(all)
 	}
-	return sum
+	return float64(ahead) + share*s.othersUnread(m, now)
 }
 
-// othersUnread estimates the tokens of other hosts' requests that wait there,
-// by what the endpoint said last.
+// othersUnread estimates the tokens of other hosts' requests that wait there.
 func (s *state) othersUnread(m *means, now time.Time) float64 {
 	if !s.reported {
 		return 0
@@ -130,14 +150,14 @@
 	if !ok {
 		return
 	}
-	tokens, waited := s.reading[r.ID]
+	read, waited := s.reading[r.ID]
 	if !waited {
 		return
 	}
 	delete(s.reading, r.ID)
 	if len(s.reading) == 0 && s.report.Queued <= 1 {
 		if at, ok := s.lastSent(); ok {
-			t.means[s.Service].prefill.observe(float64(tokens), now.Sub(at).Seconds())
+			t.means[s.Service].prefill.observe(float64(read.tokens), now.Sub(at).Seconds())
 		}
 	}
 	t.wake(s.Service)
--- a/request/dispatch/dispatch.go
+++ b/request/dispatch/dispatch.go
@@ -216,13 +216,21 @@
 
 // note remembers an attempt for the next.
 func (t *tried) note(p placement, o vetchtrail.Outcome) {
-	if o.Step != vetchtrail.StepConnect && o.Step != vetchtrail.StepResidency {
+	if reached(o) {
 		t.sent++
 	}
 	t.places = append(t.places, p.name())
 	t.refused = t.refused || (o.Reason == vetchtrail.ReasonRefused && p.dataCentre == "")
 }
 
+// reached says whether an attempt got to an endpoint, as far as is known.
+func reached(o vetchtrail.Outcome) bool {
+	if o.Kind != vetchtrail.NotRun {
+		return true
+	}
+	return o.Step == vetchtrail.StepAnswer || o.Step == vetchtrail.StepSend
+}
+
 // end gives the caller the failure of an endpoint that no attempt bettered.
 func (d *Dispatcher) end(o vetchtrail.Outcome, a vetchtrail.Answer) vetchtrail.Outcome {
 	if o.Failure == nil || o.Begun {
