A stream goes only where one of its route's length ends in half the time left

Ruled out: the network and this system's processor (0.03 cores), shortage of slots (128). Change: the gap between events is observed for each endpoint, digests carry the least of a data centre, and the usual events of a route are learned.

--- a/answer.go
+++ b/answer.go
@@ -27,6 +27,8 @@
 type Observer interface {
 	// Started tells that an endpoint began to answer a request.
 	Started(e Endpoint, r *Request, now time.Time)
+	// Paced tells the time between two events of a stream from an endpoint.
+	Paced(e Endpoint, gap time.Duration, now time.Time)
 	// Told tells what an endpoint said of its load in an answer.
 	Told(e Endpoint, l LoadReport)
 }
--- a/connection/endpoint/endpoint.go
+++ b/connection/endpoint/endpoint.go
@@ -80,6 +80,7 @@
 	body   *body
 	timing vetchtrail.Timing
 	begun  bool
+	passed int                    // events of a stream
 	kept   *vetchtrail.KeptAnswer // a failure that is kept back
 }
 
@@ -144,6 +145,7 @@
 	}
 	return vetchtrail.Outcome{
 		Kind: vetchtrail.Answered, Status: t.resp.StatusCode(), Step: vetchtrail.StepAnswer, Peer: t.to.Name, Begun: true,
+		Events: t.passed,
 	}, t.reusable()
 }
 
--- a/connection/endpoint/events.go
+++ b/connection/endpoint/events.go
@@ -76,6 +76,7 @@
 func (t *attempt) passRouted() error {
 	in := bufio.NewReaderSize(t.body, readBuffer)
 	had, resumed := eventNumber(t.req.LastEvent)
+	var last time.Time
 	for {
 		event, err := readEvent(in)
 		if isEnd(err) && len(event) == 0 {
@@ -90,9 +91,20 @@
 		if err := t.part(event); err != nil {
 			return err
 		}
+		last = t.paced(last)
 	}
 }
 
+// paced counts an event and tells the time since the one before.
+func (t *attempt) paced(last time.Time) time.Time {
+	now := time.Now()
+	t.passed++
+	if !last.IsZero() && t.of.cfg.Observer != nil {
+		t.of.cfg.Observer.Paced(t.to, now.Sub(last), now)
+	}
+	return now
+}
+
 // alreadyHad says whether an event's number is not above the last one had.
 func alreadyHad(event []byte, had uint64) bool {
 	id, ok := EventID(event)
--- a/decision.go
+++ b/decision.go
@@ -40,6 +40,7 @@
 	Cost       float64
 	Wait       time.Duration // predicted time to the first token
 	Backlog    time.Duration // of the target: until it has read the prompts before this one
+	Gap        time.Duration // of the target: between two events of its streams
 	Holds      int           // tokens of the prompt that the target is likely to hold
 	Age        time.Duration // of what the target last told of its load; negative: nothing
 	RetryAt    time.Time     // with Refuse: when asking again may help
@@ -71,6 +72,7 @@
 	Endpoints []EndpointView // of this data centre
 	Remotes   []RemoteView   // other data centres
 	Excluded  []string       // places tried before
+	Events    float64        // of the request's stream, as its route's usually have; 0: not known
 	Refused   bool           // one of them, of this data centre, refused for its load
 }
 
@@ -92,6 +94,7 @@
 	Why      Reason        // with Away: the reason
 	Back     float64       // seconds until an endpoint that refused for its load may be asked again
 	Failing  float64       // how much more often than its service it answers with a failure, 0 to 1
+	Gap      float64       // seconds between two events of its streams, as observed; 0: not known
 	Backlog  float64       // seconds until it has read the prompts that it was sent before, as predicted
 	Base     float64       // seconds to the first of an answer beside the reading of its prompt
 	Kept     int           // tokens of the request's prompt that it is likely to hold
@@ -108,4 +111,5 @@
 	Age        time.Duration // of the digest
 	Reachable  bool
 	Warmth     float64
+	Gap        float64 // least seconds between two events of a stream there; 0: not known
 }
--- a/outcome.go
+++ b/outcome.go
@@ -32,6 +32,7 @@
 	RetryAt time.Time // when asking again may help; zero: it won't
 	Err     error
 	Begun   bool      // part of an answer went to the caller
+	Events  int       // of a stream, passed on whole
 	First   time.Time // when the first of an answer arrived here; zero: none did
 	// Failure is an endpoint's own answer of a failure that was kept back, as
 	// another attempt may do better.
@@ -122,4 +123,5 @@
 	ReasonCold         Reason = "cold"
 	ReasonSilent       Reason = "endpoint-silent"
 	ReasonNoRoute      Reason = "no-route"
+	ReasonSlow         Reason = "slow"
 )
--- a/process/journal/journal.go
+++ b/process/journal/journal.go
@@ -120,7 +120,7 @@
 	j.log.Info("decision", "request", r.Request, "service", r.Service, "workspace", r.Workspace, "home", r.Home,
 		"decision", r.Decision.Kind.String(), "target", r.Decision.Name, "reason", string(r.Decision.Reason),
 		"cost", r.Decision.Cost, "wait", r.Decision.Wait,
-		"backlog", r.Decision.Backlog, "holds", r.Decision.Holds, "report_age", r.Decision.Age, "looked", r.Decision.Looked,
+		"backlog", r.Decision.Backlog, "holds", r.Decision.Holds, "gap", r.Decision.Gap, "report_age", r.Decision.Age, "looked", r.Decision.Looked,
 		"candidates", candidates(&r.Decision), "revision", r.Revision, "hops", r.Hops, "attempt", r.Attempt)
 }
 
--- a/process/load/learn.go
+++ b/process/load/learn.go
@@ -12,6 +12,7 @@
 	Request string // id
 	Outcome vetchtrail.Outcome
 	Timing  vetchtrail.Timing
+	Route   string
 	Tokens  int  // of the prompt
 	Cancel  bool // the caller left: says nothing of the endpoint
 }
@@ -36,6 +37,7 @@
 		s.failing(1, t.means[s.Service], now)
 	case o.Outcome.Kind == vetchtrail.Answered:
 		s.failing(0, t.means[s.Service], now)
+		t.means[s.Service].sawEvents(o.Route, o.Outcome.Events)
 		s.answered(o, t.means[s.Service], now)
 	case o.Outcome.Reason == vetchtrail.ReasonMisled:
 		s.leaving = now.Add(misledFor)
--- a/process/load/load.go
+++ b/process/load/load.go
@@ -87,6 +87,7 @@
 	reading  map[string]unread // prompts of own requests whose answers have not begun, by request
 	sessions sessions          // whose prompts this host sent here lately
 	cold     coldGate
+	gap      gap
 	fails    average   // share of its answers that were failures of its own
 	failsAt  time.Time // when one was last seen
 	ejected  time.Time // until when, for failures
@@ -104,11 +105,12 @@
 
 // means are a service's, over all its endpoints.
 type means struct {
-	service average // seconds a request occupies a slot
-	token   average // seconds a prompt token takes to the first of the answer
-	prefill fit     // seconds to the first of the answer by tokens read
-	fails   average // share of the answers that were failures of the endpoints
-	prompt  average // tokens that a request makes an endpoint read
+	service average             // seconds a request occupies a slot
+	token   average             // seconds a prompt token takes to the first of the answer
+	prefill fit                 // seconds to the first of the answer by tokens read
+	fails   average             // share of the answers that were failures of the endpoints
+	events  map[string]*average // of a stream, by route
+	prompt  average             // tokens that a request makes an endpoint read
 }
 
 func newMeans() *means {
@@ -116,6 +118,7 @@
 		service: average{value: firstService},
 		token:   average{value: firstPrefill},
 		prefill: newFit(),
+		events:  map[string]*average{},
 	}
 }
 
@@ -205,6 +208,9 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	states := t.services[r.Service]
+	if m, ok := t.means[r.Service]; ok {
+		v.Events = m.usualEvents(r.Route)
+	}
 	session, sticky := r.Session()
 	home := -1
 	if sticky {
@@ -227,7 +233,7 @@
 		Running: s.report.Running, Queued: s.report.Queued, Age: -1,
 		Prefill: m.token.value * notable(1+trust*(s.pace.value-1), s.pace.seen),
 		Service: m.service.value * notable(1+trust*(s.service.value/m.service.value-1), s.service.seen),
-		Warmth:  s.warmth, Failing: s.excess(m, now),
+		Warmth:  s.warmth, Failing: s.excess(m, now), Gap: s.gap.at(now),
 	}
 	if m.prefill.known() {
 		v.Base, v.Prefill = m.prefill.line()
--- /dev/null
+++ b/process/load/pace.go
@@ -0,0 +1,71 @@
+package load
+
+import (
+	"math"
+	"time"
+
+	"vetchtrail"
+)
+
+const (
+	// gapSmoothing is the weight of a new gap between events in their mean: an
+	// endpoint's streams bring some tens of events a second.
+	gapSmoothing = 0.05
+	// gapForget is the time in which a mean that is not renewed falls to 1/e: the
+	// streams that made it have ended since.
+	gapForget = time.Second
+)
+
+// gap is the mean time between two events of an endpoint's streams. It grows
+// with the streams that run there.
+type gap struct {
+	mean float64 // seconds
+	seen time.Time
+}
+
+func (g *gap) observe(d time.Duration, now time.Time) {
+	g.mean = g.at(now)
+	if g.mean == 0 {
+		g.mean = d.Seconds()
+	}
+	g.mean += gapSmoothing * (d.Seconds() - g.mean)
+	g.seen = now
+}
+
+// at is the mean as it is likely to be now; 0: nothing is known.
+func (g *gap) at(now time.Time) float64 {
+	if g.seen.IsZero() {
+		return 0
+	}
+	return g.mean * math.Exp(-max(0, now.Sub(g.seen).Seconds())/gapForget.Seconds())
+}
+
+// Paced implements vetchtrail.Observer.
+func (t *Table) Paced(e vetchtrail.Endpoint, d time.Duration, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if s, ok := t.endpoints[e.Name]; ok {
+		s.gap.observe(d, now)
+	}
+}
+
+// sawEvents learns how many events a route's streams have.
+func (m *means) sawEvents(route string, n int) {
+	if n == 0 {
+		return
+	}
+	a, ok := m.events[route]
+	if !ok {
+		a = &average{}
+		m.events[route] = a
+	}
+	a.observe(float64(n))
+}
+
+func (m *means) usualEvents(route string) float64 {
+	a, ok := m.events[route]
+	if !ok || a.seen < fewSeen {
+		return 0
+	}
+	return a.value
+}
--- a/process/load/summary.go
+++ b/process/load/summary.go
@@ -31,6 +31,7 @@
 	Free    int
 	Slots   int
 	Wait    time.Duration
+	Gap     time.Duration // least between two events of a stream; 0: not known
 }
 
 // Summaries returns one for each service, in no order.
@@ -60,6 +61,9 @@
 			wait += float64(held-v.Slots+1) * v.Service / float64(v.Slots)
 		}
 		best = math.Min(best, wait)
+		if g := time.Duration(v.Gap * float64(time.Second)); sum.Gap == 0 || g < sum.Gap {
+			sum.Gap = g
+		}
 	}
 	if !math.IsInf(best, 1) {
 		sum.Wait = time.Duration(best * float64(time.Second))
--- a/process/membership/digest.go
+++ b/process/membership/digest.go
@@ -138,6 +138,7 @@
 	for _, s := range sums {
 		d.Services = append(d.Services, &schema.ServiceDigest{
 			Service: s.Service, Free: uint32(s.Free), Slots: uint32(s.Slots), WaitMillis: millis(s.Wait),
+			GapMillis: millis(s.Gap),
 		})
 	}
 	return d
--- a/process/membership/membership.go
+++ b/process/membership/membership.go
@@ -318,6 +318,7 @@
 			DataCentre: name, Region: region, Delay: d.delay,
 			Wait: float64(line.GetWaitMillis()) / 1e3, Free: int(line.GetFree()), Own: d.own[service],
 			Age: now.Sub(d.at), Reachable: now.Sub(d.at) < reachableFor && !now.Before(d.avoid), Warmth: d.warmth,
+			Gap: float64(line.GetGapMillis()) / 1e3,
 		})
 	}
 }
--- a/request/policy/plain.go
+++ b/request/policy/plain.go
@@ -69,7 +69,7 @@
 		d.Looked += len(usable)
 		return d
 	}
-	if at, cost := bestRemote(&d, r, v); at >= 0 {
+	if at, cost := bestRemote(&d, now, r, v); at >= 0 {
 		return runElsewhere(&d, at, cost, now, r, v)
 	}
 	if full > 0 {
--- a/request/policy/weighted.go
+++ b/request/policy/weighted.go
@@ -37,6 +37,9 @@
 	// refused: where load is balanced, the next one is as full, and a second
 	// refusal is final.
 	refusedPenalty = 4.0
+	// endShare is the share of the time left that a usual stream may take to its
+	// end: one with twice the events still ends in time.
+	endShare = 0.5
 	// failureCost is what an endpoint's failure costs, in seconds: about the time
 	// of another attempt with a caller's own pause.
 	failureCost = 1.0
@@ -56,6 +59,7 @@
 	lowest int                // endpoint that has it
 	open   int                // endpoints that may take a request now
 	full   int                // that may not for their limit only
+	slow   int                // that would not end the answer in time
 	wait   float64            // shortest predicted wait at those
 	others float64            // requests of other hosts at an endpoint, in the mean
 }
@@ -71,22 +75,22 @@
 	if !now.Before(r.Deadline) {
 		return refuse(&d, vetchtrail.ReasonDeadline, now, 0)
 	}
-	score(&s, &d, r, v)
-	remote, remoteCost := bestRemote(&d, r, v)
+	score(&s, &d, now, r, v)
+	remote, remoteCost := bestRemote(&d, now, r, v)
 	if s.open > 0 && (remote < 0 || s.best*awayMargin <= remoteCost) {
 		return runHere(&d, &s, now, r, v, rnd)
 	}
 	if remote >= 0 && (s.full == 0 || worthLeaving(&s, v, remoteCost)) {
 		return runElsewhere(&d, remote, remoteCost, now, r, v)
 	}
-	if s.full > 0 {
+	if s.full > 0 && s.slow == 0 {
 		return waitHere(&d, &s, now, r, v)
 	}
 	return refuse(&d, refusal(r, v), now, minRetry)
 }
 
 // score finds the cost of each endpoint and the lowest.
-func score(s *scored, d *vetchtrail.Decision, r *vetchtrail.Request, v *vetchtrail.View) {
+func score(s *scored, d *vetchtrail.Decision, now time.Time, r *vetchtrail.Request, v *vetchtrail.View) {
 	s.best, s.wait = math.Inf(1), math.Inf(1)
 	s.others = meanOthers(r, v)
 	for i := range v.Endpoints {
@@ -101,6 +105,12 @@
 			continue
 		}
 		n := load(e, s.others)
+		if endsLate(e.Gap, firstAt(e, r, n), now, r, v) {
+			s.slow++
+			s.hold(i, math.MaxFloat64)
+			d.Note(e.Name, e.Gap, vetchtrail.ReasonSlow)
+			continue
+		}
 		if e.Own >= e.Limit {
 			wait := waitAt(e, n) + e.Service/float64(max(e.Slots, 1))
 			s.full++
@@ -128,6 +138,16 @@
 	}
 }
 
+// endsLate says whether a stream that begins after first seconds, with as many
+// events as its route's usually have, would take too much of the time that its
+// request has. One more stream also slows those that run.
+func endsLate(gap, first float64, now time.Time, r *vetchtrail.Request, v *vetchtrail.View) bool {
+	if r.Route == "" || v.Events == 0 {
+		return false
+	}
+	return first+gap*v.Events > endShare*r.Deadline.Sub(now).Seconds()
+}
+
 // cost returns an endpoint's cost.
 func (s *scored) cost(i int, r *vetchtrail.Request, v *vetchtrail.View) float64 {
 	if i < heldCosts {
@@ -237,7 +257,7 @@
 	}
 	d.Kind, d.Target, d.Name, d.Cost = vetchtrail.RunHere, chosen, e.Name, s.cost(chosen, r, v)
 	d.Reason = vetchtrail.ReasonChosen
-	d.Backlog, d.Holds, d.Age = seconds(e.Backlog), e.Kept, e.Age
+	d.Backlog, d.Holds, d.Age, d.Gap = seconds(e.Backlog), e.Kept, e.Age, seconds(e.Gap)
 	return *d
 }
 
@@ -274,7 +294,7 @@
 }
 
 // bestRemote returns the data centre with the lowest cost; -1: none.
-func bestRemote(d *vetchtrail.Decision, r *vetchtrail.Request, v *vetchtrail.View) (at int, cost float64) {
+func bestRemote(d *vetchtrail.Decision, now time.Time, r *vetchtrail.Request, v *vetchtrail.View) (at int, cost float64) {
 	at, cost = -1, math.Inf(1)
 	for i := range v.Remotes {
 		m := &v.Remotes[i]
@@ -282,6 +302,10 @@
 			d.Note(m.DataCentre, 0, why)
 			continue
 		}
+		if endsLate(m.Gap, 2*m.Delay.Seconds()+m.Wait, now, r, v) {
+			d.Note(m.DataCentre, m.Gap, vetchtrail.ReasonSlow)
+			continue
+		}
 		c := v.Weights.Tail*(2*m.Delay.Seconds()+m.Wait+doubt*m.Age.Seconds()) + awayCost(m, v) + usualCost(r, v)
 		d.Note(m.DataCentre, c, vetchtrail.ReasonCost)
 		if c < cost {
