--- a/request/policy/weighted.go
+++ b/request/policy/weighted.go
@@ -233,7 +233,7 @@
 	if v.Refused {
 		first += refusedPenalty
 	}
-	return v.Weights.Tail*(first+failureCost*e.Failing) + v.Weights.Cost*(prefill+e.Service)
+	return v.Weights.Tail*(first+failureCost*e.Failing) + v.Weights.Cost*(prefill+e.Service) + v.Weights.Read*prefill
 }
 
 // readTime predicts the seconds that an endpoint reads at a request's prompt.
@@ -323,7 +323,7 @@
 	}
 	e := &v.Endpoints[0]
 	whole := float64(r.PromptTokens()) * e.Prefill
-	return v.Weights.Tail*(e.Base+whole+e.Service*wholeShare) + v.Weights.Cost*(whole+e.Service)
+	return v.Weights.Tail*(e.Base+whole+e.Service*wholeShare) + v.Weights.Cost*(whole+e.Service) + v.Weights.Read*whole
 }
 
 // awayCost is what leaving the region costs; going to another data centre of
--- a/schema/convert.go
+++ b/schema/convert.go
@@ -143,7 +143,7 @@
 func fromService(s vetchtrail.Service) *Service {
 	return &Service{
 		Name: s.Name, Kind: uint32(s.Kind), Allowed: s.Allowed,
-		Weights:      &Weights{Tail: s.Weights.Tail, Away: s.Weights.Away, Cost: s.Weights.Cost},
+		Weights:      &Weights{Tail: s.Weights.Tail, Away: s.Weights.Away, Cost: s.Weights.Cost, Read: s.Weights.Read},
 		AnswerWithin: int64(s.AnswerWithin), QueueLimit: int32(s.QueueLimit),
 	}
 }
@@ -152,7 +152,7 @@
 	w := m.GetWeights()
 	return vetchtrail.Service{
 		Name: m.GetName(), Kind: vetchtrail.ServiceKind(m.GetKind()), Allowed: m.GetAllowed(),
-		Weights:      vetchtrail.Weights{Tail: w.GetTail(), Away: w.GetAway(), Cost: w.GetCost()},
+		Weights:      vetchtrail.Weights{Tail: w.GetTail(), Away: w.GetAway(), Cost: w.GetCost(), Read: w.GetRead()},
 		AnswerWithin: time.Duration(m.GetAnswerWithin()), QueueLimit: int(m.GetQueueLimit()),
 	}
 }
--- a/service.go
+++ b/service.go
@@ -44,6 +44,7 @@
 	Tail float64 // on the predicted seconds to the first token
 	Away float64 // seconds added for leaving the caller's region
 	Cost float64 // on the seconds of engine time used
+	Read float64 // on the seconds of reading prompts that an endpoint doesn't hold
 }
 
 // Workspace is a caller's account: a workshop, a notary's office.
--- a/version/document/document.go
+++ b/version/document/document.go
@@ -45,6 +45,7 @@
 	Tail float64 `yaml:"tail"`
 	Away float64 `yaml:"away"`
 	Cost float64 `yaml:"cost"`
+	Read float64 `yaml:"read,omitempty"`
 }
 
 // Endpoint is an endpoint.
--- a/version/rules/apply.go
+++ b/version/rules/apply.go
@@ -139,7 +139,7 @@
 	if s.QueueLimit < 0 {
 		return "queue_limit is below 0"
 	}
-	if s.Weights.Tail < 0 || s.Weights.Away < 0 || s.Weights.Cost < 0 {
+	if s.Weights.Tail < 0 || s.Weights.Away < 0 || s.Weights.Cost < 0 || s.Weights.Read < 0 {
 		return "a weight is below 0"
 	}
 	b.next.services[s.Name] = service{Service: s, allowed: set}
