Endpoints take kept prompts from the session's home instead of reading them again

Engines can take a kept prompt from each other in a millisecond where reading takes 48. Change: the list tells what moving a token takes; a request that goes to an endpoint not known to hold its session names the session's home in the region, or else among those of other regions that the request may go to.

--- a/endpoint.go
+++ b/endpoint.go
@@ -23,6 +23,9 @@
 	// more than ColdRate requests a second.
 	ColdUntil time.Time
 	ColdRate  float64
+	// MoveToken is the seconds that taking over one token of a kept prompt from
+	// another endpoint takes; 0: the endpoint can't.
+	MoveToken float64
 }
 
 // LoadReport is what an endpoint last said of itself.
--- a/process/daemon/hosted.go
+++ b/process/daemon/hosted.go
@@ -78,18 +78,20 @@
 		return
 	}
 	held := d.changes.Rules()
-	var placed []load.Placed
+	var placed, far []load.Placed
 	known := make(map[vetchtrail.Endpoint]bool, len(l.Endpoints))
 	for _, e := range l.Endpoints {
 		known[vetchtrail.Endpoint{Addr: e.Addr, Instance: e.Instance}] = true
+		g, _ := held.Region(e.Region)
 		if e.Region != d.set.Region {
+			far = append(far, load.Placed{Endpoint: e, RegionID: g.ID})
 			continue
 		}
 		e.ColdRate = d.coldPart(e, now)
-		g, _ := held.Region(e.Region)
 		placed = append(placed, load.Placed{Endpoint: e, RegionID: g.ID})
 	}
 	d.table.Configure(placed)
+	d.table.SetFar(far)
 	d.endpoints.Forget(func(e vetchtrail.Endpoint) bool { return known[e] })
 }
 
--- a/process/load/load.go
+++ b/process/load/load.go
@@ -65,6 +65,7 @@
 	shorts    map[uint32]*state
 	means     map[string]*means        // for each service
 	freed     map[string]chan struct{} // for each service, closed when room is made
+	far       map[string][]*state      // endpoints of other regions, for each service: only where prompts are kept
 }
 
 // state is one endpoint's.
@@ -169,6 +170,18 @@
 	}
 }
 
+// SetFar replaces the endpoints that this host does not call, from which those
+// that it does can take kept prompts.
+func (t *Table) SetFar(endpoints []Placed) {
+	far := map[string][]*state{}
+	for _, e := range endpoints {
+		far[e.Service] = append(far[e.Service], &state{Endpoint: e.Endpoint, region: e.RegionID})
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.far = far
+}
+
 // Endpoint returns the configuration of an endpoint that may still be used:
 // known, not draining and not leaving.
 func (t *Table) Endpoint(name string, now time.Time) (vetchtrail.Endpoint, bool) {
@@ -219,8 +232,8 @@
 	for i, s := range states {
 		e := s.view(t.means[r.Service], now)
 		e.Backlog = e.Prefill * s.backlog(r.Priority, t.means[r.Service], now)
-		if sticky && (i == home || s.sessions.holds(session.ID, now)) {
-			e.Kept = r.PromptTokens() - r.Prompt[len(r.Prompt)-1].Tokens
+		if sticky {
+			e.Kept = s.keeps(r, session, i == home, now)
 		}
 		v.Endpoints = append(v.Endpoints, e)
 	}
@@ -291,7 +304,7 @@
 		return false
 	}
 	s.mark(now, 1)
-	s.expect(r, t.means[s.Service], t.services[s.Service], now)
+	t.expect(s, r, now)
 	return true
 }
 
--- a/process/load/prefill.go
+++ b/process/load/prefill.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"net/netip"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -15,6 +16,9 @@
 	keptFor = 30 * time.Second
 	// sessionsMost bounds the sessions remembered for an endpoint.
 	sessionsMost = 1024
+	// moveShare is the share of a kept prompt's reading that is saved by taking it
+	// from another endpoint: moving is quick but priced.
+	moveShare = 0.8
 	// queuedFades is the time in which an endpoint's word of those that wait for
 	// it falls to 1/e: about two prompts.
 	queuedFades = 300 * time.Millisecond
@@ -85,21 +89,58 @@
 	return x ^ x>>31
 }
 
-// expect notes what a request will make the endpoint read.
-func (s *state) expect(r *vetchtrail.Request, m *means, all []*state, now time.Time) {
+// keeps is how many tokens of a request's prompt an endpoint needn't read: those
+// that it is likely to hold, or most of them if it can take them from another.
+func (s *state) keeps(r *vetchtrail.Request, session vetchtrail.PromptPart, home bool, now time.Time) int {
+	shared := r.PromptTokens() - r.Prompt[len(r.Prompt)-1].Tokens
+	switch {
+	case home || s.sessions.holds(session.ID, now):
+		return shared
+	case s.MoveToken > 0:
+		return int(moveShare * float64(shared))
+	}
+	return 0
+}
+
+// expect notes what a request will make the endpoint read, and where it may
+// take from what it lacks.
+func (t *Table) expect(s *state, r *vetchtrail.Request, now time.Time) {
+	r.PromptFrom = netip.AddrPort{}
 	tokens := r.PromptTokens()
 	if tokens == 0 {
 		return
 	}
 	if session, ok := r.Session(); ok {
+		all := t.services[s.Service]
 		home := homeOf(all, session.ID, now)
-		if s.sessions.holds(session.ID, now) || (home >= 0 && all[home] == s) {
+		atHome := home >= 0 && all[home] == s
+		if !s.sessions.holds(session.ID, now) {
+			r.PromptFrom = t.holder(s, r, session.ID, now)
+		}
+		if atHome || r.PromptFrom.IsValid() || s.sessions.holds(session.ID, now) {
 			tokens = r.Prompt[len(r.Prompt)-1].Tokens
 		}
 		s.sessions.use(session.ID, now)
 	}
 	s.reading[r.ID] = unread{tokens: tokens, priority: r.Priority}
-	m.prompt.observe(float64(tokens))
+	t.means[s.Service].prompt.observe(float64(tokens))
+}
+
+// holder is the endpoint that most likely holds a session's prompt beside s: the
+// home of the session in this region, or its home among all.
+func (t *Table) holder(s *state, r *vetchtrail.Request, session uint64, now time.Time) netip.AddrPort {
+	if s.MoveToken == 0 {
+		return netip.AddrPort{}
+	}
+	near := t.services[s.Service]
+	if home := homeOf(near, session, now); home >= 0 && near[home] != s {
+		return near[home].Addr
+	}
+	far := t.far[s.Service]
+	if home := homeOf(far, session, now); home >= 0 && r.Allowed.Has(far[home].region) {
+		return far[home].Addr
+	}
+	return netip.AddrPort{}
 }
 
 // unread is a prompt that an endpoint was sent and has still to read.
--- a/request.go
+++ b/request.go
@@ -1,6 +1,9 @@
 package vetchtrail
 
-import "time"
+import (
+	"net/netip"
+	"time"
+)
 
 // MaxHops is how many times a request may be passed from host to host.
 const MaxHops = 1
@@ -37,6 +40,9 @@
 	Resumable bool         // its stream may go on at another endpoint
 	LastEvent string       // id of the last event that its caller has
 	Begun     bool         // part of its answer went to the caller: only a stream that goes on may follow
+	// PromptFrom is where the endpoint that runs it may take the kept parts of its
+	// prompt from; not valid: nowhere.
+	PromptFrom netip.AddrPort
 	// Patience is until when it may wait for room: a caller that is refused
 	// early can still be served in time elsewhere. Zero: until its deadline.
 	Patience time.Time
