--- /dev/null
+++ b/process/load/prefill_test.go
@@ -0,0 +1,191 @@
+package load
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"vetchtrail"
+)
+
+func addrOf(last byte) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, last}), 80)
+}
+
+// models is a table with endpoints here and elsewhere that take prompts from
+// each other.
+func models(moveToken float64) *Table {
+	t := New()
+	var near []Placed
+	for i := range 3 {
+		near = append(near, Placed{Endpoint: vetchtrail.Endpoint{
+			Name: string(rune('a' + i)), Service: "s", Slots: 8, Addr: addrOf(byte(i + 1)), MoveToken: moveToken,
+		}})
+	}
+	t.Configure(near)
+	t.SetFar([]Placed{{RegionID: 2, Endpoint: vetchtrail.Endpoint{Name: "far", Service: "s", Slots: 8, Addr: addrOf(9), MoveToken: moveToken}}})
+	return t
+}
+
+func asking(id string, session uint64, priority int8) *vetchtrail.Request {
+	return &vetchtrail.Request{
+		ID: id, Service: "s", Allowed: vetchtrail.AllRegions, Priority: priority,
+		Prompt: []vetchtrail.PromptPart{{ID: 1, Tokens: 500}, {ID: session, Tokens: 4000}, {ID: 77, Tokens: 6000}},
+	}
+}
+
+func views(t *Table, r *vetchtrail.Request) map[string]vetchtrail.EndpointView {
+	var v vetchtrail.View
+	t.Fill(&v, r, now)
+	out := map[string]vetchtrail.EndpointView{}
+	for _, e := range v.Endpoints {
+		out[e.Name] = e
+	}
+	return out
+}
+
+// home is the endpoint here that is believed to hold all that a session shares.
+func home(t *Table, session uint64) string {
+	for name, e := range views(t, asking("look", session, 0)) {
+		if e.Kept == 4500 {
+			return name
+		}
+	}
+	return ""
+}
+
+// TestPromptFrom: where an endpoint is told to take a kept prompt from.
+func TestPromptFrom(t *testing.T) {
+	const session = 5
+	at := home(models(1e-7), session)
+	other := "a"
+	if at == "a" {
+		other = "b"
+	}
+	cases := map[string]struct {
+		move    float64
+		target  string
+		allowed vetchtrail.RegionSet
+		before  bool // the target was sent the session a moment ago
+		want    netip.AddrPort
+	}{
+		"beside the home: from it":           {1e-7, other, vetchtrail.AllRegions, false, addrOf(at[0] - 'a' + 1)},
+		"at the home: from elsewhere":        {1e-7, at, vetchtrail.AllRegions, false, addrOf(9)},
+		"not from where it may not be kept":  {1e-7, at, vetchtrail.RegionsOf(0), false, netip.AddrPort{}},
+		"not where it was sent a moment ago": {1e-7, at, vetchtrail.AllRegions, true, netip.AddrPort{}},
+		"not by endpoints that can't":        {0, other, vetchtrail.AllRegions, false, netip.AddrPort{}},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			tab := models(c.move)
+			if c.before {
+				assert.Assert(t, tab.Acquire(c.target, asking("before", session, 0), now))
+			}
+			r := asking("r", session, 0)
+			r.Allowed = c.allowed
+			assert.Assert(t, tab.Acquire(c.target, r, now))
+			assert.Equal(t, r.PromptFrom, c.want)
+		})
+	}
+}
+
+// TestHomesAgree: hosts with the same list give a session the same home, and
+// sessions spread over the endpoints.
+func TestHomesAgree(t *testing.T) {
+	seen := map[string]int{}
+	for session := range uint64(300) {
+		at := home(models(1e-7), session+10)
+		assert.Equal(t, at, home(models(1e-7), session+10))
+		seen[at]++
+	}
+	for name, n := range seen {
+		assert.Assert(t, n > 60, "%s is home to %d of 300", name, n)
+	}
+	assert.Equal(t, len(seen), 3)
+}
+
+// TestBacklog: a request waits for the prompts that its endpoint reads before
+// it, no longer once their answers have begun or they have ended.
+func TestBacklog(t *testing.T) {
+	e := vetchtrail.Endpoint{Name: "a"}
+	cases := map[string]struct {
+		do       func(t *Table)
+		priority int8
+		waits    bool
+	}{
+		"idle":                {func(*Table) {}, 0, false},
+		"one of its rank":     {func(t *Table) { t.Acquire("a", asking("x", 3, 0), now) }, 0, true},
+		"one more urgent":     {func(t *Table) { t.Acquire("a", asking("x", 3, 1), now) }, 0, true},
+		"one less urgent":     {func(t *Table) { t.Acquire("a", asking("x", 3, -1), now) }, 0, false},
+		"its answer began":    {func(t *Table) { t.Acquire("a", asking("x", 3, 0), now); t.Started(e, asking("x", 3, 0), now) }, 0, false},
+		"it ended":            {func(t *Table) { t.Acquire("a", asking("x", 3, 0), now); t.Release("a", Observation{Request: "x"}, now) }, 0, false},
+		"others' by its word": {func(t *Table) { t.Told(e, vetchtrail.LoadReport{At: now, Queued: 4}) }, 0, true},
+		"others' long ago": {func(t *Table) {
+			t.Told(e, vetchtrail.LoadReport{At: now.Add(-time.Minute), Queued: 4})
+		}, 0, false},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			tab := models(0)
+			for i := range fitFew { // so that reading times are known
+				tab.means["s"].prefill.observe(float64(1000*(i+1)), 0.01*float64(i+1))
+			}
+			tab.means["s"].prompt.observe(5000)
+			c.do(tab)
+			assert.Equal(t, views(tab, asking("r", 4, c.priority))["a"].Backlog > 0.001, c.waits)
+		})
+	}
+}
+
+// TestFit: seconds are told apart into those of the tokens and the rest.
+func TestFit(t *testing.T) {
+	f := newFit()
+	for i := range 400 {
+		tokens := float64(1000 + i%10*1000)
+		f.observe(tokens, 0.05+tokens*9e-6)
+	}
+	base, token := f.line()
+	assert.Assert(t, base > 0.045 && base < 0.055, "%g", base)
+	assert.Assert(t, token > 8.5e-6 && token < 9.5e-6, "%g", token)
+}
+
+// TestGap: the time between events follows what is seen and fades when nothing
+// is.
+func TestGap(t *testing.T) {
+	var g gap
+	assert.Equal(t, g.at(now), 0.0)
+	at := now
+	for range 200 {
+		at = at.Add(10 * time.Millisecond)
+		g.observe(100*time.Millisecond, at)
+	}
+	assert.Assert(t, g.at(at) > 0.08 && g.at(at) <= 0.1, "%g", g.at(at))
+	assert.Assert(t, g.at(at.Add(5*time.Second)) < 0.002)
+}
+
+// TestColdGate: a cold endpoint gets no more than this host's part.
+func TestColdGate(t *testing.T) {
+	cases := map[string]struct {
+		rate float64
+		want int // requests let through in 4 s of trying, of which 3 s are cold
+	}{
+		"not bounded":    {0, 400},
+		"a part":         {1, 3 + 100},
+		"no part at all": {-1, 100},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			var g coldGate
+			g.configure(now.Add(3*time.Second), c.rate)
+			n := 0
+			for i := range 400 {
+				if g.take(now.Add(time.Duration(i) * 10 * time.Millisecond)) {
+					n++
+				}
+			}
+			assert.Equal(t, n, c.want)
+		})
+	}
+}
--- a/request/policy/policy_test.go
+++ b/request/policy/policy_test.go
@@ -43,6 +43,11 @@
 func TestWeighted(t *testing.T) {
 	full := func(e *vetchtrail.EndpointView) { e.Own = e.Limit }
 	busy := func(e *vetchtrail.EndpointView) { e.Running, e.Queued = 8, 16 }
+	slow := func(e *vetchtrail.EndpointView) { e.Gap = 0.1 }
+	stream := func(r *vetchtrail.Request) {
+		r.Route, r.Stream = "r", true
+		r.Prompt = []vetchtrail.PromptPart{{ID: 1, Tokens: 9000}, {ID: 2, Tokens: 1000}}
+	}
 	away := vetchtrail.Weights{Tail: 1, Away: 3}
 	tail := vetchtrail.Weights{Tail: 1, Away: 0.1}
 	cases := map[string]struct {
@@ -51,6 +56,7 @@
 		endpoints []vetchtrail.EndpointView
 		remotes   []vetchtrail.RemoteView
 		excluded  []string
+		events    float64
 		kind      vetchtrail.DecisionKind
 		name      string
 		reason    vetchtrail.Reason
@@ -106,6 +112,36 @@
 			})},
 			kind: vetchtrail.WaitHere, reason: vetchtrail.ReasonFull,
 		},
+		"a stream that would end late is refused at once": {
+			request: stream, weights: tail, events: 50, endpoints: []vetchtrail.EndpointView{endpoint("a", slow)},
+			kind: vetchtrail.Refuse, reason: vetchtrail.ReasonOverCapacity,
+		},
+		"a short one is not": {
+			request: stream, weights: tail, events: 3, endpoints: []vetchtrail.EndpointView{endpoint("a", slow)},
+			kind: vetchtrail.RunHere, name: "a", reason: vetchtrail.ReasonChosen,
+		},
+		"it goes where streams are quicker": {
+			request: stream, weights: tail, events: 50, endpoints: []vetchtrail.EndpointView{endpoint("a", slow)},
+			remotes: []vetchtrail.RemoteView{
+				remote("x", func(m *vetchtrail.RemoteView) { m.Gap = 0.1 }), remote("y", func(m *vetchtrail.RemoteView) { m.Gap = 0.01 }),
+			},
+			kind: vetchtrail.RunElsewhere, name: "y", reason: vetchtrail.ReasonChosen,
+		},
+		"where its prompt is kept, though another is idle": {
+			request: stream, weights: vetchtrail.Weights{Tail: 1, Read: 3},
+			endpoints: []vetchtrail.EndpointView{endpoint("a", func(e *vetchtrail.EndpointView) { e.Kept, e.Backlog = 9000, 1 }), endpoint("b", nil)},
+			kind:      vetchtrail.RunHere, name: "a", reason: vetchtrail.ReasonChosen,
+		},
+		"one that fails often is passed over": {
+			weights: tail, endpoints: []vetchtrail.EndpointView{endpoint("a", func(e *vetchtrail.EndpointView) { e.Failing = 0.4 }), endpoint("b", nil)},
+			kind: vetchtrail.RunHere, name: "b", reason: vetchtrail.ReasonChosen,
+		},
+		"a cold one that was given enough is waited for": {
+			weights: tail, endpoints: []vetchtrail.EndpointView{endpoint("a", func(e *vetchtrail.EndpointView) {
+				e.Away, e.Why, e.Back = true, vetchtrail.ReasonCold, 0.2
+			})},
+			kind: vetchtrail.WaitHere, reason: vetchtrail.ReasonFull,
+		},
 		"nowhere to go": {
 			weights: tail, remotes: []vetchtrail.RemoteView{remote("x", func(m *vetchtrail.RemoteView) { m.Reachable = false })},
 			kind: vetchtrail.Refuse, reason: vetchtrail.ReasonUnreachable,
@@ -123,7 +159,7 @@
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
-			v := &vetchtrail.View{Region: 1, Weights: c.weights, Endpoints: c.endpoints, Remotes: c.remotes, Excluded: c.excluded}
+			v := &vetchtrail.View{Region: 1, Weights: c.weights, Endpoints: c.endpoints, Remotes: c.remotes, Excluded: c.excluded, Events: c.events}
 			d := Weighted{}.Decide(now, request(c.request), v, rand.New(rand.NewPCG(1, 1)))
 			assert.Equal(t, d.Kind, c.kind)
 			assert.Equal(t, d.Name, c.name)
