--- a/cmd/vetchtraild/serve.go
+++ b/cmd/vetchtraild/serve.go
@@ -73,7 +73,7 @@
 		Feed:     platform.NewFeed(platform.FeedConfig{Store: s.Platform.Store, Places: s.Platform.DataCentres, Log: log}),
 		Registry: platform.NewRegistry(s.Platform.Store, log),
 		Dialect:  platform.Dialect{},
-		Directory: func(m *membership.Membership, homes func(string) []string) daemon.Directory {
+		Directory: func(m *membership.Membership, homes func(string) ([]string, bool)) daemon.Directory {
 			return platform.NewDirectory(m, homes)
 		},
 	}
--- a/connection/peer/client.go
+++ b/connection/peer/client.go
@@ -30,6 +30,10 @@
 	callTime   = 2 * time.Second
 	idleFor    = 30 * time.Second
 	idleEach   = 16 // idle connections kept for a host
+	// onceIdle is how long a connection may have rested when it takes a request
+	// that may not run twice. One that is closed in order is noticed; a host that
+	// loses its power says nothing, and what is sent to it then is lost.
+	onceIdle = 3 * time.Second
 	lateAnswer = 500 * time.Millisecond
 	// stallTime is how long a forwarded answer that has begun may pause.
 	stallTime = 30 * time.Second
@@ -53,6 +57,7 @@
 	cfg    Config
 	dialer net.Dialer
 	pool   *drpcpool.Pool[netip.AddrPort, *drpcconn.Conn]
+	once   *drpcpool.Pool[netip.AddrPort, *drpcconn.Conn] // for requests that may not run twice
 }
 
 // New returns a client without connections.
@@ -61,11 +66,15 @@
 		cfg:    c,
 		dialer: net.Dialer{Timeout: dialTime},
 		pool:   drpcpool.New[netip.AddrPort, *drpcconn.Conn](drpcpool.Options{Expiration: idleFor, KeyCapacity: idleEach}),
+		once:   drpcpool.New[netip.AddrPort, *drpcconn.Conn](drpcpool.Options{Expiration: onceIdle, KeyCapacity: idleEach}),
 	}
 }
 
 // Close closes idle connections.
-func (c *Client) Close() { _ = c.pool.Close() }
+func (c *Client) Close() {
+	_ = c.pool.Close()
+	_ = c.once.Close()
+}
 
 func options() drpcconn.Options {
 	return drpcconn.Options{Manager: drpcmanager.Options{
@@ -150,14 +159,9 @@
 	defer cancel()
 	late := time.AfterFunc(time.Until(r.Deadline)+lateAnswer, cancel)
 	defer late.Stop()
-	client, closer, err := c.forForward(ctx, h, r)
-	if err != nil {
-		return lost(vetchtrail.NotRun, vetchtrail.StepConnect, vetchtrail.ReasonUnreachable, h, err)
-	}
-	defer closer()
 	m := schema.FromRequest(r, time.Now())
 	m.Hops++
-	stream, err := client.Forward(ctx, m)
+	stream, err := c.forwards(ctx, h, r).Forward(ctx, m)
 	if err != nil {
 		return sendFault(h, err)
 	}
@@ -165,17 +169,12 @@
 	return receive(stream, h, a, late)
 }
 
-// forForward returns a client on a new connection if the request may not run
-// twice: whether a pooled one still stands can't be known before writing.
-func (c *Client) forForward(ctx context.Context, h vetchtrail.Host, r *vetchtrail.Request) (schema.DRPCPeersClient, func(), error) {
+// forwards returns the client that a request is passed on with.
+func (c *Client) forwards(ctx context.Context, h vetchtrail.Host, r *vetchtrail.Request) schema.DRPCPeersClient {
 	if r.Repeats {
-		return c.peers(ctx, h.Peers), func() {}, nil
-	}
-	conn, err := c.dial(ctx, h.Peers)
-	if err != nil {
-		return nil, nil, err
+		return c.peers(ctx, h.Peers)
 	}
-	return schema.NewDRPCPeersClient(conn), func() { _ = conn.Close() }, nil
+	return schema.NewDRPCPeersClient(c.once.Get(ctx, h.Peers, c.dial))
 }
 
 func sendFault(h vetchtrail.Host, err error) vetchtrail.Outcome {
--- a/process/daemon/daemon.go
+++ b/process/daemon/daemon.go
@@ -59,7 +59,7 @@
 	Feed      vetchtrail.Feed
 	Registry  vetchtrail.Registry
 	Dialect   vetchtrail.Dialect
-	Directory func(m *membership.Membership, homes func(name string) []string) Directory
+	Directory func(m *membership.Membership, homes func(name string) (regions []string, known bool)) Directory
 }
 
 // Directory answers callers that ask which hosts to use, and the platform's
@@ -89,6 +89,7 @@
 	endpoints  *endpoint.Caller
 	listing    atomic.Pointer[vetchtrail.Listing]
 	timing     atomic.Pointer[settings.Timing]
+	inForce    atomic.Uint64 // revision that all parts of the host hold; what others are told
 
 	leave   chan struct{} // closed when the host is to leave
 	leaving sync.Once
@@ -108,7 +109,7 @@
 	}
 	d.changes = changelog.New(changelog.Config{Store: store.New(store.Config{Addr: d.set.Platform.Store}), Log: d.log})
 	d.membership = membership.New(membership.Config{
-		Self: d.self, Seeds: d.set.Seeds, Load: d.table, Revision: d.changes.Revision, Log: d.log, Seed: d.seed(),
+		Self: d.self, Seeds: d.set.Seeds, Load: d.table, Revision: d.inForce.Load, Log: d.log, Seed: d.seed(),
 	})
 	d.journal = journal.New(journal.Config{Log: d.log})
 	if err := d.newTLS(); err != nil {
@@ -139,7 +140,10 @@
 	var dialect vetchtrail.Dialect
 	if d.hosted != nil {
 		dialect = d.hosted.Dialect
-		d.directory = d.hosted.Directory(d.membership, func(name string) []string { return d.changes.Rules().HomesOf(name) })
+		d.directory = d.hosted.Directory(d.membership, func(name string) ([]string, bool) {
+			held := d.changes.Rules()
+			return held.HomesOf(name), held.Revision() > 0
+		})
 	}
 	d.endpoints = endpoint.New(endpoint.Config{
 		Dialect: dialect, Observer: d.table,
@@ -356,6 +360,7 @@
 			placed = append(placed, load.Placed{Endpoint: e, RegionID: g.ID})
 		}
 		d.table.Configure(placed)
+		d.inForce.Store(held.Revision())
 		select {
 		case <-ctx.Done():
 		case <-grown:
--- a/process/daemon/hosted.go
+++ b/process/daemon/hosted.go
@@ -75,9 +75,11 @@
 func (d *Daemon) place(now time.Time) {
 	l := d.listing.Load()
 	if l == nil {
+		d.inForce.Store(d.changes.Revision())
 		return
 	}
 	held := d.changes.Rules()
+	defer d.inForce.Store(held.Revision())
 	var placed, far []load.Placed
 	known := make(map[vetchtrail.Endpoint]bool, len(l.Endpoints))
 	for _, e := range l.Endpoints {
--- a/process/membership/digest.go
+++ b/process/membership/digest.go
@@ -117,12 +117,13 @@
 
 // ownDigest is what this data centre tells the others.
 func (m *Membership) ownDigest(now time.Time) *schema.Digest {
+	revision := m.cfg.Revision() // before what it brought about
 	sums := m.cfg.Load.Summaries(now)
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	d := &schema.Digest{
 		DataCentre: m.self.DataCentre, Region: m.self.Region,
-		Sequence: uint64(now.UnixNano()), Revision: m.cfg.Revision(),
+		Sequence: uint64(now.UnixNano()), Revision: revision,
 	}
 	for _, h := range m.hosts(now) {
 		if h.State > vetchtrail.HostLeaving {
--- a/scenario/commands_test.go
+++ b/scenario/commands_test.go
@@ -59,7 +59,7 @@
 	for _, h := range s.d.Hosts { // all know all data centres
 		err := s.fleet.Await(context.Background(), "data centres seen from "+h.Host, func() bool {
 			out, err := s.tool(ts, h.Host, "status", "--output=json")
-			return err == nil && strings.Count(out, `"reachable": true`) == len(s.d.Spec.Regions)-1
+			return err == nil && strings.Count(out, `"reachable": true`) == len(s.d.Spec.Regions)-1 && !heldBack(out)
 		})
 		if err != nil {
 			return err
@@ -68,6 +68,26 @@
 	return nil
 }
 
+// heldBack says whether a status tells of a data centre whose last digest was
+// made before the configuration was in force there: it names no services yet, so
+// that nothing is passed on to it.
+func heldBack(status string) bool {
+	var told struct {
+		DataCentres []struct {
+			Revision json.Number `json:"revision"`
+		} `json:"data_centres"`
+	}
+	if json.Unmarshal([]byte(status), &told) != nil {
+		return true
+	}
+	for _, c := range told.DataCentres {
+		if c.Revision == "" || c.Revision == "0" {
+			return true
+		}
+	}
+	return false
+}
+
 // inForce: inforce revision=N [except=REGION]: waits until the hosts hold it
 func (s *script) inForce(ts *testscript.TestScript, args []string) error {
 	o := parse(args)
