--- a/request/policy/weighted.go
+++ b/request/policy/weighted.go
@@ -43,6 +43,9 @@
 	// failureCost is what an endpoint's failure costs, in seconds: about the time
 	// of another attempt with a caller's own pause.
 	failureCost = 1.0
+	// backShare is the share of the time left after which the caller of a refused
+	// request may come back: callers heed up to a third.
+	backShare = 0.25
 	// minRetry and maxRetry bound the time to come back that a refusal names.
 	minRetry = 200 * time.Millisecond
 	maxRetry = 30 * time.Second
@@ -86,7 +89,7 @@
 	if s.full > 0 && s.slow == 0 {
 		return waitHere(&d, &s, now, r, v)
 	}
-	return refuse(&d, refusal(r, v), now, minRetry)
+	return refuse(&d, refusal(r, v), now, backAfter(now, r))
 }
 
 // score finds the cost of each endpoint and the lowest.
@@ -400,6 +403,16 @@
 	return why
 }
 
+// backAfter is when the caller of a request that finds no room may come back. A
+// shortage lasts for seconds and callers ask again only once or twice: those of
+// routes are told a good part of the time that they have.
+func backAfter(now time.Time, r *vetchtrail.Request) time.Duration {
+	if r.Route == "" {
+		return minRetry
+	}
+	return max(minRetry, time.Duration(backShare*float64(r.Deadline.Sub(now))))
+}
+
 func refuse(d *vetchtrail.Decision, why vetchtrail.Reason, now time.Time, after time.Duration) vetchtrail.Decision {
 	d.Kind, d.Reason = vetchtrail.Refuse, why
 	d.RetryAt = now.Add(min(max(after, minRetry), maxRetry))
