Endpoints that have gone silent are left, and requests that may run again leave them

Change: an endpoint that says nothing on all its streams for ten usual gaps gets nothing new, attempts that may run again give it up, and connections it does not take are tried again after 1, 2, 4 and 8 s.

--- a/answer.go
+++ b/answer.go
@@ -29,6 +29,8 @@
 	Started(e Endpoint, r *Request, now time.Time)
 	// Paced tells the time between two events of a stream from an endpoint.
 	Paced(e Endpoint, gap time.Duration, now time.Time)
+	// Silent says whether an endpoint has stopped talking though it runs streams.
+	Silent(e Endpoint, now time.Time) bool
 	// Told tells what an endpoint said of its load in an answer.
 	Told(e Endpoint, l LoadReport)
 }
--- a/connection/endpoint/endpoint.go
+++ b/connection/endpoint/endpoint.go
@@ -109,6 +109,8 @@
 
 func (t *attempt) run(ctx context.Context) (o vetchtrail.Outcome, reusable bool) {
 	_ = t.conn.SetDeadline(t.req.Deadline)
+	t.conn.silent = t.silent()
+	defer func() { t.conn.silent = nil }()
 	if err := t.send(); err != nil {
 		if t.conn.written == 0 {
 			return t.notRun(vetchtrail.StepSend, vetchtrail.ReasonUnreachable, err), false
@@ -149,6 +151,15 @@
 	}, t.reusable()
 }
 
+// silent returns the question that a request which may run again asks while it
+// waits: such a one does not wait for an endpoint that has gone silent.
+func (t *attempt) silent() func() bool {
+	if !t.req.Repeats || t.req.Route == "" || t.of.cfg.Observer == nil {
+		return nil
+	}
+	return func() bool { return t.of.cfg.Observer.Silent(t.to, time.Now()) }
+}
+
 // send writes the request.
 func (t *attempt) send() error {
 	req := fasthttp.AcquireRequest()
--- a/connection/endpoint/pool.go
+++ b/connection/endpoint/pool.go
@@ -5,11 +5,14 @@
 	"context"
 	"net"
 	"net/netip"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"vetchtrail"
 	"vetchtrail/connection/probe"
 )
@@ -26,6 +29,9 @@
 	// that may not run twice: endpoints forget idle connections without a word,
 	// and such a request is then lost.
 	onceIdle = 3 * time.Second
+	// silenceLook is how often a waiting attempt asks whether its endpoint has gone
+	// silent.
+	silenceLook = 200 * time.Millisecond
 	// Probes that find a connection to a host that has gone silent.
 	keepIdle     = time.Second
 	keepInterval = time.Second
@@ -54,6 +60,44 @@
 	written int
 	idleFor time.Duration // as the endpoint announced it
 	rested  time.Time     // since when it is idle
+
+	deadline time.Time   // of reads
+	silent   func() bool // nil: reads wait to their deadline
+}
+
+// errSilent says that the endpoint says nothing on any of its connections.
+var errSilent = errors.New("the endpoint has gone silent")
+
+// SetDeadline implements net.Conn.
+func (c *conn) SetDeadline(t time.Time) error {
+	c.deadline = t
+	return c.Conn.SetDeadline(t)
+}
+
+// Read implements io.Reader. While it waits it asks now and then whether waiting
+// is of use.
+func (c *conn) Read(p []byte) (int, error) {
+	if c.silent == nil {
+		return c.Conn.Read(p)
+	}
+	defer func() { _ = c.SetReadDeadline(c.deadline) }()
+	for {
+		_ = c.SetReadDeadline(earlier(time.Now().Add(silenceLook), c.deadline))
+		n, err := c.Conn.Read(p)
+		switch {
+		case n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) || !time.Now().Before(c.deadline):
+			return n, err
+		case c.silent():
+			return 0, errSilent
+		}
+	}
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
 }
 
 // Write implements io.Writer.
@@ -109,7 +153,9 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: nc, in: bufio.NewReaderSize(nc, readBuffer), idleFor: idleFor}, nil
+	c := &conn{Conn: nc, idleFor: idleFor}
+	c.in = bufio.NewReaderSize(c, readBuffer)
+	return c, nil
 }
 
 func (p *pool) take(at place) *conn {
--- a/connection/peer/client.go
+++ b/connection/peer/client.go
@@ -26,14 +26,14 @@
 	// ServerName is the name in the certificates of all hosts.
 	ServerName = "vetchtrail"
 
-	dialTime   = time.Second
-	callTime   = 2 * time.Second
-	idleFor    = 30 * time.Second
-	idleEach   = 16 // idle connections kept for a host
+	dialTime = time.Second
+	callTime = 2 * time.Second
+	idleFor  = 30 * time.Second
+	idleEach = 16 // idle connections kept for a host
 	// onceIdle is how long a connection may have rested when it takes a request
 	// that may not run twice. One that is closed in order is noticed; a host that
 	// loses its power says nothing, and what is sent to it then is lost.
-	onceIdle = 3 * time.Second
+	onceIdle   = 3 * time.Second
 	lateAnswer = 500 * time.Millisecond
 	// stallTime is how long a forwarded answer that has begun may pause.
 	stallTime = 30 * time.Second
--- a/process/load/learn.go
+++ b/process/load/learn.go
@@ -13,6 +13,7 @@
 	Outcome vetchtrail.Outcome
 	Timing  vetchtrail.Timing
 	Route   string
+	Stream  bool
 	Tokens  int  // of the prompt
 	Cancel  bool // the caller left: says nothing of the endpoint
 }
@@ -27,6 +28,9 @@
 	}
 	s.mark(now, -1)
 	delete(s.reading, o.Request)
+	if o.Stream && !o.Timing.First.IsZero() {
+		s.streams--
+	}
 	t.wake(s.Service)
 	if o.Outcome.Cold > 0 {
 		s.cold.configure(now.Add(o.Outcome.Cold), s.ColdRate)
@@ -45,7 +49,8 @@
 		s.limit = math.Max(1, s.limit*limitCut)
 		s.avoid(vetchtrail.ReasonRefused, earlier(o.Outcome.RetryAt, now.Add(refusedMost)))
 	case o.Outcome.Step == vetchtrail.StepConnect:
-		s.avoid(vetchtrail.ReasonUnreachable, now.Add(downFor))
+		s.avoid(vetchtrail.ReasonUnreachable, now.Add(min(downFor<<min(s.downs, downShifts), downMost)))
+		s.downs++
 		s.warmth = coldStart
 	case o.Outcome.Kind == vetchtrail.NotRun: // kept back here
 	default:
@@ -54,7 +59,7 @@
 }
 
 func (s *state) answered(o Observation, m *means, now time.Time) {
-	s.failures, s.ejects = 0, 0
+	s.failures, s.ejects, s.downs = 0, 0, 0
 	s.warmth = math.Min(1, s.warmth+warmStep)
 	first := o.Timing.First.Sub(o.Timing.Sent).Seconds()
 	whole := o.Timing.Done.Sub(o.Timing.Sent).Seconds()
@@ -70,6 +75,9 @@
 	s.adapt(first)
 }
 
+// downShifts bounds the doublings of downFor.
+const downShifts = 8
+
 // firstFailure is the lowest status by which an endpoint says that it failed.
 const firstFailure = 500
 
--- a/process/load/load.go
+++ b/process/load/load.go
@@ -37,9 +37,11 @@
 	// first byte to be taken as held back: beyond what requests differ by.
 	heldBack   = 4.0
 	failuresTo = 3 // failures in a row until an endpoint is ejected
-	// downFor is how long an endpoint that refuses connections is left alone;
-	// the next report puts it back sooner.
-	downFor = time.Second
+	// downFor is how long an endpoint that refuses connections is left alone at
+	// first, twice as long each time up to downMost; the next report puts it back
+	// sooner.
+	downFor  = time.Second
+	downMost = 8 * time.Second
 	// refusedMost bounds how long an endpoint's own refusal is heeded.
 	refusedMost = 5 * time.Second
 	// misledFor is how long an endpoint is left alone whose address turned out to
@@ -89,6 +91,9 @@
 	sessions sessions          // whose prompts this host sent here lately
 	cold     coldGate
 	gap      gap
+	streams  int       // own streams that have begun
+	heard    time.Time // when anything came from it last
+	downs    int       // connections in a row that it did not take
 	fails    average   // share of its answers that were failures of its own
 	failsAt  time.Time // when one was last seen
 	ejected  time.Time // until when, for failures
@@ -262,6 +267,8 @@
 		v.Away, v.Why = true, vetchtrail.ReasonEjected
 	case now.Before(s.backOff):
 		v.Away, v.Why, v.Back = true, s.backWhy, s.backOff.Sub(now).Seconds()
+	case s.silent(now):
+		v.Away, v.Why = true, vetchtrail.ReasonSilent
 	case !s.cold.open(now):
 		v.Away, v.Why, v.Back = true, vetchtrail.ReasonCold, s.cold.wait(now).Seconds()
 	}
--- a/process/load/pace.go
+++ b/process/load/pace.go
@@ -40,12 +40,39 @@
 	return g.mean * math.Exp(-max(0, now.Sub(g.seen).Seconds())/gapForget.Seconds())
 }
 
+const (
+	// silentGaps is how many times the usual gap an endpoint may say nothing on
+	// all its streams before it is taken as silent, and silentLeast the least such
+	// time: a long prompt holds its streams up for some hundred milliseconds.
+	silentGaps  = 10
+	silentLeast = 700 * time.Millisecond
+)
+
+// silent says whether the endpoint runs streams of this host and has said
+// nothing on any of them for long. A new request would wait as they do.
+func (s *state) silent(now time.Time) bool {
+	if s.streams == 0 {
+		return false
+	}
+	patience := max(silentLeast, time.Duration(silentGaps*s.gap.mean*float64(time.Second)))
+	return now.Sub(s.heard) > patience
+}
+
+// Silent implements vetchtrail.Observer.
+func (t *Table) Silent(e vetchtrail.Endpoint, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s, ok := t.endpoints[e.Name]
+	return ok && s.silent(now)
+}
+
 // Paced implements vetchtrail.Observer.
 func (t *Table) Paced(e vetchtrail.Endpoint, d time.Duration, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if s, ok := t.endpoints[e.Name]; ok {
 		s.gap.observe(d, now)
+		s.heard = now
 	}
 }
 
--- a/process/load/prefill.go
+++ b/process/load/prefill.go
@@ -191,6 +191,10 @@
 	if !ok {
 		return
 	}
+	s.heard = now
+	if r.Stream {
+		s.streams++
+	}
 	read, waited := s.reading[r.ID]
 	if !waited {
 		return
