--- a/process/membership/membership.go
+++ b/process/membership/membership.go
@@ -33,7 +33,7 @@
 	// standby is the age of a digest at which the second host for its data centre
 	// swaps for it: the first may be slow or cut off from it.
 	standby       = 5 * SwapTick / 2
-	reachableFor  = 5 * time.Second
+	reachableFor  = 3 * time.Second
 	leavingFor    = 10 * time.Minute
 	unreachedTime = 2 * time.Second // after a failed forward
 )
