The directory weighs the homes of a name's routes by what they are asked for

Change: regions that are homes of the most requests seen, then of the most routes. Test: TestRoutes.

--- a/cmd/vetchtraild/serve.go
+++ b/cmd/vetchtraild/serve.go
@@ -74,7 +74,7 @@
 		Registry: platform.NewRegistry(s.Platform.Store, log),
 		Dialect:  platform.Dialect{},
 		Directory: func(m *membership.Membership, homes func(string) ([]string, bool)) daemon.Directory {
-			return platform.NewDirectory(m, homes)
+			return platform.NewDirectory(m, homes, log)
 		},
 	}
 }
--- a/connection/caller/caller.go
+++ b/connection/caller/caller.go
@@ -54,6 +54,7 @@
 	conns atomic.Pointer[conns]
 
 	watcher *watcher
+	tally   tally
 }
 
 // New returns a server that does not listen yet.
--- a/connection/caller/routed.go
+++ b/connection/caller/routed.go
@@ -54,6 +54,7 @@
 			Kind: vetchtrail.NotRun, Status: fiber.StatusNotFound, Step: vetchtrail.StepParse, Reason: vetchtrail.ReasonNoRoute,
 		})
 	}
+	s.tally.count(m.Name)
 	s.fill(c, r, &m, now)
 	r.Revision = held.Revision()
 	return s.runRouted(c, r)
--- a/process/daemon/daemon.go
+++ b/process/daemon/daemon.go
@@ -142,7 +142,7 @@
 		dialect = d.hosted.Dialect
 		d.directory = d.hosted.Directory(d.membership, func(name string) ([]string, bool) {
 			held := d.changes.Rules()
-			return held.HomesOf(name), held.Revision() > 0
+			return held.HomesOf(name, d.callers.Asked), held.Revision() > 0
 		})
 	}
 	d.endpoints = endpoint.New(endpoint.Config{
--- a/version/rules/route.go
+++ b/version/rules/route.go
@@ -74,19 +74,27 @@
 	return set
 }
 
-// HomesOf returns the regions that may process the requests of all routes of a
-// host name that have homes; none: no route of it has.
-func (r *Rules) HomesOf(host string) []string {
-	set := vetchtrail.AllRegions
+// HomesOf returns the regions that suit the requests to a host name best: of its
+// routes that have homes, those regions that are homes of the most, each route
+// weighed by how much it is asked for. None: no route of it has homes.
+func (r *Rules) HomesOf(host string, asked func(route string) int) []string {
+	var weights [vetchtrail.MaxRegions]int
+	most := 0
 	for i := range r.paths[host] {
-		set &= r.paths[host][i].allowed
-	}
-	if set == vetchtrail.AllRegions {
-		return nil
+		p := &r.paths[host][i]
+		if len(p.Homes) == 0 {
+			continue
+		}
+		for id := range weights {
+			if p.allowed.Has(vetchtrail.RegionID(id)) {
+				weights[id] += 1 + asked(p.Name)
+				most = max(most, weights[id])
+			}
+		}
 	}
 	var out []string
 	for id, name := range r.names {
-		if name != "" && set.Has(vetchtrail.RegionID(id)) {
+		if most > 0 && name != "" && weights[id] == most {
 			out = append(out, name)
 		}
 	}
--- a/version/rules/rules_test.go
+++ b/version/rules/rules_test.go
@@ -146,3 +146,83 @@
 		})
 	}
 }
+
+// TestRoutes: which route a request belongs to, and which regions suit a name.
+func TestRoutes(t *testing.T) {
+	held, err := Empty().Build([]vetchtrail.Edit{
+		vetchtrail.PutRegion{Region: vetchtrail.Region{ID: 0, Name: "north", DataCentres: []string{"n"}}},
+		vetchtrail.PutRegion{Region: vetchtrail.Region{ID: 1, Name: "south", DataCentres: []string{"s"}}},
+		vetchtrail.PutService{Service: vetchtrail.Service{Name: "app", AnswerWithin: time.Second}},
+		vetchtrail.PutRoute{Route: someRoute("all", "h", "/")},
+		vetchtrail.PutRoute{Route: someRoute("part", "h", "/a/", "north")},
+		vetchtrail.PutRoute{Route: someRoute("deep", "h", "/a/b/", "south")},
+		vetchtrail.PutRoute{Route: someRoute("other", "g", "/a/")},
+	})
+	assert.NilError(t, err)
+	cases := map[string]struct{ host, path, route string }{
+		"longest prefix":    {"h", "/a/b/c", "deep"},
+		"shorter":           {"h", "/a/x", "part"},
+		"not a whole part":  {"h", "/ab", "all"},
+		"of its host only":  {"g", "/a/b/c", "other"},
+		"no route":          {"g", "/x", ""},
+		"no such host":      {"f", "/a/", ""},
+		"the prefix itself": {"h", "/a/", "part"},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			m, ok := held.Match(c.host, c.path)
+			assert.Equal(t, m.Name, c.route)
+			assert.Equal(t, ok, c.route != "")
+		})
+	}
+	homes := map[string]struct {
+		host  string
+		asked map[string]int
+		want  []string
+	}{
+		"no route has homes":      {"g", nil, nil},
+		"homes that differ":       {"h", nil, []string{"north", "south"}},
+		"the one that is asked":   {"h", map[string]int{"deep": 9}, []string{"south"}},
+		"not by those without":    {"h", map[string]int{"all": 9, "part": 1}, []string{"north"}},
+		"a name that is not held": {"f", nil, nil},
+	}
+	for name, c := range homes {
+		t.Run(name, func(t *testing.T) {
+			assert.DeepEqual(t, held.HomesOf(c.host, func(route string) int { return c.asked[route] }), c.want)
+		})
+	}
+}
+
+func someRoute(name, host, prefix string, homes ...string) vetchtrail.Route {
+	return vetchtrail.Route{
+		Name: name, Host: host, PathPrefix: prefix, Homes: homes, Attempts: 1, AnswerWithin: time.Second,
+		Targets: []vetchtrail.Target{{Service: "app", Weight: 1}},
+	}
+}
+
+// TestBadRoutes: each is refused with what is wrong with it.
+func TestBadRoutes(t *testing.T) {
+	cases := map[string]struct {
+		change func(*vetchtrail.Route)
+		text   string
+	}{
+		"no host":          {func(r *vetchtrail.Route) { r.Host = "" }, "has no host name"},
+		"prefix":           {func(r *vetchtrail.Route) { r.PathPrefix = "/a" }, "path prefix"},
+		"attempts":         {func(r *vetchtrail.Route) { r.Attempts = 0 }, "attempts"},
+		"time":             {func(r *vetchtrail.Route) { r.AnswerWithin = 0 }, "answer_within"},
+		"unknown service":  {func(r *vetchtrail.Route) { r.Targets[0].Service = "x" }, "unknown service x"},
+		"no weight":        {func(r *vetchtrail.Route) { r.Targets[0].Weight = 0 }, "weight above 0"},
+		"unknown home":     {func(r *vetchtrail.Route) { r.Homes = []string{"x"} }, "unknown region x"},
+		"a weight below 0": {func(r *vetchtrail.Route) { r.Targets[0].Weight = -1 }, "below 0"},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			r := someRoute("r", "h", "/a/")
+			c.change(&r)
+			_, err := Empty().Build([]vetchtrail.Edit{
+				vetchtrail.PutService{Service: vetchtrail.Service{Name: "app", AnswerWithin: time.Second}}, vetchtrail.PutRoute{Route: r},
+			})
+			assert.ErrorContains(t, err, c.text)
+		})
+	}
+}
