Metrics on an address of their own; callers may rest connections for two minutes

Causes: on the hosted platform callers' addresses serve routes only, so metrics had none; operators may let callers rest a connection longer than the 30 s after which it was closed. Not done: the operator's own bounds on callers are not enforced when they are below these.

--- a/connection/caller/caller.go
+++ b/connection/caller/caller.go
@@ -23,8 +23,11 @@
 )
 
 const (
-	idleTime    = 30 * time.Second
-	headerLimit = 32 << 10 // bytes
+	// idleTime is longer than operators let callers rest a connection: one that is
+	// closed as its caller takes it up costs a request.
+	idleTime    = 2 * time.Minute
+	readTime    = 30 * time.Second // of one request, from its first byte
+	headerLimit = 32 << 10         // bytes
 	writeTime   = 30 * time.Second
 )
 
@@ -64,7 +67,7 @@
 	}
 	s := &Server{cfg: c, watcher: newWatcher()}
 	s.app = fiber.New(fiber.Config{
-		BodyLimit: c.BodyLimit, ReadBufferSize: headerLimit, IdleTimeout: idleTime, WriteTimeout: writeTime,
+		BodyLimit: c.BodyLimit, ReadBufferSize: headerLimit, IdleTimeout: idleTime, ReadTimeout: readTime, WriteTimeout: writeTime,
 		ErrorHandler: s.failed, UnescapePath: false, StreamRequestBody: false,
 	})
 	s.app.Use(s.routed)
--- a/process/daemon/daemon.go
+++ b/process/daemon/daemon.go
@@ -214,6 +214,13 @@
 	duties.Go(func() { d.membership.Beat(ctx, d.peers) })
 	duties.Go(func() { d.membership.SwapDigests(ctx, d.peers) })
 	duties.Go(func() { d.pull(ctx) })
+	if d.set.Listen.Metrics.IsValid() {
+		figures, err := listen(ctx, d.set.Listen.Metrics)
+		if err != nil {
+			return err
+		}
+		duties.Go(func() { d.serveFigures(ctx, figures) })
+	}
 	if d.hosted != nil {
 		if err := d.runHosted(ctx, &duties); err != nil {
 			return err
@@ -227,6 +234,7 @@
 	stop()
 	d.peers.Close()
 	duties.Wait()
+	d.directoryShutdown()
 	d.log.Info("stopped")
 	return err
 }
--- a/process/daemon/hosted.go
+++ b/process/daemon/hosted.go
@@ -45,6 +45,18 @@
 	return nil
 }
 
+// directoryShutdown ends the directory's listeners, if there are any.
+func (d *Daemon) directoryShutdown() {
+	if d.directory == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	if err := d.directory.Shutdown(ctx); err != nil {
+		d.log.Info("directory not shut down in time", "error", err)
+	}
+}
+
 // hostedSink takes what the platform's feed tells.
 type hostedSink struct{ d *Daemon }
 
