The length of an answer is expected by its caller's guess, or from its bound

Change: the caller's guess and the bound of the answer's tokens, over the tokens of an event, which the configuration tells.

--- a/cmd/vetchtrail/service.go
+++ b/cmd/vetchtrail/service.go
@@ -23,6 +23,7 @@
 	Cost    float64       `default:"0" help:"Weight of engine time."`
 	Read    float64       `default:"0" help:"Weight of reading prompts that an endpoint does not hold."`
 	Within  time.Duration `default:"20s" help:"Time for an answer when the caller sets none."`
+	Event   int           `default:"0" help:"Tokens that an event of an answer holds; 0: not known."`
 	Queue   int           `default:"64" help:"Requests one host lets wait."`
 }
 
@@ -30,7 +31,7 @@
 func (c *servicePut) Run(g *globals) error {
 	kind, _ := vetchtrail.ParseServiceKind(c.Kind)
 	return g.propose(&c.changeFlags, []vetchtrail.Edit{vetchtrail.PutService{Service: vetchtrail.Service{
-		Name: c.Name, Kind: kind, Allowed: c.Allowed, AnswerWithin: c.Within, QueueLimit: c.Queue,
+		Name: c.Name, Kind: kind, Allowed: c.Allowed, AnswerWithin: c.Within, QueueLimit: c.Queue, EventTokens: c.Event,
 		Weights: vetchtrail.Weights{Tail: c.Tail, Away: c.Away, Cost: c.Cost, Read: c.Read},
 	}}})
 }
--- a/request.go
+++ b/request.go
@@ -33,13 +33,15 @@
 	Resume  StreamPosition
 
 	// The rest is set for requests that belong to a route.
-	Route     string
-	Attempts  int          // endpoints it may be sent to
-	Goal      time.Time    // until when its answer is worth all it can be
-	Prompt    []PromptPart // in the order of the prompt
-	Resumable bool         // its stream may go on at another endpoint
-	LastEvent string       // id of the last event that its caller has
-	Begun     bool         // part of its answer went to the caller: only a stream that goes on may follow
+	Route        string
+	Attempts     int          // endpoints it may be sent to
+	Goal         time.Time    // until when its answer is worth all it can be
+	Prompt       []PromptPart // in the order of the prompt
+	AnswerTokens int          // of its answer, as its caller guesses; 0: it doesn't
+	MostTokens   int          // that its answer may have; 0: not said
+	Resumable    bool         // its stream may go on at another endpoint
+	LastEvent    string       // id of the last event that its caller has
+	Begun        bool         // part of its answer went to the caller: only a stream that goes on may follow
 	// PromptFrom is where the endpoint that runs it may take the kept parts of its
 	// prompt from; not valid: nowhere.
 	PromptFrom netip.AddrPort
--- a/request/dispatch/place.go
+++ b/request/dispatch/place.go
@@ -48,6 +48,7 @@
 	v.Endpoints, v.Remotes, v.Excluded = v.Endpoints[:0], v.Remotes[:0], t.places
 	v.Refused = t.refused
 	d.cfg.Table.Fill(v, r, now)
+	v.Events = expectedEvents(r, s.EventTokens, v.Events)
 	d.cfg.Membership.Fill(v, r.Service, func(name string) (vetchtrail.RegionID, bool) {
 		g, ok := held.Region(name)
 		return g.ID, ok
@@ -57,6 +58,24 @@
 	return d.cfg.Policy.Decide(now, r, v, rnd)
 }
 
+// mostShare is the share of the tokens that an answer may have which it is taken
+// to have while nothing better is known.
+const mostShare = 0.5
+
+// expectedEvents is how many events the answer to a request is likely to have:
+// by its caller's guess, or as its route's usually have.
+func expectedEvents(r *vetchtrail.Request, eventTokens int, usual float64) float64 {
+	switch {
+	case !r.Stream:
+		return 0
+	case r.AnswerTokens > 0 && eventTokens > 0:
+		return float64(r.AnswerTokens) / float64(eventTokens)
+	case usual > 0 || eventTokens == 0:
+		return usual
+	}
+	return mostShare * float64(r.MostTokens) / float64(eventTokens)
+}
+
 // take gets room at the place decided on; false: it was filled in between.
 func (d *Dispatcher) take(r *vetchtrail.Request, dec vetchtrail.Decision) (placement, bool) {
 	if dec.Kind == vetchtrail.RunElsewhere {
--- a/schema/convert.go
+++ b/schema/convert.go
@@ -144,7 +144,7 @@
 	return &Service{
 		Name: s.Name, Kind: uint32(s.Kind), Allowed: s.Allowed,
 		Weights:      &Weights{Tail: s.Weights.Tail, Away: s.Weights.Away, Cost: s.Weights.Cost, Read: s.Weights.Read},
-		AnswerWithin: int64(s.AnswerWithin), QueueLimit: int32(s.QueueLimit),
+		AnswerWithin: int64(s.AnswerWithin), QueueLimit: int32(s.QueueLimit), EventTokens: int32(s.EventTokens),
 	}
 }
 
@@ -153,7 +153,7 @@
 	return vetchtrail.Service{
 		Name: m.GetName(), Kind: vetchtrail.ServiceKind(m.GetKind()), Allowed: m.GetAllowed(),
 		Weights:      vetchtrail.Weights{Tail: w.GetTail(), Away: w.GetAway(), Cost: w.GetCost(), Read: w.GetRead()},
-		AnswerWithin: time.Duration(m.GetAnswerWithin()), QueueLimit: int(m.GetQueueLimit()),
+		AnswerWithin: time.Duration(m.GetAnswerWithin()), QueueLimit: int(m.GetQueueLimit()), EventTokens: int(m.GetEventTokens()),
 	}
 }
 
@@ -187,6 +187,7 @@
 		Resume: &StreamPosition{Endpoint: r.Resume.Endpoint, Stream: r.Resume.Stream, Offset: int32(r.Resume.Offset)},
 		Route:  r.Route, GoalRemaining: left(r.Goal, now), Prompt: fromPrompt(r.Prompt), Resumable: r.Resumable, LastEvent: r.LastEvent,
 		Begun: r.Begun, PatienceRemaining: left(r.Patience, now),
+		AnswerTokens: uint32(r.AnswerTokens), MostTokens: uint32(r.MostTokens),
 	}
 }
 
@@ -239,6 +240,7 @@
 		Route:  m.GetRoute(), Goal: after(m.GetGoalRemaining(), now), Prompt: toPrompt(m.GetPrompt()),
 		Resumable: m.GetResumable(), LastEvent: m.GetLastEvent(),
 		Begun: m.GetBegun(), Patience: after(m.GetPatienceRemaining(), now),
+		AnswerTokens: int(m.GetAnswerTokens()), MostTokens: int(m.GetMostTokens()),
 	}, nil
 }
 
--- a/service.go
+++ b/service.go
@@ -11,6 +11,7 @@
 	// AnswerWithin bounds the time a request may take when its caller sets no
 	// deadline. It is configuration, not a stored deadline.
 	AnswerWithin time.Duration
+	EventTokens  int // tokens that an event of an answer holds; 0: not known
 	QueueLimit   int // requests one host lets wait for this service
 }
 
--- a/version/document/document.go
+++ b/version/document/document.go
@@ -38,6 +38,7 @@
 	Weights      Weights       `yaml:"weights"`
 	AnswerWithin time.Duration `yaml:"answer_within"`
 	QueueLimit   int           `yaml:"queue_limit"`
+	EventTokens  int           `yaml:"event_tokens,omitempty"`
 }
 
 // Weights are a service's weights.
@@ -127,7 +128,7 @@
 		kind, _ := vetchtrail.ParseServiceKind(s.Kind)
 		out = append(out, vetchtrail.PutService{Service: vetchtrail.Service{
 			Name: s.Name, Kind: kind, Allowed: s.Allowed, Weights: vetchtrail.Weights(s.Weights),
-			AnswerWithin: s.AnswerWithin, QueueLimit: s.QueueLimit,
+			AnswerWithin: s.AnswerWithin, QueueLimit: s.QueueLimit, EventTokens: s.EventTokens,
 		}})
 	}
 	for _, e := range d.Endpoints {
@@ -154,7 +155,7 @@
 			s := e.Service
 			d.Services = append(d.Services, Service{
 				Name: s.Name, Kind: s.Kind.String(), Allowed: s.Allowed, Weights: Weights(s.Weights),
-				AnswerWithin: s.AnswerWithin, QueueLimit: s.QueueLimit,
+				AnswerWithin: s.AnswerWithin, QueueLimit: s.QueueLimit, EventTokens: s.EventTokens,
 			})
 		case vetchtrail.PutEndpoint:
 			d.Endpoints = append(d.Endpoints, endpointOf(e.Endpoint))
--- a/version/rules/apply.go
+++ b/version/rules/apply.go
@@ -136,6 +136,9 @@
 	if s.AnswerWithin <= 0 {
 		return "answer_within is not above 0"
 	}
+	if s.EventTokens < 0 {
+		return "event_tokens is below 0"
+	}
 	if s.QueueLimit < 0 {
 		return "queue_limit is below 0"
 	}
