With callers' guesses, a stream may take 0.4 of the time left

Cause: a quarter left room for routes whose answers differ in length; a guess is of the answer itself.

--- a/request/policy/weighted.go
+++ b/request/policy/weighted.go
@@ -39,7 +39,7 @@
 	refusedPenalty = 4.0
 	// endShare is the share of the time left that a usual stream may take to its
 	// end: one with twice the events still ends in time.
-	endShare = 0.25
+	endShare = 0.4
 	// failureCost is what an endpoint's failure costs, in seconds: about the time
 	// of another attempt with a caller's own pause.
 	failureCost = 1.0
