--- a/request/dispatch/dispatch.go
+++ b/request/dispatch/dispatch.go
@@ -167,7 +167,8 @@
 type tried struct {
 	places  []string
 	refused bool // an endpoint here refused for its load
-	sent    int  // attempts that reached an endpoint
+	arrived int  // attempts that arrived at a process
+	sent    int  // attempts that arrived at the endpoint they were meant for
 	last    vetchtrail.Outcome
 }
 
@@ -216,19 +217,19 @@
 
 // note remembers an attempt for the next.
 func (t *tried) note(p placement, o vetchtrail.Outcome) {
-	if reached(o) {
-		t.sent++
+	if arrived(o) {
+		t.arrived++
+	}
+	if arrived(o) && o.Reason != vetchtrail.ReasonMisled {
+		t.sent++ // else the endpoint has ended, and another process has its address
 	}
 	t.places = append(t.places, p.name())
 	t.refused = t.refused || (o.Reason == vetchtrail.ReasonRefused && p.dataCentre == "")
 }
 
-// reached says whether an attempt got to an endpoint, as far as is known.
-func reached(o vetchtrail.Outcome) bool {
-	if o.Kind != vetchtrail.NotRun {
-		return true
-	}
-	return o.Step == vetchtrail.StepAnswer || o.Step == vetchtrail.StepSend
+// arrived says whether an attempt got to some process, as far as is known.
+func arrived(o vetchtrail.Outcome) bool {
+	return o.Kind != vetchtrail.NotRun || o.Step == vetchtrail.StepAnswer
 }
 
 // end gives the caller the failure of an endpoint that no attempt bettered.
@@ -258,8 +259,8 @@
 		return false
 	case o.Kind == vetchtrail.Unknown && !r.Repeats:
 		return false
-	case t.sent == 0:
-		return true // no endpoint has seen it: it costs nobody anything
+	case t.arrived == 0:
+		return true // nobody has seen it: it costs nobody anything
 	}
 	ok := d.budget(r.Service).Take(time.Now())
 	countRetry(r.Service, ok)
