Peers tell configuration and lists to a host that the platform does not answer

Change: a host whose lists are older than 2.5 s asks a peer for newer ones; peers are also found at the addresses of the settings, which need no store. Ruled out: gossip of the lists (bytes for what few need). Test: TestBorrowed.

--- a/connection/peer/client.go
+++ b/connection/peer/client.go
@@ -145,6 +145,14 @@
 	return reply, fault("changes", addr, err)
 }
 
+// List asks a host for the platform's lists, if it has newer ones.
+func (c *Client) List(ctx context.Context, addr netip.AddrPort, revision uint64) (*schema.Listing, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTime)
+	defer cancel()
+	reply, err := c.peers(ctx, addr).List(ctx, &schema.ListRequest{Revision: revision})
+	return reply, fault("list", addr, err)
+}
+
 func fault(step vetchtrail.Step, addr netip.AddrPort, err error) error {
 	if err == nil {
 		return nil
--- a/connection/peer/server.go
+++ b/connection/peer/server.go
@@ -26,6 +26,11 @@
 	Since(revision uint64) ([]vetchtrail.Change, *schema.Snapshot)
 }
 
+// Lister gives the platform's lists as they were last read; nil: never.
+type Lister interface {
+	Listing() *vetchtrail.Listing
+}
+
 // Runner runs a forwarded request.
 type Runner interface {
 	Run(ctx context.Context, r *vetchtrail.Request, a vetchtrail.Answer) vetchtrail.Outcome
@@ -35,6 +40,7 @@
 type ServerConfig struct {
 	Membership Membership
 	Changes    Changes
+	Lister     Lister
 	Runner     Runner
 	Operators  schema.DRPCOperatorsServer
 }
@@ -84,6 +90,15 @@
 	return reply, nil
 }
 
+// List implements schema.DRPCPeersServer.
+func (s *Server) List(_ context.Context, q *schema.ListRequest) (*schema.Listing, error) {
+	l := s.cfg.Lister.Listing()
+	if l == nil || l.Revision <= q.GetRevision() {
+		return &schema.Listing{}, nil
+	}
+	return schema.FromListing(l, time.Now()), nil
+}
+
 // Forward implements schema.DRPCPeersServer.
 func (s *Server) Forward(m *schema.ForwardRequest, stream schema.DRPCPeers_ForwardStream) error {
 	r, err := schema.ToRequest(m, time.Now())
--- a/process/daemon/daemon.go
+++ b/process/daemon/daemon.go
@@ -88,6 +88,7 @@
 	directory  Directory
 	endpoints  *endpoint.Caller
 	listing    atomic.Pointer[vetchtrail.Listing]
+	listed     sync.Mutex // guards steps of listing
 	timing     atomic.Pointer[settings.Timing]
 	inForce    atomic.Uint64 // revision that all parts of the host hold; what others are told
 
@@ -123,7 +124,7 @@
 	})
 	var err error
 	d.server, err = peer.NewServer(peer.ServerConfig{
-		Membership: d.membership, Changes: d.changes, Runner: d.dispatcher, Operators: &operators{d: d},
+		Membership: d.membership, Changes: d.changes, Lister: d, Runner: d.dispatcher, Operators: &operators{d: d},
 	})
 	return d, err
 }
--- a/process/daemon/hosted.go
+++ b/process/daemon/hosted.go
@@ -18,6 +18,13 @@
 // so little that all could still send one in the same second.
 const coldHosts = 4
 
+const (
+	// borrowAfter is the age of the lists after which peers are asked for newer
+	// ones: a host that the platform answers reads them every second or so.
+	borrowAfter = 2500 * time.Millisecond
+	borrowEvery = 500 * time.Millisecond
+)
+
 // placeEvery is how often the endpoints are placed again though nothing was
 // listed: the parts of cold ones follow from live membership.
 const placeEvery = time.Second
@@ -42,6 +49,7 @@
 	duties.Go(func() { d.hosted.Feed.Run(ctx, hostedSink{d}) })
 	duties.Go(func() { d.hosted.Registry.Register(ctx, d.membership.Self()) })
 	duties.Go(func() { d.placeOn(ctx) })
+	duties.Go(func() { d.borrow(ctx) })
 	return nil
 }
 
@@ -66,11 +74,65 @@
 }
 
 // Listed implements vetchtrail.Sink.
-func (s hostedSink) Listed(l vetchtrail.Listing) {
-	s.d.listing.Store(&l)
-	s.d.membership.SetListed(l.Hosts)
-	s.d.place(time.Now())
-	s.d.readyWhenHeld()
+func (s hostedSink) Listed(l vetchtrail.Listing) { s.d.take(l) }
+
+// take takes lists of the platform unless newer ones are held: those of a peer
+// may be newer than what this host's feed read before the platform turned it
+// away.
+func (d *Daemon) take(l vetchtrail.Listing) {
+	d.listed.Lock()
+	held := d.listing.Load()
+	newer := held == nil || l.Revision >= held.Revision
+	if newer {
+		d.listing.Store(&l)
+		d.membership.SetListed(l.Hosts)
+	}
+	d.listed.Unlock()
+	if newer {
+		d.place(time.Now())
+	}
+	d.readyWhenHeld()
+}
+
+// Listing implements peer.Lister.
+func (d *Daemon) Listing() *vetchtrail.Listing { return d.listing.Load() }
+
+// borrow asks peers for the platform's lists while the platform does not answer
+// this host.
+func (d *Daemon) borrow(ctx context.Context) {
+	for ctx.Err() == nil {
+		wait(ctx, borrowEvery)
+		now := time.Now()
+		held := d.listing.Load()
+		if held != nil && now.Sub(held.At) < borrowAfter {
+			continue
+		}
+		h, ok := d.membership.AnyPeer(now)
+		if !ok {
+			continue
+		}
+		if err := d.borrowFrom(ctx, h, held); err != nil {
+			d.log.Info("lists not borrowed", "peer", h.Name, "error", err)
+		}
+	}
+}
+
+func (d *Daemon) borrowFrom(ctx context.Context, h vetchtrail.Host, held *vetchtrail.Listing) error {
+	var revision uint64
+	if held != nil {
+		revision = held.Revision
+	}
+	reply, err := d.peers.List(ctx, h.Peers, revision)
+	if err != nil || reply.GetRevision() == 0 {
+		return err
+	}
+	l, err := schema.ToListing(reply, time.Now())
+	if err != nil {
+		return err
+	}
+	d.log.Info("lists borrowed", "peer", h.Name, "store_revision", l.Revision, "age", time.Since(l.At), "held", revision)
+	d.take(l)
+	return nil
 }
 
 // placeOn places the endpoints again now and then.
--- /dev/null
+++ b/process/daemon/hosted_test.go
@@ -0,0 +1,98 @@
+package daemon
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"net"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"vetchtrail"
+	"vetchtrail/connection/dialect"
+	"vetchtrail/process/membership"
+	"vetchtrail/process/settings"
+)
+
+// silentFeed is a platform that answers this host nothing, until it is let.
+type silentFeed struct{ tells chan vetchtrail.Listing }
+
+func (f silentFeed) Run(ctx context.Context, s vetchtrail.Sink) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case l := <-f.tells:
+			if err := s.Configured(vetchtrail.Snapshot{Revision: 5, Edits: hostedEdits()}); err != nil {
+				panic(err)
+			}
+			s.Listed(l)
+		}
+	}
+}
+
+func hostedEdits() []vetchtrail.Edit {
+	return []vetchtrail.Edit{
+		vetchtrail.PutRegion{Region: vetchtrail.Region{Name: "r", DataCentres: []string{"d"}}},
+		vetchtrail.PutService{Service: vetchtrail.Service{Name: "s", AnswerWithin: time.Second}},
+	}
+}
+
+type noRegistry struct{}
+
+func (noRegistry) Register(context.Context, vetchtrail.Host) {}
+
+type noDirectory struct{}
+
+func (noDirectory) Serve(net.Listener) error       { return nil }
+func (noDirectory) Shutdown(context.Context) error { return nil }
+
+func startHosted(t *testing.T, name string, last byte, feed vetchtrail.Feed, peers ...*Daemon) *Daemon {
+	t.Helper()
+	s := settings.Default()
+	s.Host, s.Region, s.DataCentre = name, "r", "d"
+	s.Platform.Kind, s.Platform.DataCentres = settings.PlatformHosted, map[string]string{"d": "r"}
+	s.Listen.Callers, s.Listen.Peers, s.Platform.Store = addr(last, 8080), addr(last, 7070), addr(last, 8500)
+	for _, p := range peers {
+		s.Seeds = append(s.Seeds, p.self.Peers)
+	}
+	d, err := New(Config{
+		Settings: s, Log: slog.New(slog.NewTextHandler(io.Discard, nil)),
+		Hosted: &Hosted{
+			Feed: feed, Registry: noRegistry{}, Dialect: dialect.Plain{},
+			Directory: func(*membership.Membership, func(string) ([]string, bool)) Directory { return noDirectory{} },
+		},
+	})
+	assert.NilError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); _ = d.Run(ctx) }()
+	t.Cleanup(func() { cancel(); <-done })
+	return d
+}
+
+// TestBorrowed: a host that the platform never answers learns configuration and
+// lists from a peer and becomes ready; older lists of its own feed, told later,
+// don't replace them.
+func TestBorrowed(t *testing.T) {
+	told, silent := silentFeed{make(chan vetchtrail.Listing, 1)}, silentFeed{make(chan vetchtrail.Listing, 1)}
+	a := startHosted(t, "a", 11, told)
+	b := startHosted(t, "b", 12, silent, a)
+	told.tells <- vetchtrail.Listing{Revision: 40, At: time.Now(), Endpoints: []vetchtrail.Endpoint{
+		{Name: "e", Instance: "e", Service: "s", Region: "r", DataCentre: "d", Addr: addr(13, 80), Slots: 2},
+	}}
+	deadline := time.Now().Add(30 * time.Second)
+	for b.membership.Self().State != vetchtrail.HostReady {
+		assert.Assert(t, time.Now().Before(deadline), "the host did not become ready by its peer")
+		time.Sleep(20 * time.Millisecond)
+	}
+	assert.Equal(t, b.Revision(), uint64(5))
+	_, known := b.table.Known("e")
+	assert.Assert(t, known)
+	b.take(vetchtrail.Listing{Revision: 39, At: time.Now()})
+	assert.Equal(t, b.Listing().Revision, uint64(40))
+	b.take(vetchtrail.Listing{Revision: 41, At: time.Now()})
+	assert.Equal(t, b.Listing().Revision, uint64(41))
+}
--- a/process/membership/membership.go
+++ b/process/membership/membership.go
@@ -417,7 +417,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.listed = hosts
-	m.seeds = nil
+	m.seeds = slices.Clone(m.cfg.Seeds)
 	for _, h := range hosts {
 		m.seeds = append(m.seeds, h.Peers)
 	}
@@ -449,6 +449,29 @@
 	return before
 }
 
+// AnyPeer returns some other host that is likely to live, of any data centre.
+func (m *Membership) AnyPeer(now time.Time) (vetchtrail.Host, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var all []vetchtrail.Host
+	for _, b := range m.members {
+		if b.state(now) <= vetchtrail.HostLeaving {
+			all = append(all, b.Host)
+		}
+	}
+	for _, d := range m.remotes {
+		if now.Sub(d.at) < reachableFor {
+			for _, line := range d.digest.GetMembers() {
+				all = append(all, d.host(line))
+			}
+		}
+	}
+	if len(all) == 0 {
+		return vetchtrail.Host{}, false
+	}
+	return all[m.rnd.IntN(len(all))], true
+}
+
 // Count returns how many hosts are known, this one and those lately dead
 // included: limits that hold over all hosts are divided by it.
 func (m *Membership) Count() int {
@@ -458,7 +481,7 @@
 	for _, d := range m.remotes {
 		n += len(d.digest.GetMembers())
 	}
-	return max(n, len(m.seeds))
+	return max(n, len(m.listed))
 }
 
 // Elsewhere returns the ready hosts of other data centres that can be reached.
