--- a/version/changelog/changelog_test.go
+++ b/version/changelog/changelog_test.go
@@ -206,3 +206,49 @@
 		})
 	}
 }
+
+// TestExpectHolds: a change written against a revision is accepted as the next
+// one only, though the host hears of others' changes while it proposes.
+func TestExpectHolds(t *testing.T) {
+	const rounds = 3000
+	s := &fakeStore{keys: map[string]vetchtrail.Entry{}}
+	ours, others := newLog(s), newLog(s)
+	ctx, cancel := context.WithCancel(context.Background())
+	var all sync.WaitGroup
+	all.Go(func() { // another host's changes, learned here at any moment
+		for n := 0; ctx.Err() == nil; n++ {
+			c := vetchtrail.Change{ID: fmt.Sprintf("other-%d", n), Edits: []vetchtrail.Edit{
+				vetchtrail.PutWorkspace{Workspace: vetchtrail.Workspace{Name: "w"}},
+			}}
+			var conflict *vetchtrail.ConflictError // it lost every race
+			if _, err := others.Propose(ctx, c); err != nil && ctx.Err() == nil && !errors.As(err, &conflict) {
+				t.Error(err)
+				return
+			}
+			if err := ours.Learn(others.Recent(ours.Revision()+1, 0)); err != nil {
+				t.Error(err)
+				return
+			}
+		}
+	})
+	accepted := 0
+	for n := range rounds {
+		expect := ours.Revision()
+		c := vetchtrail.Change{ID: fmt.Sprintf("ours-%d", n), Expect: expect, Edits: []vetchtrail.Edit{
+			vetchtrail.PutWorkspace{Workspace: vetchtrail.Workspace{Name: "v"}},
+		}}
+		revision, err := ours.Propose(ctx, c)
+		if err != nil {
+			var conflict *vetchtrail.ConflictError
+			assert.Assert(t, errors.As(err, &conflict), "%v", err)
+			continue
+		}
+		accepted++
+		if expect > 0 {
+			assert.Equal(t, revision, expect+1)
+		}
+	}
+	cancel()
+	all.Wait()
+	assert.Assert(t, accepted > 0)
+}
--- a/version/changelog/propose.go
+++ b/version/changelog/propose.go
@@ -11,6 +11,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"vetchtrail"
+	"vetchtrail/version/rules"
 )
 
 // ErrUnsettled says that the store was lost while a change was written: it may
@@ -18,8 +19,9 @@
 var ErrUnsettled = errors.New("the store was lost during the write: the change may take effect")
 
 // Check says what a change would do now, without writing it.
-func (l *Log) Check(c vetchtrail.Change) error {
-	now := l.Rules()
+func (l *Log) Check(c vetchtrail.Change) error { return check(c, l.Rules()) }
+
+func check(c vetchtrail.Change, now *rules.Rules) error {
 	if c.Expect != 0 && c.Expect != now.Revision() {
 		return &vetchtrail.ConflictError{Expect: c.Expect, Now: now.Revision()}
 	}
@@ -39,10 +41,13 @@
 		if done, ok := l.find(c.ID); ok {
 			return done, nil
 		}
-		if err := l.Check(c); err != nil {
+		// The place is that after the rules it was checked against: the log may
+		// grow in between.
+		now := l.Rules()
+		if err := check(c, now); err != nil {
 			return 0, err
 		}
-		c.Revision = l.Revision() + 1
+		c.Revision = now.Revision() + 1
 		settled, err := l.write(ctx, c)
 		if err != nil {
 			return 0, err
@@ -55,7 +60,7 @@
 			return 0, errors.Wrap(err, "changelog.Propose: read after a lost race")
 		}
 	}
-	return 0, &vetchtrail.ConflictError{Expect: c.Revision, Now: l.Revision()}
+	return 0, &vetchtrail.ConflictError{Expect: c.Revision - 1, Now: l.Revision()} // lost every race
 }
 
 // find returns the revision of an accepted change by its id.
