--- a/process/journal/journal.go
+++ b/process/journal/journal.go
@@ -114,7 +114,7 @@
 	if r.Ended {
 		j.log.Info("outcome", "request", r.Request, "service", r.Service, "outcome", r.Outcome.Kind.String(),
 			"step", string(r.Outcome.Step), "peer", r.Outcome.Peer, "reason", string(r.Outcome.Reason),
-			"hops", r.Hops, "took", r.Took, "first", first(r))
+			"hops", r.Hops, "took", r.Took, "first", first(r), "status", r.Outcome.Status, "begun", r.Outcome.Begun, "error", cause(r.Outcome.Err))
 		return
 	}
 	j.log.Info("decision", "request", r.Request, "service", r.Service, "workspace", r.Workspace, "home", r.Home,
@@ -124,6 +124,14 @@
 		"candidates", candidates(&r.Decision), "revision", r.Revision, "hops", r.Hops, "attempt", r.Attempt)
 }
 
+// cause is the text of an error; empty for none.
+func cause(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
+
 // first is the time from a request's arrival to the first of its answer; 0 for
 // one that ran elsewhere or has no answer.
 func first(r *Record) time.Duration {
