--- /dev/null
+++ b/request/policy/remote.go
@@ -0,0 +1,85 @@
+package policy
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"vetchtrail"
+)
+
+// bestRemote returns the data centre with the lowest cost; -1: none.
+func bestRemote(d *vetchtrail.Decision, now time.Time, r *vetchtrail.Request, v *vetchtrail.View) (at int, cost float64) {
+	at, cost = -1, math.Inf(1)
+	for i := range v.Remotes {
+		m := &v.Remotes[i]
+		if why := unfitRemote(m, r, v); why != "" {
+			d.Note(m.DataCentre, 0, why)
+			continue
+		}
+		if endsLate(m.Gap, 2*m.Delay.Seconds()+m.Wait, now, r, v) {
+			d.Note(m.DataCentre, m.Gap, vetchtrail.ReasonSlow)
+			continue
+		}
+		c := v.Weights.Tail*(2*m.Delay.Seconds()+m.Wait+doubt*m.Age.Seconds()) + awayCost(m, v) + usualCost(r, v)
+		d.Note(m.DataCentre, c, vetchtrail.ReasonCost)
+		if c < cost {
+			at, cost = i, c
+		}
+	}
+	return at, cost
+}
+
+// usualCost is what a request costs at an idle endpoint, as far as those here
+// show it: elsewhere it is no less.
+func usualCost(r *vetchtrail.Request, v *vetchtrail.View) float64 {
+	if len(v.Endpoints) == 0 || r.Route == "" {
+		return 0
+	}
+	e := &v.Endpoints[0]
+	whole := float64(r.PromptTokens()) * e.Prefill
+	return v.Weights.Tail*(e.Base+whole+e.Service*wholeShare) + v.Weights.Cost*(whole+e.Service) + v.Weights.Read*whole
+}
+
+// awayCost is what leaving the region costs; going to another data centre of
+// the same region is not leaving it.
+func awayCost(m *vetchtrail.RemoteView, v *vetchtrail.View) float64 {
+	if m.Region == v.Region {
+		return 0
+	}
+	return v.Weights.Away
+}
+
+func unfitRemote(m *vetchtrail.RemoteView, r *vetchtrail.Request, v *vetchtrail.View) vetchtrail.Reason {
+	switch {
+	case r.Hops >= vetchtrail.MaxHops:
+		return vetchtrail.ReasonHops
+	case !r.Allowed.Has(m.Region):
+		return vetchtrail.ReasonResidency
+	case !m.Reachable:
+		return vetchtrail.ReasonUnreachable
+	case m.Age > staleAfter:
+		return vetchtrail.ReasonStale
+	case len(v.Excluded) > 0 && slices.Contains(v.Excluded, m.DataCentre):
+		return vetchtrail.ReasonExcluded
+	case float64(m.Own) >= float64(m.Free)*m.Warmth:
+		return vetchtrail.ReasonFull
+	}
+	return ""
+}
+
+// worthLeaving compares waiting here with going elsewhere.
+func worthLeaving(s *scored, v *vetchtrail.View, remoteCost float64) bool {
+	return s.open > 0 || v.Weights.Tail*s.wait*awayMargin > remoteCost
+}
+
+func runElsewhere(d *vetchtrail.Decision, at int, cost float64, now time.Time, r *vetchtrail.Request, v *vetchtrail.View) vetchtrail.Decision {
+	m := &v.Remotes[at]
+	d.Wait = 2*m.Delay + seconds(m.Wait)
+	if now.Add(d.Wait).After(r.Deadline) {
+		return refuse(d, vetchtrail.ReasonDeadline, now, d.Wait)
+	}
+	d.Kind, d.Target, d.Name, d.Cost = vetchtrail.RunElsewhere, at, m.DataCentre, cost
+	d.Reason = vetchtrail.ReasonChosen
+	return *d
+}
