--- a/connection/endpoint/pool.go
+++ b/connection/endpoint/pool.go
@@ -82,7 +82,7 @@
 	}
 	defer func() { _ = c.SetReadDeadline(c.deadline) }()
 	for {
-		_ = c.SetReadDeadline(earlier(time.Now().Add(silenceLook), c.deadline))
+		_ = c.SetReadDeadline(vetchtrail.Earlier(time.Now().Add(silenceLook), c.deadline))
 		n, err := c.Conn.Read(p)
 		switch {
 		case n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) || !time.Now().Before(c.deadline):
@@ -93,13 +93,6 @@
 	}
 }
 
-func earlier(a, b time.Time) time.Time {
-	if a.Before(b) {
-		return a
-	}
-	return b
-}
-
 // Write implements io.Writer.
 func (c *conn) Write(p []byte) (int, error) {
 	n, err := c.Conn.Write(p)
--- /dev/null
+++ b/moment.go
@@ -0,0 +1,19 @@
+package vetchtrail
+
+import "time"
+
+// Earlier returns the earlier of two moments.
+func Earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
+// Later returns the later of two moments.
+func Later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
--- a/process/daemon/hosted_test.go
+++ b/process/daemon/hosted_test.go
@@ -66,11 +66,7 @@
 		},
 	})
 	assert.NilError(t, err)
-	ctx, cancel := context.WithCancel(context.Background())
-	done := make(chan struct{})
-	go func() { defer close(done); _ = d.Run(ctx) }()
-	t.Cleanup(func() { cancel(); <-done })
-	return d
+	return runUntilEnd(t, d)
 }
 
 // TestBorrowed: a host that the platform never answers learns configuration and
--- a/process/daemon/tls_test.go
+++ b/process/daemon/tls_test.go
@@ -71,6 +71,12 @@
 	s.Listen.Callers, s.Listen.Peers, s.Platform.Store = addr(last, 8080), addr(last, 7070), addr(last, 8500)
 	d, err := New(Config{Settings: s, Log: slog.New(slog.NewTextHandler(io.Discard, nil))})
 	assert.NilError(t, err)
+	return runUntilEnd(t, d)
+}
+
+// runUntilEnd runs a daemon until the test ends.
+func runUntilEnd(t *testing.T, d *Daemon) *Daemon {
+	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() { defer close(done); _ = d.Run(ctx) }()
--- a/process/load/learn.go
+++ b/process/load/learn.go
@@ -47,7 +47,7 @@
 		s.leaving = now.Add(misledFor)
 	case o.Outcome.Reason == vetchtrail.ReasonRefused:
 		s.limit = math.Max(1, s.limit*limitCut)
-		s.avoid(vetchtrail.ReasonRefused, earlier(o.Outcome.RetryAt, now.Add(refusedMost)))
+		s.avoid(vetchtrail.ReasonRefused, vetchtrail.Earlier(o.Outcome.RetryAt, now.Add(refusedMost)))
 	case o.Outcome.Step == vetchtrail.StepConnect:
 		s.avoid(vetchtrail.ReasonUnreachable, now.Add(min(downFor<<min(s.downs, downShifts), downMost)))
 		s.downs++
@@ -122,13 +122,6 @@
 // its own, so that no share of them bounds it.
 func (s *state) avoid(why vetchtrail.Reason, until time.Time) { s.backWhy, s.backOff = why, until }
 
-func earlier(a, b time.Time) time.Time {
-	if a.Before(b) {
-		return a
-	}
-	return b
-}
-
 // failed counts a failure; after some in a row the endpoint is ejected, unless
 // too many of its service are already.
 func (t *Table) failed(s *state, now time.Time) {
