Three hosts of a data centre follow the platform, the others learn from them

Change: a duty by rendezvous hashing; others ask a peer twice a second and are told the lists only when they changed, and follow the store themselves when what they hear is older than 2.5 s. Ruled out for the small sites: none has more than three hosts in a data centre, so nothing changes there.

--- a/cmd/vetchtraild/serve.go
+++ b/cmd/vetchtraild/serve.go
@@ -9,6 +9,7 @@
 	"runtime/debug"
 	"syscall"
 
+	"vetchtrail"
 	"vetchtrail/platform"
 	"vetchtrail/process/daemon"
 	"vetchtrail/process/logs"
@@ -71,7 +72,11 @@
 	}
 	log = log.With("host", s.Host)
 	return &daemon.Hosted{
-		Feed:     platform.NewFeed(platform.FeedConfig{Store: s.Platform.Store, Places: s.Platform.DataCentres, Log: log}),
+		Feed: func(follows func() bool) vetchtrail.Feed {
+			return platform.NewFeed(platform.FeedConfig{
+				Store: s.Platform.Store, Places: s.Platform.DataCentres, Log: log, Follows: follows,
+			})
+		},
 		Registry: platform.NewRegistry(s.Platform.Store, log),
 		Dialect:  platform.Dialect{},
 		Directory: func(m *membership.Membership, homes func(string) ([]string, bool)) daemon.Directory {
--- a/connection/peer/server.go
+++ b/connection/peer/server.go
@@ -93,9 +93,12 @@
 // List implements schema.DRPCPeersServer.
 func (s *Server) List(_ context.Context, q *schema.ListRequest) (*schema.Listing, error) {
 	l := s.cfg.Lister.Listing()
-	if l == nil || l.Revision <= q.GetRevision() {
+	if l == nil {
 		return &schema.Listing{}, nil
 	}
+	if l.Revision <= q.GetRevision() {
+		return &schema.Listing{Seen: l.Seen, Age: int64(time.Since(l.At))}, nil
+	}
 	return schema.FromListing(l, time.Now()), nil
 }
 
--- a/feed.go
+++ b/feed.go
@@ -28,9 +28,10 @@
 	Listed(l Listing)
 }
 
-// Listing is the platform's lists at one revision.
+// Listing is the platform's lists.
 type Listing struct {
-	Revision  uint64
+	Revision  uint64    // of the platform at the last change of the lists
+	Seen      uint64    // of the platform up to which no other change was made
 	At        time.Time // when the platform was asked
 	Endpoints []Endpoint
 	Hosts     []Host // that have registered themselves, live or not long dead
--- a/process/daemon/hosted.go
+++ b/process/daemon/hosted.go
@@ -23,6 +23,9 @@
 	// ones: a host that the platform answers reads them every second or so.
 	borrowAfter = 2500 * time.Millisecond
 	borrowEvery = 500 * time.Millisecond
+	// followers is how many hosts of a data centre follow the platform, whose calls
+	// are limited and priced: one may be cut off and another be stopped.
+	followers = 3
 )
 
 // placeEvery is how often the endpoints are placed again though nothing was
@@ -46,7 +49,7 @@
 			}
 		}()
 	}
-	duties.Go(func() { d.hosted.Feed.Run(ctx, hostedSink{d}) })
+	duties.Go(func() { d.hosted.Feed(d.follows).Run(ctx, hostedSink{d}) })
 	duties.Go(func() { d.hosted.Registry.Register(ctx, d.membership.Self()) })
 	duties.Go(func() { d.placeOn(ctx) })
 	duties.Go(func() { d.borrow(ctx) })
@@ -82,7 +85,7 @@
 func (d *Daemon) take(l vetchtrail.Listing) {
 	d.listed.Lock()
 	held := d.listing.Load()
-	newer := held == nil || l.Revision >= held.Revision
+	newer := held == nil || l.Seen >= held.Seen
 	if newer {
 		d.listing.Store(&l)
 		d.membership.SetListed(l.Hosts)
@@ -104,7 +107,7 @@
 		wait(ctx, borrowEvery)
 		now := time.Now()
 		held := d.listing.Load()
-		if held != nil && now.Sub(held.At) < borrowAfter {
+		if held != nil && d.onFollowDuty(now) && now.Sub(held.At) < borrowAfter {
 			continue
 		}
 		h, ok := d.membership.AnyPeer(now)
@@ -123,18 +126,38 @@
 		revision = held.Revision
 	}
 	reply, err := d.peers.List(ctx, h.Peers, revision)
-	if err != nil || reply.GetRevision() == 0 {
+	if err != nil || reply.GetSeen() == 0 {
 		return err
 	}
+	if reply.GetRevision() == 0 { // the same lists, seen later
+		l := *held
+		l.Seen, l.At = reply.GetSeen(), time.Now().Add(-time.Duration(reply.GetAge()))
+		d.take(l)
+		return nil
+	}
 	l, err := schema.ToListing(reply, time.Now())
 	if err != nil {
 		return err
 	}
-	d.log.Info("lists borrowed", "peer", h.Name, "store_revision", l.Revision, "age", time.Since(l.At), "held", revision)
+	d.log.Info("lists borrowed", "peer", h.Name, "store_revision", l.Seen, "age", time.Since(l.At), "held", revision)
 	d.take(l)
 	return nil
 }
 
+// onFollowDuty says whether this host is one of the few of its data centre that
+// follow the platform; the others learn of it from their peers.
+func (d *Daemon) onFollowDuty(now time.Time) bool {
+	return d.membership.OnDuty("follow the platform", followers, now)
+}
+
+// follows says whether the feed is to make calls: on duty, or while the lists
+// that peers tell are old.
+func (d *Daemon) follows() bool {
+	now := time.Now()
+	held := d.listing.Load()
+	return held == nil || now.Sub(held.At) > borrowAfter || d.onFollowDuty(now)
+}
+
 // placeOn places the endpoints again now and then.
 func (d *Daemon) placeOn(ctx context.Context) {
 	for ctx.Err() == nil {
--- a/process/daemon/hosted_test.go
+++ b/process/daemon/hosted_test.go
@@ -61,7 +61,7 @@
 	d, err := New(Config{
 		Settings: s, Log: slog.New(slog.NewTextHandler(io.Discard, nil)),
 		Hosted: &Hosted{
-			Feed: feed, Registry: noRegistry{}, Dialect: dialect.Plain{},
+			Feed: func(func() bool) vetchtrail.Feed { return feed }, Registry: noRegistry{}, Dialect: dialect.Plain{},
 			Directory: func(*membership.Membership, func(string) ([]string, bool)) Directory { return noDirectory{} },
 		},
 	})
@@ -76,7 +76,7 @@
 	told, silent := silentFeed{make(chan vetchtrail.Listing, 1)}, silentFeed{make(chan vetchtrail.Listing, 1)}
 	a := startHosted(t, "a", 11, told)
 	b := startHosted(t, "b", 12, silent, a)
-	told.tells <- vetchtrail.Listing{Revision: 40, At: time.Now(), Endpoints: []vetchtrail.Endpoint{
+	told.tells <- vetchtrail.Listing{Revision: 40, Seen: 40, At: time.Now(), Endpoints: []vetchtrail.Endpoint{
 		{Name: "e", Instance: "e", Service: "s", Region: "r", DataCentre: "d", Addr: addr(13, 80), Slots: 2},
 	}}
 	deadline := time.Now().Add(30 * time.Second)
@@ -87,8 +87,8 @@
 	assert.Equal(t, b.Revision(), uint64(5))
 	_, known := b.table.Known("e")
 	assert.Assert(t, known)
-	b.take(vetchtrail.Listing{Revision: 39, At: time.Now()})
+	b.take(vetchtrail.Listing{Revision: 39, Seen: 39, At: time.Now()})
 	assert.Equal(t, b.Listing().Revision, uint64(40))
-	b.take(vetchtrail.Listing{Revision: 41, At: time.Now()})
+	b.take(vetchtrail.Listing{Revision: 41, Seen: 41, At: time.Now()})
 	assert.Equal(t, b.Listing().Revision, uint64(41))
 }
--- a/process/membership/find.go
+++ b/process/membership/find.go
@@ -61,7 +61,8 @@
 	return out
 }
 
-// AnyPeer returns some other host that is likely to live, of any data centre.
+// AnyPeer returns some other host that is likely to live, of this data centre if
+// there is one.
 func (m *Membership) AnyPeer(now time.Time) (vetchtrail.Host, bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -72,7 +73,7 @@
 		}
 	}
 	for _, d := range m.remotes {
-		if now.Sub(d.at) < reachableFor {
+		if len(all) == 0 && now.Sub(d.at) < reachableFor {
 			for _, line := range d.digest.GetMembers() {
 				all = append(all, d.host(line))
 			}
--- a/schema/listing.go
+++ b/schema/listing.go
@@ -11,7 +11,7 @@
 
 // FromListing returns the message for the platform's lists.
 func FromListing(l *vetchtrail.Listing, now time.Time) *Listing {
-	m := &Listing{Revision: l.Revision, Age: int64(now.Sub(l.At))}
+	m := &Listing{Revision: l.Revision, Seen: l.Seen, Age: int64(now.Sub(l.At))}
 	for _, e := range l.Endpoints {
 		m.Endpoints = append(m.Endpoints, &Listed{
 			Endpoint: fromEndpoint(e), Instance: e.Instance, ColdRemaining: left(e.ColdUntil, now), ColdRate: e.ColdRate,
@@ -26,7 +26,7 @@
 
 // ToListing returns the lists of a message that arrived now.
 func ToListing(m *Listing, now time.Time) (vetchtrail.Listing, error) {
-	l := vetchtrail.Listing{Revision: m.GetRevision(), At: now.Add(-time.Duration(m.GetAge()))}
+	l := vetchtrail.Listing{Revision: m.GetRevision(), Seen: m.GetSeen(), At: now.Add(-time.Duration(m.GetAge()))}
 	for _, line := range m.GetEndpoints() {
 		e, err := toEndpoint(line.GetEndpoint())
 		if err != nil {
