Hosts that leave refuse what is passed on to them; nothing is passed on within a region

Change: a leaving host refuses what comes from peers, and the sender takes another; hosts that call the endpoints of their whole region pass nothing on within it. Test: TestLeavingTakesNothing.

--- a/process/daemon/daemon.go
+++ b/process/daemon/daemon.go
@@ -112,6 +112,7 @@
 	d.changes = changelog.New(changelog.Config{Store: store.New(store.Config{Addr: d.set.Platform.Store}), Log: d.log})
 	d.membership = membership.New(membership.Config{
 		Self: d.self, Seeds: d.set.Seeds, Load: d.table, Revision: d.inForce.Load, Log: d.log, Seed: d.seed(),
+		WholeRegion: d.hosted != nil,
 	})
 	d.journal = journal.New(journal.Config{Log: d.log})
 	if err := d.newTLS(); err != nil {
--- a/process/membership/membership.go
+++ b/process/membership/membership.go
@@ -46,6 +46,9 @@
 	Revision func() uint64
 	Log      *slog.Logger
 	Seed     uint64 // of the random choice of peers
+	// WholeRegion says that hosts call the endpoints of their whole region, so that
+	// nothing is passed on within it.
+	WholeRegion bool
 }
 
 // Membership is a host's view of the others.
@@ -311,7 +314,7 @@
 	for name, d := range m.remotes {
 		region, ok := place(d.digest.GetRegion())
 		line := d.service(service)
-		if !ok || line == nil {
+		if !ok || line == nil || (m.cfg.WholeRegion && d.digest.GetRegion() == m.self.Region) {
 			continue
 		}
 		v.Remotes = append(v.Remotes, vetchtrail.RemoteView{
--- a/request/dispatch/dispatch.go
+++ b/request/dispatch/dispatch.go
@@ -96,6 +96,10 @@
 }
 
 func (d *Dispatcher) run(ctx context.Context, r *vetchtrail.Request, a vetchtrail.Answer) vetchtrail.Outcome {
+	if r.Hops > 0 && r.Route != "" && d.cfg.Membership.Self().State == vetchtrail.HostLeaving {
+		// Its stream could outlast this host; who sent it hears late of the stop.
+		return d.refusal(vetchtrail.StepForward, vetchtrail.ReasonLeaving, time.Now().Add(minBack))
+	}
 	if o, ok := d.judge(r); !ok {
 		return d.keyed(r, o)
 	}
@@ -223,7 +227,9 @@
 	if arrived(o) && o.Reason != vetchtrail.ReasonMisled {
 		t.sent++ // else the endpoint has ended, and another process has its address
 	}
-	t.places = append(t.places, p.name())
+	if o.Reason != vetchtrail.ReasonLeaving {
+		t.places = append(t.places, p.name()) // else another host there may take it
+	}
 	t.refused = t.refused || (o.Reason == vetchtrail.ReasonRefused && p.dataCentre == "")
 }
 
--- a/request/dispatch/dispatch_test.go
+++ b/request/dispatch/dispatch_test.go
@@ -175,6 +175,7 @@
 		"no failure as its end":     {resumable, []step{breaks(one), fails}, 2, vetchtrail.Unknown, 502, one, 2, "1"},
 		"stream may not go on":      {func(r *vetchtrail.Request) { r.Stream, r.Attempts = true, 2 }, []step{breaks(one)}, 2, vetchtrail.Unknown, 502, one, 1, ""},
 		"elsewhere":                 {nil, []step{answers("ok")}, 0, vetchtrail.Answered, 200, "ok", 1, ""},
+		"a leaving host elsewhere":  {nil, []step{refuses(vetchtrail.StepForward, vetchtrail.ReasonLeaving), answers("ok")}, 0, vetchtrail.Answered, 200, "ok", 2, ""},
 		"elsewhere lacks the route": {nil, []step{lacksRoute}, 0, vetchtrail.NotRun, 503, "", 1, ""},
 	}
 	for name, c := range cases {
@@ -196,3 +197,26 @@
 		})
 	}
 }
+
+// TestLeavingTakesNothing: a host that leaves refuses what others pass on to it,
+// and serves what its own callers still ask.
+func TestLeavingTakesNothing(t *testing.T) {
+	cases := map[string]struct {
+		hops int
+		kind vetchtrail.OutcomeKind
+	}{
+		"of its own callers": {0, vetchtrail.Answered},
+		"passed on":          {1, vetchtrail.NotRun},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			d := dispatcher(t, &places{steps: []step{answers("ok")}}, 1)
+			d.cfg.Membership.SetState(vetchtrail.HostLeaving)
+			r := &vetchtrail.Request{
+				ID: "x", Service: "s", Route: "r", Attempts: 1, Hops: c.hops, Allowed: vetchtrail.AllRegions, Deadline: time.Now().Add(10 * time.Second),
+			}
+			var g got
+			assert.Equal(t, d.Run(context.Background(), r, &g).Kind, c.kind)
+		})
+	}
+}
