The gap between events is also expected from what runs at an endpoint

Cause: with 20 hosts in a region each has few streams at an endpoint, what it saw of their pace was gone in a second, and endpoints that run much were taken as quick. Change: a line through the gaps seen by the requests that ran then, for the service; an endpoint's own gaps go first while they are fresh. Test: TestGapNow.

--- a/process/load/load.go
+++ b/process/load/load.go
@@ -114,6 +114,7 @@
 	service average             // seconds a request occupies a slot
 	token   average             // seconds a prompt token takes to the first of the answer
 	prefill fit                 // seconds to the first of the answer by tokens read
+	gaps    fit                 // seconds between two events of a stream by the requests that run
 	fails   average             // share of the answers that were failures of the endpoints
 	events  map[string]*average // of a stream, by route
 	prompt  average             // tokens that a request makes an endpoint read
@@ -123,7 +124,8 @@
 	return &means{
 		service: average{value: firstService},
 		token:   average{value: firstPrefill},
-		prefill: newFit(),
+		prefill: newPrefill(),
+		gaps:    fit{most: gapSlopeMost},
 		events:  map[string]*average{},
 	}
 }
@@ -251,7 +253,7 @@
 		Running: s.report.Running, Queued: s.report.Queued, Age: -1,
 		Prefill: m.token.value * notable(1+trust*(s.pace.value-1), s.pace.seen),
 		Service: m.service.value * notable(1+trust*(s.service.value/m.service.value-1), s.service.seen),
-		Warmth:  s.warmth, Failing: s.excess(m, now), Gap: s.gap.at(now),
+		Warmth:  s.warmth, Failing: s.excess(m, now), Gap: s.gapNow(m, now),
 	}
 	if m.prefill.known() {
 		v.Base, v.Prefill = m.prefill.line()
--- a/process/load/pace.go
+++ b/process/load/pace.go
@@ -14,6 +14,11 @@
 	// gapForget is the time in which a mean that is not renewed falls to 1/e: the
 	// streams that made it have ended since.
 	gapForget = time.Second
+	// gapReportAge is how old an endpoint's word of the requests that it runs may
+	// be: streams take some seconds.
+	gapReportAge = 2 * time.Second
+	// gapSlopeMost bounds what one more request adds to the gap, in seconds.
+	gapSlopeMost = 0.05
 )
 
 // gap is the mean time between two events of an endpoint's streams. It grows
@@ -66,6 +71,22 @@
 	return ok && s.silent(now)
 }
 
+// gapNow is the time between two events that a new stream is likely to see: as
+// streams of this host show it, and, the longer they don't, as endpoints of the
+// service show it with as many requests as this one said to run.
+func (s *state) gapNow(m *means, now time.Time) float64 {
+	if !m.gaps.known() || !s.reported || now.Sub(s.report.At) > gapReportAge {
+		return s.gap.at(now)
+	}
+	base, slope := m.gaps.line()
+	usual := base + slope*float64(s.report.Running)
+	if s.gap.seen.IsZero() {
+		return usual
+	}
+	trust := math.Exp(-max(0, now.Sub(s.gap.seen).Seconds()) / gapForget.Seconds())
+	return trust*s.gap.mean + (1-trust)*usual
+}
+
 // Paced implements vetchtrail.Observer.
 func (t *Table) Paced(e vetchtrail.Endpoint, d time.Duration, now time.Time) {
 	t.mu.Lock()
@@ -73,6 +94,9 @@
 	if s, ok := t.endpoints[e.Name]; ok {
 		s.gap.observe(d, now)
 		s.heard = now
+		if s.reported && now.Sub(s.report.At) < gapReportAge {
+			t.means[s.Service].gaps.observe(float64(s.report.Running), d.Seconds())
+		}
 	}
 }
 
--- a/process/load/prefill.go
+++ b/process/load/prefill.go
@@ -22,16 +22,10 @@
 	// queuedFades is the time in which an endpoint's word of those that wait for
 	// it falls to 1/e: about two prompts.
 	queuedFades = 300 * time.Millisecond
-	// fitFades is the weight that each observation leaves to those before it.
-	fitFades = 0.98
-	// fitFew is how many observations are needed before a fit is used.
-	fitFew = 3
-	// Bounds of what a fit may say: seconds, and seconds for a prompt token.
-	baseMost   = 1.0
-	tokenLeast = 1e-6
-	tokenMost  = 1e-3
-	// priorWeight is how many observations the first guess counts as.
-	priorWeight = 2.0
+	// Bounds of what a prompt token may take, in seconds, and the tokens of the
+	// guess that stands at first.
+	tokenLeast  = 1e-6
+	tokenMost   = 1e-3
 	priorTokens = 4000.0
 )
 
@@ -226,44 +220,11 @@
 	}
 }
 
-// fit is a line through observations, the older the lighter: seconds to the
-// first of an answer by the tokens read.
-type fit struct {
-	n, x, y, xx, xy float64
-	seen            int
-}
-
-// newFit returns a fit that starts from a guess.
-func newFit() fit {
-	var f fit
+// newPrefill returns the fit of the seconds to the first of an answer by the
+// tokens read.
+func newPrefill() fit {
+	f := fit{least: tokenLeast, most: tokenMost}
 	f.add(0, 0, priorWeight)
 	f.add(priorTokens, priorTokens*firstPrefill/10, priorWeight)
 	return f
 }
-
-func (f *fit) add(x, y, weight float64) {
-	f.n += weight
-	f.x += weight * x
-	f.y += weight * y
-	f.xx += weight * x * x
-	f.xy += weight * x * y
-}
-
-func (f *fit) observe(tokens, seconds float64) {
-	f.n, f.x, f.y, f.xx, f.xy = f.n*fitFades, f.x*fitFades, f.y*fitFades, f.xx*fitFades, f.xy*fitFades
-	f.add(tokens, seconds, 1)
-	f.seen++
-}
-
-func (f *fit) known() bool { return f.seen >= fitFew }
-
-// line returns the seconds without a token and those for each.
-func (f *fit) line() (base, token float64) {
-	spread := f.n*f.xx - f.x*f.x
-	if spread > 0 {
-		token = (f.n*f.xy - f.x*f.y) / spread
-	}
-	token = math.Min(math.Max(token, tokenLeast), tokenMost)
-	base = math.Min(math.Max((f.y-token*f.x)/f.n, 0), baseMost)
-	return base, token
-}
--- a/process/load/prefill_test.go
+++ b/process/load/prefill_test.go
@@ -141,7 +141,7 @@
 
 // TestFit: seconds are told apart into those of the tokens and the rest.
 func TestFit(t *testing.T) {
-	f := newFit()
+	f := newPrefill()
 	for i := range 400 {
 		tokens := float64(1000 + i%10*1000)
 		f.observe(tokens, 0.05+tokens*9e-6)
@@ -189,3 +189,33 @@
 		})
 	}
 }
+
+// TestGapNow: an endpoint that no stream of this host has shown lately is taken
+// to be as quick as others with as many requests.
+func TestGapNow(t *testing.T) {
+	const perRequest = 0.003
+	tab := models(0)
+	seen, other := vetchtrail.Endpoint{Name: "a"}, vetchtrail.Endpoint{Name: "b"}
+	for running := range 40 {
+		at := now.Add(time.Duration(running) * time.Millisecond)
+		tab.Told(seen, vetchtrail.LoadReport{At: at, Running: running})
+		tab.Paced(seen, time.Duration((0.02+perRequest*float64(running))*float64(time.Second)), at)
+	}
+	cases := map[string]struct {
+		report vetchtrail.LoadReport
+		low    float64
+		high   float64
+	}{
+		"few run":       {vetchtrail.LoadReport{At: now, Running: 2}, 0.02, 0.035},
+		"many run":      {vetchtrail.LoadReport{At: now, Running: 50}, 0.15, 0.19},
+		"said long ago": {vetchtrail.LoadReport{At: now.Add(-time.Minute), Running: 50}, 0, 0},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			tab.endpoints["b"].reported = false
+			tab.Told(other, c.report)
+			got := views(tab, asking("r", 4, 0))["b"].Gap
+			assert.Assert(t, got >= c.low && got <= c.high, "%g", got)
+		})
+	}
+}
