Lists that were seen later don't bring back what was dropped meanwhile

Read in the diff, not seen in a run: a peer's word that nothing is newer was applied to the lists held before the question, though the feed may have dropped an endpoint since, and without any lists held it would have ended the process.

--- a/process/daemon/hosted.go
+++ b/process/daemon/hosted.go
@@ -130,6 +130,9 @@
 		return err
 	}
 	if reply.GetRevision() == 0 { // the same lists, seen later
+		if held == nil || d.listing.Load() != held {
+			return nil // others were taken meanwhile
+		}
 		l := *held
 		l.Seen, l.At = reply.GetSeen(), time.Now().Add(-time.Duration(reply.GetAge()))
 		d.take(l)
