Silence is judged by streams that took room here, of every kind

Change: streams are counted by request, from the room they took to its return; all streams tell the time between their events.

--- a/connection/endpoint/events.go
+++ b/connection/endpoint/events.go
@@ -50,6 +50,7 @@
 	in := bufio.NewReaderSize(t.body, readBuffer)
 	stream := t.streamName()
 	done := false
+	var last time.Time
 	for {
 		_ = t.conn.SetDeadline(time.Now().Add(stallTime))
 		event, err := readEvent(in)
@@ -63,6 +64,7 @@
 		if err := t.part(t.globalID(event, stream)); err != nil {
 			return err
 		}
+		last = t.paced(last)
 	}
 	if !done {
 		return errors.New("the stream ended without its last event")
--- a/process/load/learn.go
+++ b/process/load/learn.go
@@ -13,7 +13,6 @@
 	Outcome vetchtrail.Outcome
 	Timing  vetchtrail.Timing
 	Route   string
-	Stream  bool
 	Tokens  int  // of the prompt
 	Cancel  bool // the caller left: says nothing of the endpoint
 }
@@ -28,9 +27,7 @@
 	}
 	s.mark(now, -1)
 	delete(s.reading, o.Request)
-	if o.Stream && !o.Timing.First.IsZero() {
-		s.streams--
-	}
+	delete(s.streams, o.Request)
 	t.wake(s.Service)
 	if o.Outcome.Cold > 0 {
 		s.cold.configure(now.Add(o.Outcome.Cold), s.ColdRate)
--- a/process/load/load.go
+++ b/process/load/load.go
@@ -91,13 +91,13 @@
 	sessions sessions          // whose prompts this host sent here lately
 	cold     coldGate
 	gap      gap
-	streams  int       // own streams that have begun
-	heard    time.Time // when anything came from it last
-	downs    int       // connections in a row that it did not take
-	fails    average   // share of its answers that were failures of its own
-	failsAt  time.Time // when one was last seen
-	ejected  time.Time // until when, for failures
-	backOff  time.Time // until when, by its own refusal or as it is down
+	streams  map[string]bool // own streams that have begun, by request
+	heard    time.Time       // when anything came from it last
+	downs    int             // connections in a row that it did not take
+	fails    average         // share of its answers that were failures of its own
+	failsAt  time.Time       // when one was last seen
+	ejected  time.Time       // until when, for failures
+	backOff  time.Time       // until when, by its own refusal or as it is down
 	backWhy  vetchtrail.Reason
 	leaving  time.Time // until when a word of its leaving stands
 	says     bool      // its newest report says that it is leaving
@@ -160,7 +160,7 @@
 		if !ok || s.Addr != e.Addr || s.Service != e.Service {
 			s = &state{
 				limit: float64(e.Slots), service: average{value: firstService}, pace: average{value: 1},
-				warmth: 1, reading: map[string]unread{}, sessions: sessions{},
+				warmth: 1, reading: map[string]unread{}, sessions: sessions{}, streams: map[string]bool{},
 			}
 		}
 		s.cold.configure(e.ColdUntil, e.ColdRate)
--- a/process/load/pace.go
+++ b/process/load/pace.go
@@ -56,7 +56,7 @@
 // silent says whether the endpoint runs streams of this host and has said
 // nothing on any of them for long. A new request would wait as they do.
 func (s *state) silent(now time.Time) bool {
-	if s.streams == 0 {
+	if len(s.streams) == 0 {
 		return false
 	}
 	patience := max(silentLeast, time.Duration(silentGaps*s.gap.mean*float64(time.Second)))
--- a/process/load/prefill.go
+++ b/process/load/prefill.go
@@ -186,12 +186,12 @@
 		return
 	}
 	s.heard = now
-	if r.Stream {
-		s.streams++
-	}
 	read, waited := s.reading[r.ID]
 	if !waited {
-		return
+		return // no room was taken for it: a stream that is only fetched again
+	}
+	if r.Stream {
+		s.streams[r.ID] = true
 	}
 	delete(s.reading, r.ID)
 	if len(s.reading) == 0 && s.report.Queued <= 1 {
--- a/process/load/prefill_test.go
+++ b/process/load/prefill_test.go
@@ -219,3 +219,38 @@
 		})
 	}
 }
+
+// TestSilent: an endpoint is left when it says nothing on streams that took room
+// here; one whose streams ended, or were only fetched again, is not.
+func TestSilent(t *testing.T) {
+	e := vetchtrail.Endpoint{Name: "a"}
+	stream := asking("x", 3, 0)
+	stream.Stream = true
+	long := now.Add(time.Minute)
+	cases := map[string]struct {
+		do     func(t *Table)
+		silent bool
+	}{
+		"nothing runs":     {func(*Table) {}, false},
+		"a stream stopped": {func(t *Table) { t.Acquire("a", stream, now); t.Started(e, stream, now) }, true},
+		"it was heard": {func(t *Table) {
+			t.Acquire("a", stream, now)
+			t.Started(e, stream, now)
+			t.Paced(e, time.Second, long)
+		}, false},
+		"it ended": {func(t *Table) {
+			t.Acquire("a", stream, now)
+			t.Started(e, stream, now)
+			t.Release("a", Observation{Request: "x"}, now)
+		}, false},
+		"it took no room":    {func(t *Table) { t.Started(e, stream, now) }, false},
+		"it has not started": {func(t *Table) { t.Acquire("a", stream, now) }, false},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			tab := models(0)
+			c.do(tab)
+			assert.Equal(t, tab.Silent(e, long), c.silent)
+		})
+	}
+}
--- a/request/dispatch/dispatch.go
+++ b/request/dispatch/dispatch.go
@@ -304,7 +304,7 @@
 	o, timing := d.cfg.Endpoints.Call(ctx, p.endpoint, r, a)
 	o.First = timing.First
 	d.cfg.Table.Release(p.endpoint.Name, load.Observation{
-		Request: r.ID, Route: r.Route, Stream: r.Stream, Outcome: o, Timing: timing, Tokens: r.PromptTokens(), Cancel: ctx.Err() != nil,
+		Request: r.ID, Route: r.Route, Outcome: o, Timing: timing, Tokens: r.PromptTokens(), Cancel: ctx.Err() != nil,
 	}, time.Now())
 	return o
 }
