--- a/decision.go
+++ b/decision.go
@@ -72,7 +72,7 @@
 	Endpoints []EndpointView // of this data centre
 	Remotes   []RemoteView   // other data centres
 	Excluded  []string       // places tried before
-	Events    float64        // of the request's stream, as its route's usually have; 0: not known
+	Events    float64        // that the answer is expected to have; 0: not known, or not a stream
 	Refused   bool           // one of them, of this data centre, refused for its load
 }
 
--- a/request/policy/policy_test.go
+++ b/request/policy/policy_test.go
@@ -241,3 +241,18 @@
 		}
 	}
 }
+
+// TestManyEndpoints: beyond the costs that are held between the passes, an
+// endpoint whose streams would end late is not drawn either.
+func TestManyEndpoints(t *testing.T) {
+	var ends []vetchtrail.EndpointView
+	for i := range heldCosts + 50 {
+		ends = append(ends, endpoint(fmt.Sprintf("e%03d", i), func(e *vetchtrail.EndpointView) { e.Gap = 0.1 }))
+	}
+	ends[heldCosts+20].Gap = 0.001
+	for seed := range uint64(50) {
+		v := &vetchtrail.View{Region: 1, Weights: vetchtrail.Weights{Tail: 1}, Endpoints: ends, Events: 50}
+		d := Weighted{}.Decide(now, request(func(r *vetchtrail.Request) { r.Route = "r" }), v, rand.New(rand.NewPCG(seed, 1)))
+		assert.Equal(t, d.Name, ends[heldCosts+20].Name)
+	}
+}
--- a/request/policy/weighted.go
+++ b/request/policy/weighted.go
@@ -65,6 +65,7 @@
 	slow   int                // that would not end the answer in time
 	wait   float64            // shortest predicted wait at those
 	others float64            // requests of other hosts at an endpoint, in the mean
+	now    time.Time
 }
 
 // heldCosts is how many costs are held between the passes; those of further
@@ -95,7 +96,7 @@
 // score finds the cost of each endpoint and the lowest.
 func score(s *scored, d *vetchtrail.Decision, now time.Time, r *vetchtrail.Request, v *vetchtrail.View) {
 	s.best, s.wait = math.Inf(1), math.Inf(1)
-	s.others = meanOthers(r, v)
+	s.others, s.now = meanOthers(r, v), now
 	for i := range v.Endpoints {
 		e := &v.Endpoints[i]
 		if why := unfit(e, r, v); why != "" {
@@ -141,9 +142,9 @@
 	}
 }
 
-// endsLate says whether a stream that begins after first seconds, with as many
-// events as its route's usually have, would take too much of the time that its
-// request has. One more stream also slows those that run.
+// endsLate says whether a stream that begins after first seconds, with the events
+// that are expected of it, would take too much of the time that its request has.
+// One more stream also slows those that run.
 func endsLate(gap, first float64, now time.Time, r *vetchtrail.Request, v *vetchtrail.View) bool {
 	if r.Route == "" || v.Events == 0 {
 		return false
@@ -160,7 +161,11 @@
 	if unfit(e, r, v) != "" || e.Own >= e.Limit {
 		return math.MaxFloat64
 	}
-	return costOf(e, r, v, load(e, s.others))
+	n := load(e, s.others)
+	if endsLate(e.Gap, firstAt(e, r, n), s.now, r, v) {
+		return math.MaxFloat64
+	}
+	return costOf(e, r, v, n)
 }
 
 // unfit says why an endpoint can't be used at all; empty: it can.
