--- a/process/membership/digest.go
+++ b/process/membership/digest.go
@@ -181,8 +181,8 @@
 	case !ok:
 		r = &remote{own: map[string]int{}, warmth: 1, delay: defaultDelay}
 		m.remotes[name] = r
-	case !at.After(r.at) && len(d.GetMembers()) == 0:
-		return true
+	case !at.After(r.at):
+		return r.fillMembers(d)
 	case now.Sub(r.at) > reachableFor:
 		r.warmth = coldRegion // it was cut off or down: its caches are cold
 	}
@@ -193,6 +193,16 @@
 	return hashOf(d.GetMembers()) == d.GetMembersHash()
 }
 
+// fillMembers takes the members of an older digest if they are those that the held
+// one came without. It returns false if they are still missing.
+func (r *remote) fillMembers(d *schema.Digest) bool {
+	held := r.digest
+	if hashOf(held.GetMembers()) != held.GetMembersHash() && d.GetMembersHash() == held.GetMembersHash() && len(d.GetMembers()) > 0 {
+		held.Members = d.GetMembers()
+	}
+	return hashOf(held.GetMembers()) == held.GetMembersHash()
+}
+
 // defaultDelay is taken for a link until it was measured.
 const defaultDelay = 30 * time.Millisecond
 
--- a/process/membership/membership_test.go
+++ b/process/membership/membership_test.go
@@ -360,3 +360,42 @@
 		}
 	})
 }
+
+// TestOlderDigest: a digest that another host hands on and that is older than
+// the one held tells its members at most, never what was true before.
+func TestOlderDigest(t *testing.T) {
+	far := []*schema.Member{{Name: "far", State: uint32(vetchtrail.HostReady), Peers: "10.0.0.2:1"}}
+	services := []*schema.ServiceDigest{{Service: "s", Free: 4, Slots: 4}}
+	newer := func() *schema.Digest {
+		return &schema.Digest{DataCentre: "b", Region: "rb", Revision: 2, Services: services, MembersHash: hashOf(far)}
+	}
+	cases := map[string]struct {
+		first    *schema.Digest // the newer one
+		older    *schema.Digest
+		services int
+		members  int
+	}{
+		"with members that are held": {
+			&schema.Digest{DataCentre: "b", Region: "rb", Revision: 2, Services: services, MembersHash: hashOf(far), Members: far},
+			&schema.Digest{DataCentre: "b", Region: "rb", MembersHash: hashOf(far), Members: far}, 1, 1,
+		},
+		"with members that are missing": {newer(), &schema.Digest{DataCentre: "b", Region: "rb", MembersHash: hashOf(far), Members: far}, 1, 1},
+		"with other members":            {newer(), &schema.Digest{DataCentre: "b", Region: "rb", Members: []*schema.Member{{Name: "gone"}}}, 1, 0},
+		"without members":               {newer(), &schema.Digest{DataCentre: "b", Region: "rb"}, 1, 0},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			m := New(Config{
+				Self: vetchtrail.Host{Name: "a1", Region: "ra", DataCentre: "a"}, Load: load.New(),
+				Revision: func() uint64 { return 1 }, Log: slog.New(slog.NewTextHandler(io.Discard, nil)),
+			})
+			now := time.Now()
+			m.mergeDigest(c.first, now, now, true)
+			m.mergeDigest(c.older, now.Add(-time.Second), now, false)
+			held := m.remotes["b"].digest
+			assert.Equal(t, len(held.GetServices()), c.services)
+			assert.Equal(t, held.GetRevision(), uint64(2))
+			assert.Equal(t, len(held.GetMembers()), c.members)
+		})
+	}
+}
