--- a/process/daemon/hosted.go
+++ b/process/daemon/hosted.go
@@ -26,6 +26,8 @@
 	// followers is how many hosts of a data centre follow the platform, whose calls
 	// are limited and priced: one may be cut off and another be stopped.
 	followers = 3
+	// followDuty names the duty to follow the platform.
+	followDuty = "follow the platform"
 )
 
 // placeEvery is how often the endpoints are placed again though nothing was
@@ -103,14 +105,14 @@
 // borrow asks peers for the platform's lists while the platform does not answer
 // this host.
 func (d *Daemon) borrow(ctx context.Context) {
-	for ctx.Err() == nil {
+	for try := 0; ctx.Err() == nil; try++ {
 		wait(ctx, borrowEvery)
 		now := time.Now()
 		held := d.listing.Load()
 		if held != nil && d.onFollowDuty(now) && now.Sub(held.At) < borrowAfter {
 			continue
 		}
-		h, ok := d.membership.AnyPeer(now)
+		h, ok := d.lender(try, now)
 		if !ok {
 			continue
 		}
@@ -120,6 +122,18 @@
 	}
 }
 
+// lender is the host to ask for lists at a try: one that follows the platform, and
+// each third time any, as the platform may have turned those away.
+func (d *Daemon) lender(try int, now time.Time) (vetchtrail.Host, bool) {
+	const others = 3
+	if try%others != others-1 {
+		if h, ok := d.membership.Doer(followDuty, followers, now); ok {
+			return h, true
+		}
+	}
+	return d.membership.AnyPeer(now)
+}
+
 func (d *Daemon) borrowFrom(ctx context.Context, h vetchtrail.Host, held *vetchtrail.Listing) error {
 	var revision uint64
 	if held != nil {
@@ -150,7 +164,7 @@
 // onFollowDuty says whether this host is one of the few of its data centre that
 // follow the platform; the others learn of it from their peers.
 func (d *Daemon) onFollowDuty(now time.Time) bool {
-	return d.membership.OnDuty("follow the platform", followers, now)
+	return d.membership.OnDuty(followDuty, followers, now)
 }
 
 // follows says whether the feed is to make calls: on duty, or while the lists
--- a/process/membership/membership.go
+++ b/process/membership/membership.go
@@ -4,6 +4,7 @@
 package membership
 
 import (
+	"cmp"
 	"log/slog"
 	"math/rand/v2"
 	"net/netip"
@@ -235,16 +236,37 @@
 	mine := weigh(duty, m.self.Name)
 	before := 0
 	for _, b := range m.members {
-		if s := b.state(now); s != vetchtrail.HostReady && s != vetchtrail.HostStarting {
-			continue
-		}
-		if weigh(duty, b.Name) > mine {
+		if b.works(now) && weigh(duty, b.Name) > mine {
 			before++
 		}
 	}
 	return before < n
 }
 
+// works says whether a member does duties.
+func (b *member) works(now time.Time) bool {
+	s := b.state(now)
+	return s == vetchtrail.HostReady || s == vetchtrail.HostStarting
+}
+
+// Doer returns, at random, one of the first n of the other live hosts of this data
+// centre for a duty.
+func (m *Membership) Doer(duty string, n int, now time.Time) (vetchtrail.Host, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var live []vetchtrail.Host
+	for _, b := range m.members {
+		if b.works(now) {
+			live = append(live, b.Host)
+		}
+	}
+	if len(live) == 0 {
+		return vetchtrail.Host{}, false
+	}
+	slices.SortFunc(live, func(a, b vetchtrail.Host) int { return cmp.Compare(weigh(duty, b.Name), weigh(duty, a.Name)) })
+	return live[m.rnd.IntN(min(n, len(live)))], true
+}
+
 func weigh(duty, host string) uint64 {
 	var d xxhash.Digest
 	d.Reset()
--- a/process/membership/membership_test.go
+++ b/process/membership/membership_test.go
@@ -91,14 +91,20 @@
 	}
 	for d := range 40 {
 		duty := fmt.Sprint("duty ", d)
-		n := 0
+		on := map[string]bool{}
 		for _, m := range all {
 			if m.OnDuty(duty, 2, now) {
-				n++
+				on[m.self.Name] = true
 			}
 		}
-		assert.Equal(t, n, 2, duty)
+		assert.Equal(t, len(on), 2, duty)
+		for _, m := range all {
+			h, ok := m.Doer(duty, 1, now)
+			assert.Assert(t, ok && (on[h.Name] || on[m.self.Name]), "%s takes %s for one that does %s", m.self.Name, h.Name, duty)
+		}
 	}
+	_, ok := all[0].Doer("any", 1, now.Add(deadAfter+1))
+	assert.Assert(t, !ok, "none is known to live")
 	assert.Assert(t, all[0].OnDuty("any", 1, now.Add(deadAfter+1)), "alone, a host has all duties")
 }
 
