Platform: an entry that peers have seen go is not held back after a host's own outage

A host that the store had turned away found the entry missing on its return and kept it for the two seconds in which lapsed entries may come back; its lists, seen later than all others, then gave the endpoint back to hosts that had dropped it five seconds before. Ruled out: the spread of the lists (hosts had it right at 9.97 s). Change: the feed asks for the lists that the host holds; where a peer's, seen later than its own, lack the entry, it goes at once.

--- a/process/daemon/daemon.go
+++ b/process/daemon/daemon.go
@@ -56,8 +56,9 @@
 // Hosted is how the daemon speaks to a platform that keeps the configuration
 // and the list of endpoints.
 type Hosted struct {
-	// Feed makes the platform's feed; follows says whether it is to make calls.
-	Feed      func(follows func() bool) vetchtrail.Feed
+	// Feed makes the platform's feed; follows says whether it is to make calls, held
+	// returns the lists that the host holds, its own or a peer's.
+	Feed      func(follows func() bool, held func() *vetchtrail.Listing) vetchtrail.Feed
 	Registry  vetchtrail.Registry
 	Dialect   vetchtrail.Dialect
 	Directory func(m *membership.Membership, homes func(name string) (regions []string, known bool)) Directory
--- a/process/daemon/hosted.go
+++ b/process/daemon/hosted.go
@@ -51,7 +51,7 @@
 			}
 		}()
 	}
-	duties.Go(func() { d.hosted.Feed(d.follows).Run(ctx, hostedSink{d}) })
+	duties.Go(func() { d.hosted.Feed(d.follows, d.Listing).Run(ctx, hostedSink{d}) })
 	duties.Go(func() { d.hosted.Registry.Register(ctx, d.membership.Self()) })
 	duties.Go(func() { d.placeOn(ctx) })
 	duties.Go(func() { d.borrow(ctx) })
--- a/process/daemon/hosted_test.go
+++ b/process/daemon/hosted_test.go
@@ -61,7 +61,7 @@
 	d, err := New(Config{
 		Settings: s, Log: slog.New(slog.NewTextHandler(io.Discard, nil)),
 		Hosted: &Hosted{
-			Feed: func(func() bool) vetchtrail.Feed { return feed }, Registry: noRegistry{}, Dialect: dialect.Plain{},
+			Feed: func(func() bool, func() *vetchtrail.Listing) vetchtrail.Feed { return feed }, Registry: noRegistry{}, Dialect: dialect.Plain{},
 			Directory: func(*membership.Membership, func(string) ([]string, bool)) Directory { return noDirectory{} },
 		},
 	})
