--- a/decision.go
+++ b/decision.go
@@ -43,6 +43,9 @@
 	Gap        time.Duration // of the target: between two events of its streams
 	Holds      int           // tokens of the prompt that the target is likely to hold
 	Age        time.Duration // of what the target last told of its load; negative: nothing
+	Running    int           // requests that the target last said to run
+	Queued     int           // requests that the target last said to hold back
+	Own        int           // of this host, in flight at the target
 	RetryAt    time.Time     // with Refuse: when asking again may help
 	Looked     int           // candidates looked at
 	Candidates [MaxCandidates]Candidate
--- a/process/journal/journal.go
+++ b/process/journal/journal.go
@@ -23,6 +23,8 @@
 	At        time.Time
 	Request   string
 	Service   string
+	Route     string
+	Prompt    int // tokens
 	Workspace string
 	Home      string
 	Decision  vetchtrail.Decision
@@ -112,15 +114,16 @@
 
 func (j *Journal) write(r *Record) {
 	if r.Ended {
-		j.log.Info("outcome", "request", r.Request, "service", r.Service, "outcome", r.Outcome.Kind.String(),
+		j.log.Info("outcome", "request", r.Request, "service", r.Service, "route", r.Route, "outcome", r.Outcome.Kind.String(),
 			"step", string(r.Outcome.Step), "peer", r.Outcome.Peer, "reason", string(r.Outcome.Reason),
-			"hops", r.Hops, "took", r.Took, "first", first(r), "status", r.Outcome.Status, "begun", r.Outcome.Begun, "error", cause(r.Outcome.Err))
+			"hops", r.Hops, "events", r.Outcome.Events, "took", r.Took, "first", first(r), "status", r.Outcome.Status, "begun", r.Outcome.Begun, "error", cause(r.Outcome.Err))
 		return
 	}
-	j.log.Info("decision", "request", r.Request, "service", r.Service, "workspace", r.Workspace, "home", r.Home,
+	j.log.Info("decision", "request", r.Request, "service", r.Service, "route", r.Route, "prompt", r.Prompt, "workspace", r.Workspace, "home", r.Home,
 		"decision", r.Decision.Kind.String(), "target", r.Decision.Name, "reason", string(r.Decision.Reason),
 		"cost", r.Decision.Cost, "wait", r.Decision.Wait,
-		"backlog", r.Decision.Backlog, "holds", r.Decision.Holds, "gap", r.Decision.Gap, "report_age", r.Decision.Age, "looked", r.Decision.Looked,
+		"backlog", r.Decision.Backlog, "holds", r.Decision.Holds, "gap", r.Decision.Gap, "report_age", r.Decision.Age,
+		"running", r.Decision.Running, "queued", r.Decision.Queued, "own", r.Decision.Own, "looked", r.Decision.Looked,
 		"candidates", candidates(&r.Decision), "revision", r.Revision, "hops", r.Hops, "attempt", r.Attempt)
 }
 
--- a/request/dispatch/dispatch.go
+++ b/request/dispatch/dispatch.go
@@ -88,7 +88,7 @@
 	began := time.Now()
 	o := d.run(ctx, r, a)
 	d.cfg.Journal.Note(journal.Record{
-		At: began, Request: r.ID, Service: r.Service, Workspace: r.Workspace, Hops: r.Hops,
+		At: began, Request: r.ID, Service: r.Service, Route: r.Route, Workspace: r.Workspace, Hops: r.Hops,
 		Ended: true, Outcome: o, Took: time.Since(began),
 	})
 	count(r, o, time.Since(began))
--- a/request/policy/weighted.go
+++ b/request/policy/weighted.go
@@ -266,6 +266,7 @@
 	d.Kind, d.Target, d.Name, d.Cost = vetchtrail.RunHere, chosen, e.Name, s.cost(chosen, r, v)
 	d.Reason = vetchtrail.ReasonChosen
 	d.Backlog, d.Holds, d.Age, d.Gap = seconds(e.Backlog), e.Kept, e.Age, seconds(e.Gap)
+	d.Running, d.Queued, d.Own = e.Running, e.Queued, e.Own
 	return *d
 }
 
