Load: queues are predicted from what endpoints tell and what waits showed; other regions by what waits there

Three reasons: what an endpoint said to hold back faded to nothing in 0.3 s; the seconds of a prompt token were learnt on idle endpoints from prompts whose kept part is only guessed, which gave up to eight times too little; and another data centre's wait was a share of the mean time of a request, whatever waited there. Ruled out: reports that are too old (200 ms in the median), limits (not reached). Change: an endpoint's word moves to the mean of its service; the time to read is learnt from all that was to be read before an answer began; a digest tells the mean wait by unread prompts; what this host lately sent to a region, times the hosts here, counts as waiting there.

--- a/process/load/load.go
+++ b/process/load/load.go
@@ -118,6 +118,7 @@
 	fails   average             // share of the answers that were failures of the endpoints
 	events  map[string]*average // of a stream, by route
 	prompt  average             // tokens that a request makes an endpoint read
+	waiting float64             // requests of other hosts that wait at an endpoint, in the mean
 }
 
 func newMeans() *means {
@@ -230,6 +231,7 @@
 	states := t.services[r.Service]
 	if m, ok := t.means[r.Service]; ok {
 		v.Events = m.usualEvents(r.Route)
+		m.waiting = meanWaiting(states, now)
 	}
 	session, sticky := r.Session()
 	home := -1
--- a/process/load/prefill.go
+++ b/process/load/prefill.go
@@ -19,12 +19,16 @@
 	// moveShare is the share of a kept prompt's reading that is saved by taking it
 	// from another endpoint: moving is quick but priced.
 	moveShare = 0.8
-	// queuedFades is the time in which an endpoint's word of those that wait for
-	// it falls to 1/e: about two prompts.
-	queuedFades = 300 * time.Millisecond
-	// Bounds of what a prompt token may take, in seconds, and the tokens of the
-	// guess that stands at first.
-	tokenLeast  = 1e-6
+	// queuedFades is the time in which an endpoint's word of those that wait for it
+	// moves to the mean of all endpoints but for 1/e: at a peak some ten wait, and
+	// an endpoint reads as many prompts in a second.
+	queuedFades = time.Second
+	// queuedAge is the age of an endpoint's word from which it says nothing of those
+	// that wait.
+	queuedAge = 3 * time.Second
+	// Bounds of what a prompt token may take, in seconds: the users' engines read 112
+	// in a millisecond; and the tokens of the guess that stands at first.
+	tokenLeast  = 5e-6
 	tokenMost   = 1e-3
 	priorTokens = 4000.0
 )
@@ -116,7 +120,9 @@
 		}
 		s.sessions.use(session.ID, now)
 	}
-	s.reading[r.ID] = unread{tokens: tokens, priority: r.Priority}
+	s.reading[r.ID] = unread{
+		tokens: tokens, before: s.backlog(r.Priority, t.means[s.Service], now), priority: r.Priority, sent: now,
+	}
 	t.means[s.Service].prompt.observe(float64(tokens))
 }
 
@@ -140,7 +146,9 @@
 // unread is a prompt that an endpoint was sent and has still to read.
 type unread struct {
 	tokens   int
+	before   float64 // tokens that were expected to be read before it
 	priority int8
+	sent     time.Time
 }
 
 // ahead is the tokens of own requests that the endpoint reads before a request
@@ -167,14 +175,43 @@
 	return float64(ahead) + share*s.othersUnread(m, now)
 }
 
-// othersUnread estimates the tokens of other hosts' requests that wait there.
+// othersUnread estimates the tokens of other hosts' requests that wait there: as
+// the endpoint said last, and, the older its word, as all do in the mean.
 func (s *state) othersUnread(m *means, now time.Time) float64 {
-	if !s.reported {
+	waiting := m.waiting
+	if s.reported {
+		trust := math.Exp(-now.Sub(s.report.At).Seconds() / queuedFades.Seconds())
+		waiting += trust * (float64(s.othersWaiting()) - m.waiting)
+	}
+	return waiting * m.prompt.value
+}
+
+// othersWaiting is how many requests of other hosts waited at the endpoint when it
+// last told of them.
+func (s *state) othersWaiting() int {
+	own := 0
+	for _, u := range s.reading {
+		if !u.sent.After(s.report.At) {
+			own++
+		}
+	}
+	return max(0, s.report.Queued-own)
+}
+
+// meanWaiting is how many requests of other hosts wait at an endpoint in the mean,
+// by what was lately told.
+func meanWaiting(states []*state, now time.Time) float64 {
+	sum, n := 0, 0
+	for _, s := range states {
+		if s.reported && now.Sub(s.report.At) < queuedAge {
+			sum += s.othersWaiting()
+			n++
+		}
+	}
+	if n == 0 {
 		return 0
 	}
-	waiting := max(0, s.report.Queued-len(s.reading))
-	fade := math.Exp(-now.Sub(s.report.At).Seconds() / queuedFades.Seconds())
-	return float64(waiting) * m.prompt.value * fade
+	return float64(sum) / float64(n)
 }
 
 // Started implements vetchtrail.Observer: the endpoint has read the prompt.
@@ -194,22 +231,10 @@
 		s.streams[r.ID] = true
 	}
 	delete(s.reading, r.ID)
-	if len(s.reading) == 0 && s.report.Queued <= 1 {
-		if at, ok := s.lastSent(); ok {
-			t.means[s.Service].prefill.observe(float64(read.tokens), now.Sub(at).Seconds())
-		}
-	}
+	t.means[s.Service].prefill.observe(read.before+float64(read.tokens), now.Sub(read.sent).Seconds())
 	t.wake(s.Service)
 }
 
-// lastSent is when the newest request was sent here.
-func (s *state) lastSent() (time.Time, bool) {
-	if s.marks == 0 {
-		return time.Time{}, false
-	}
-	return s.history[(s.marks-1)%ownHistory].at, true
-}
-
 // Told implements vetchtrail.Observer: a load that an endpoint tells in an
 // answer is as good as a fetched report.
 func (t *Table) Told(e vetchtrail.Endpoint, l vetchtrail.LoadReport) {
--- a/process/load/prefill_test.go
+++ b/process/load/prefill_test.go
@@ -122,6 +122,9 @@
 		"its answer began":    {func(t *Table) { t.Acquire("a", asking("x", 3, 0), now); t.Started(e, asking("x", 3, 0), now) }, 0, false},
 		"it ended":            {func(t *Table) { t.Acquire("a", asking("x", 3, 0), now); t.Release("a", Observation{Request: "x"}, now) }, 0, false},
 		"others' by its word": {func(t *Table) { t.Told(e, vetchtrail.LoadReport{At: now, Queued: 4}) }, 0, true},
+		"others' elsewhere, unheard of itself": {func(t *Table) {
+			t.Told(vetchtrail.Endpoint{Name: "b"}, vetchtrail.LoadReport{At: now, Queued: 4})
+		}, 0, true},
 		"others' long ago": {func(t *Table) {
 			t.Told(e, vetchtrail.LoadReport{At: now.Add(-time.Minute), Queued: 4})
 		}, 0, false},
@@ -139,6 +142,44 @@
 	}
 }
 
+// TestPrefillLearnt: the time to read is learnt from all that was to be read before
+// an answer began, so that what a queue means in seconds is known.
+func TestPrefillLearnt(t *testing.T) {
+	const token = 2e-5 // seconds, of a busy endpoint
+	tab := models(0)
+	for round := range 100 {
+		at := now.Add(time.Duration(round) * 10 * time.Second)
+		for i := range 5 { // five prompts that wait for each other
+			r := asking(string(rune('p'+i)), 4, 0)
+			assert.Assert(t, tab.Acquire("a", r, at))
+		}
+		read := 0
+		for i := range 5 {
+			r := asking(string(rune('p'+i)), 4, 0)
+			read += tab.endpoints["a"].reading[r.ID].tokens
+			tab.Started(vetchtrail.Endpoint{Name: "a"}, r, at.Add(time.Duration(float64(read)*token*float64(time.Second))))
+			tab.Release("a", Observation{Request: r.ID, Outcome: vetchtrail.Outcome{Kind: vetchtrail.Answered}}, at.Add(9*time.Second))
+		}
+	}
+	_, got := tab.means["s"].prefill.line()
+	assert.Assert(t, got > 0.8*token && got < 1.2*token, "%g", got)
+}
+
+// TestSummaryWait: another data centre is told how long what waits here takes.
+func TestSummaryWait(t *testing.T) {
+	tab := models(0)
+	for i := range fitFew {
+		tab.means["s"].prefill.observe(float64(1000*(i+1)), 0.01*float64(i+1))
+	}
+	tab.means["s"].prompt.observe(5000)
+	idle := tab.Summaries(now)[0].Wait
+	for name := range tab.endpoints {
+		tab.Told(vetchtrail.Endpoint{Name: name}, vetchtrail.LoadReport{At: now, Queued: 10})
+	}
+	busy := tab.Summaries(now)[0].Wait
+	assert.Assert(t, busy > idle+200*time.Millisecond, "%s idle, %s busy", idle, busy)
+}
+
 // TestFit: seconds are told apart into those of the tokens and the rest.
 func TestFit(t *testing.T) {
 	f := newPrefill()
--- a/process/load/summary.go
+++ b/process/load/summary.go
@@ -47,7 +47,8 @@
 
 func summarize(name string, states []*state, m *means, now time.Time) Summary {
 	sum := Summary{Service: name}
-	best := math.Inf(1)
+	best, unread, used := math.Inf(1), 0.0, 0
+	m.waiting = meanWaiting(states, now)
 	for _, s := range states {
 		v := s.view(m, now)
 		if v.Away {
@@ -56,6 +57,8 @@
 		held := max(v.Own, v.Running+v.Queued+v.OwnSince)
 		sum.Slots += v.Slots
 		sum.Free += max(0, v.Slots-held)
+		used++
+		unread += s.backlog(leastUrgent, m, now)
 		wait := v.Service * 0.1
 		if held >= v.Slots {
 			wait += float64(held-v.Slots+1) * v.Service / float64(v.Slots)
@@ -65,8 +68,17 @@
 			sum.Gap = g
 		}
 	}
-	if !math.IsInf(best, 1) {
-		sum.Wait = time.Duration(best * float64(time.Second))
+	if used == 0 {
+		return sum
 	}
+	if m.prefill.known() {
+		// Many read this, and the one with the least would soon have the most.
+		base, token := m.prefill.line()
+		best = base + token*unread/float64(used)
+	}
+	sum.Wait = time.Duration(best * float64(time.Second))
 	return sum
 }
+
+// leastUrgent is a priority before which all others go.
+const leastUrgent = math.MinInt8
--- a/process/membership/membership.go
+++ b/process/membership/membership.go
@@ -6,6 +6,7 @@
 import (
 	"cmp"
 	"log/slog"
+	"math"
 	"math/rand/v2"
 	"net/netip"
 	"slices"
@@ -120,7 +121,8 @@
 	at     time.Time // when the digest was made, by this host's clock
 	delay  time.Duration
 	own    map[string]int // this host's forwards in flight, by service
-	avoid  time.Time      // until when, after a failed forward
+	sent   map[string]*sent
+	avoid  time.Time // until when, after a failed forward
 	warmth float64
 }
 
@@ -333,6 +335,7 @@
 func (m *Membership) Fill(v *vetchtrail.View, service string, place Placer, now time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	senders := m.senders(now)
 	for name, d := range m.remotes {
 		region, ok := place(d.digest.GetRegion())
 		line := d.service(service)
@@ -341,7 +344,8 @@
 		}
 		v.Remotes = append(v.Remotes, vetchtrail.RemoteView{
 			DataCentre: name, Region: region, Delay: d.delay,
-			Wait: float64(line.GetWaitMillis()) / 1e3, Free: int(line.GetFree()), Own: d.own[service],
+			Wait: float64(line.GetWaitMillis()) / 1e3, Free: int(line.GetFree()), Slots: int(line.GetSlots()), Own: d.own[service],
+			Sent: m.sentTo(d.digest.GetRegion(), service, now), Senders: senders,
 			Age: now.Sub(d.at), Reachable: now.Sub(d.at) < reachableFor && !now.Before(d.avoid), Warmth: d.warmth,
 			Gap: float64(line.GetGapMillis()) / 1e3,
 		})
@@ -357,8 +361,57 @@
 	return nil
 }
 
-// Pick returns a ready host of another data centre and counts a forward to it.
-func (m *Membership) Pick(dataCentre, service string) (vetchtrail.Host, bool) {
+// sentFades is the time in which what was sent to a data centre falls to 1/e: about
+// the age of its digest, which then tells of it.
+const sentFades = time.Second
+
+// sent is the prompt tokens that were lately sent somewhere.
+type sent struct {
+	tokens float64
+	at     time.Time
+}
+
+func (s *sent) now(now time.Time) float64 {
+	return s.tokens * math.Exp(-now.Sub(s.at).Seconds()/sentFades.Seconds())
+}
+
+// sentTo is what this host lately sent to a region for a service: the hosts of its
+// data centres call the same endpoints. The caller holds the lock.
+func (m *Membership) sentTo(region, service string, now time.Time) float64 {
+	sum := 0.0
+	for _, d := range m.remotes {
+		if s, ok := d.sent[service]; ok && d.digest.GetRegion() == region {
+			sum += s.now(now)
+		}
+	}
+	return sum
+}
+
+// senders is how many hosts of this region may send requests elsewhere. The caller
+// holds the lock.
+func (m *Membership) senders(now time.Time) int {
+	n := 1
+	for _, b := range m.members {
+		if b.state(now) == vetchtrail.HostReady {
+			n++
+		}
+	}
+	for _, d := range m.remotes {
+		if d.digest.GetRegion() != m.self.Region || now.Sub(d.at) >= reachableFor {
+			continue
+		}
+		for _, line := range d.digest.GetMembers() {
+			if line.GetState() == uint32(vetchtrail.HostReady) {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// Pick returns a ready host of another data centre and counts a forward to it of a
+// prompt of so many tokens.
+func (m *Membership) Pick(dataCentre, service string, tokens int, now time.Time) (vetchtrail.Host, bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	d, ok := m.remotes[dataCentre]
@@ -370,6 +423,12 @@
 		return vetchtrail.Host{}, false
 	}
 	d.own[service]++
+	s, ok := d.sent[service]
+	if !ok {
+		s = &sent{}
+		d.sent[service] = s
+	}
+	s.tokens, s.at = s.now(now)+float64(tokens), now
 	return d.host(ready[m.rnd.IntN(len(ready))]), true
 }
 
--- a/request/policy/remote.go
+++ b/request/policy/remote.go
@@ -21,7 +21,7 @@
 			d.Note(m.DataCentre, m.Gap, vetchtrail.ReasonSlow)
 			continue
 		}
-		c := v.Weights.Tail*(2*m.Delay.Seconds()+m.Wait+doubt*m.Age.Seconds()) + awayCost(m, v) + usualCost(r, v)
+		c := v.Weights.Tail*(2*m.Delay.Seconds()+m.Wait+sentWait(m, v)+doubt*m.Age.Seconds()) + awayCost(m, v) + usualCost(r, v)
 		d.Note(m.DataCentre, c, vetchtrail.ReasonCost)
 		if c < cost {
 			at, cost = i, c
@@ -30,6 +30,17 @@
 	return at, cost
 }
 
+// sentWait predicts the seconds by which the prompts that were sent there since its
+// digest make a request wait, if the other hosts here send as this one does.
+func sentWait(m *vetchtrail.RemoteView, v *vetchtrail.View) float64 {
+	if len(v.Endpoints) == 0 || m.Slots == 0 {
+		return 0
+	}
+	e := &v.Endpoints[0]
+	endpoints := float64(m.Slots) / float64(max(e.Slots, 1)) // of the kind of those here
+	return sentShare * m.Sent * float64(m.Senders) * e.Prefill / max(endpoints, 1)
+}
+
 // usualCost is what a request costs at an idle endpoint, as far as those here
 // show it: elsewhere it is no less.
 func usualCost(r *vetchtrail.Request, v *vetchtrail.View) float64 {
--- a/request/policy/weighted.go
+++ b/request/policy/weighted.go
@@ -22,7 +22,10 @@
 	fullLasts = 5.0
 	// doubt is the share of a digest's age that is added to the wait it tells of:
 	// others have read the same.
-	doubt = 0.2
+	doubt = 0.05
+	// sentShare is the part of the prompts that were sent to a region since it told
+	// of its load that is taken to wait there: the rest it has read meanwhile.
+	sentShare = 0.5
 	// evenSpread is the share of a request's service time by which two
 	// candidates' costs may differ and still be taken as equal.
 	evenSpread = 0.002
