Policy: another data centre has to be 3 in 100 better instead of a tenth

Cause: costs hold terms that are the same everywhere (the time of the whole request), so that a share of the whole kept requests for a quarter of a second.

--- a/request/policy/weighted.go
+++ b/request/policy/weighted.go
@@ -35,7 +35,7 @@
 	staleAfter = 10 * time.Second
 	// awayMargin is the share by which another data centre must be better, so
 	// that small errors of lagging digests don't send requests away.
-	awayMargin = 0.9
+	awayMargin = 0.97
 	// idleToken is the seconds that an idle endpoint takes at most for a prompt token:
 	// the users' engines read 112 in a millisecond.
 	idleToken = 1.0 / 112e3
