Policy: first tries that would begin after 1.1 times their goal are told to come back

Ruled out: more sent to other regions (they are as full then). Change: a request tells whether its caller has most of its time left. A stream of such a caller whose answer is expected after 1.1 times the time to its goal is refused at once, with a quarter of its time as the time to come back; one that came back is served, late or not.

--- a/connection/caller/routed.go
+++ b/connection/caller/routed.go
@@ -23,6 +23,9 @@
 	// patienceShare is the part of its route's goal that a request may wait for
 	// room: refused by then, its caller can still be served in time.
 	patienceShare = 4
+	// freshTenths is how many tenths of its route's time the caller of a first try has
+	// left at least: callers that come back after a refusal have waited a quarter.
+	freshTenths = 9
 	// noDeadline is the time of a caller that sets none; the route's bound stands.
 	noDeadline = time.Hour
 )
@@ -94,6 +97,7 @@
 	if bound := now.Add(m.AnswerWithin); bound.Before(r.Deadline) {
 		r.Deadline = bound
 	}
+	r.Fresh = r.Deadline.Sub(now) >= m.AnswerWithin*freshTenths/10
 	r.Goal = now.Add(m.Goal)
 	r.Patience = now.Add(m.Goal / patienceShare)
 	r.Header = s.routedHeader(c)
--- a/request.go
+++ b/request.go
@@ -41,6 +41,7 @@
 	MostTokens   int          // that its answer may have; 0: not said
 	Resumable    bool         // its stream may go on at another endpoint
 	LastEvent    string       // id of the last event that its caller has
+	Fresh        bool         // its caller has most of its time left, and can come back when it is refused
 	Begun        bool         // part of its answer went to the caller: only a stream that goes on may follow
 	// PromptFrom is where the endpoint that runs it may take the kept parts of its
 	// prompt from; not valid: nowhere.
--- a/request/policy/policy_test.go
+++ b/request/policy/policy_test.go
@@ -148,6 +148,22 @@
 			remotes: []vetchtrail.RemoteView{remote("x", nil)},
 			kind:    vetchtrail.RunElsewhere, name: "x", reason: vetchtrail.ReasonChosen,
 		},
+		"a first try that would begin late is told to come back": {
+			request: func(r *vetchtrail.Request) { stream(r); r.Fresh, r.Goal = true, now.Add(time.Second) },
+			weights: tail, endpoints: []vetchtrail.EndpointView{endpoint("a", func(e *vetchtrail.EndpointView) { e.Backlog = 3 })},
+			kind: vetchtrail.Refuse, reason: vetchtrail.ReasonOverCapacity,
+		},
+		"one that came back is served, late": {
+			request: func(r *vetchtrail.Request) { stream(r); r.Goal = now.Add(time.Second) },
+			weights: tail, endpoints: []vetchtrail.EndpointView{endpoint("a", func(e *vetchtrail.EndpointView) { e.Backlog = 3 })},
+			kind: vetchtrail.RunHere, name: "a", reason: vetchtrail.ReasonChosen,
+		},
+		"a first try that would begin late elsewhere too": {
+			request: func(r *vetchtrail.Request) { stream(r); r.Fresh, r.Goal = true, now.Add(time.Second) },
+			weights: tail, endpoints: []vetchtrail.EndpointView{endpoint("a", func(e *vetchtrail.EndpointView) { e.Backlog = 9 })},
+			remotes: []vetchtrail.RemoteView{remote("x", func(m *vetchtrail.RemoteView) { m.Wait = 3 })},
+			kind:    vetchtrail.Refuse, reason: vetchtrail.ReasonOverCapacity,
+		},
 		"one that fails often is passed over": {
 			weights: tail, endpoints: []vetchtrail.EndpointView{endpoint("a", func(e *vetchtrail.EndpointView) { e.Failing = 0.4 }), endpoint("b", nil)},
 			kind: vetchtrail.RunHere, name: "b", reason: vetchtrail.ReasonChosen,
--- a/request/policy/remote.go
+++ b/request/policy/remote.go
@@ -90,6 +90,9 @@
 	if now.Add(d.Wait).After(r.Deadline) {
 		return refuse(d, vetchtrail.ReasonDeadline, now, d.Wait)
 	}
+	if crowded(d.Wait, now, r) {
+		return refuse(d, vetchtrail.ReasonOverCapacity, now, backAfter(now, r))
+	}
 	d.Kind, d.Target, d.Name, d.Cost = vetchtrail.RunElsewhere, at, m.DataCentre, cost
 	d.Reason = vetchtrail.ReasonChosen
 	return *d
--- a/request/policy/weighted.go
+++ b/request/policy/weighted.go
@@ -49,6 +49,9 @@
 	// failureCost is what an endpoint's failure costs, in seconds: about the time
 	// of another attempt with a caller's own pause.
 	failureCost = 1.0
+	// crowdedGoals is how many times the time to its goal a first try's answer may be
+	// expected to take to begin: of those expected later, over half do begin late.
+	crowdedGoals = 1.1
 	// backShare is the share of the time left after which the caller of a refused
 	// request may come back: callers heed up to a third.
 	backShare = 0.25
@@ -251,7 +254,9 @@
 }
 
 // unread is how many tokens of a request's prompt the endpoint lacks.
-func unread(e *vetchtrail.EndpointView, r *vetchtrail.Request) int { return max(0, r.PromptTokens()-e.Kept) }
+func unread(e *vetchtrail.EndpointView, r *vetchtrail.Request) int {
+	return max(0, r.PromptTokens()-e.Kept)
+}
 
 // idleTime is the seconds in which an idle endpoint reads tokens. What is read once
 // more costs the same wherever that is, and however long it takes.
@@ -275,6 +280,9 @@
 	chosen := draw(d, s, r, v, rnd)
 	e := &v.Endpoints[chosen]
 	d.Wait = seconds(firstAt(e, r, load(e, s.others)))
+	if crowded(d.Wait, now, r) {
+		return refuse(d, vetchtrail.ReasonOverCapacity, now, backAfter(now, r))
+	}
 	if now.Add(d.Wait).After(r.Deadline) {
 		return refuse(d, vetchtrail.ReasonDeadline, now, d.Wait)
 	}
@@ -285,6 +293,13 @@
 	return *d
 }
 
+// crowded says whether a first try would so likely begin after its goal that its
+// caller does better to come back: it then still gets more than for a late answer,
+// and those that wait begin in time.
+func crowded(wait time.Duration, now time.Time, r *vetchtrail.Request) bool {
+	return r.Fresh && r.Stream && float64(wait) > crowdedGoals*float64(r.Goal.Sub(now))
+}
+
 // draw picks an endpoint with a weight that falls with its distance from the
 // best: one random number decides between the weights one after the other.
 func draw(d *vetchtrail.Decision, s *scored, r *vetchtrail.Request, v *vetchtrail.View, rnd *rand.Rand) int {
