--- a/process/daemon/hosted_test.go
+++ b/process/daemon/hosted_test.go
@@ -37,6 +37,10 @@
 	return []vetchtrail.Edit{
 		vetchtrail.PutRegion{Region: vetchtrail.Region{Name: "r", DataCentres: []string{"d"}}},
 		vetchtrail.PutService{Service: vetchtrail.Service{Name: "s", AnswerWithin: time.Second}},
+		vetchtrail.PutRoute{Route: vetchtrail.Route{
+			Name: "p", Host: "h", PathPrefix: "/p/", Attempts: 1, AnswerWithin: 5 * time.Second, Goal: time.Second,
+			Targets: []vetchtrail.Target{{Service: "s", Weight: 1}},
+		}},
 	}
 }
 
@@ -79,11 +83,7 @@
 	told.tells <- vetchtrail.Listing{Revision: 40, Seen: 40, At: time.Now(), Endpoints: []vetchtrail.Endpoint{
 		{Name: "e", Instance: "e", Service: "s", Region: "r", DataCentre: "d", Addr: addr(13, 80), Slots: 2},
 	}}
-	deadline := time.Now().Add(30 * time.Second)
-	for b.membership.Self().State != vetchtrail.HostReady {
-		assert.Assert(t, time.Now().Before(deadline), "the host did not become ready by its peer")
-		time.Sleep(20 * time.Millisecond)
-	}
+	becomesReady(t, b)
 	assert.Equal(t, b.Revision(), uint64(5))
 	_, known := b.table.Known("e")
 	assert.Assert(t, known)
--- a/request/dispatch/dispatch_test.go
+++ b/request/dispatch/dispatch_test.go
@@ -119,6 +119,10 @@
 			Name: "r", Host: "h", PathPrefix: "/", Attempts: 1, AnswerWithin: time.Minute,
 			Targets: []vetchtrail.Target{{Service: "s", Weight: 1}},
 		}},
+		vetchtrail.PutRoute{Route: vetchtrail.Route{
+			Name: "at-b", Host: "h", PathPrefix: "/b/", Attempts: 2, AnswerWithin: time.Minute, Homes: []string{"b"},
+			Targets: []vetchtrail.Target{{Service: "s", Weight: 1}},
+		}},
 	}, 7)
 	assert.NilError(t, err)
 	table := load.New()
