vetchtrail trace: a request's history from the logs of several hosts

Cause: on-call engineers have only logs; a request that was passed on has lines at two hosts, and what these believed of its endpoint is in others. Change: the package that writes the lines reads them; the tool joins those of a request in order, with the hosts' beliefs about that time, and ends with a verdict: refused, begun later than predicted, or may have run.

--- a/cmd/vetchtrail/main.go
+++ b/cmd/vetchtrail/main.go
@@ -38,6 +38,7 @@
 	Status    statusCommand    `cmd:"" help:"Show hosts, endpoints and data centres."`
 	Decisions decisionsCommand `cmd:"" help:"Show a host's recent decisions."`
 	Explain   explainCommand   `cmd:"" help:"Tell why a request ran where it did."`
+	Trace     traceCommand     `cmd:"" help:"Tell a request's history from the logs of several hosts."`
 	Settings  settingsCommand  `cmd:"" help:"Daemons' settings files."`
 }
 
--- /dev/null
+++ b/cmd/vetchtrail/trace.go
@@ -0,0 +1,101 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"text/tabwriter"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"vetchtrail/process/journal"
+)
+
+// traceCommand joins what hosts logged of a request. It asks no daemon.
+type traceCommand struct {
+	Request string   `arg:"" help:"The request's id."`
+	Log     []string `arg:"" help:"Logs of one or more hosts, in any order; - for standard input."`
+}
+
+// Run implements the subcommand.
+func (c *traceCommand) Run(g *globals) error {
+	logs, done, err := openLogs(c.Log)
+	if err != nil {
+		return err
+	}
+	defer done()
+	h, err := journal.ReadHistory(c.Request, logs...)
+	if err != nil {
+		return err
+	}
+	if len(h.Lines) == 0 {
+		return errors.Errorf("request %s is in none of %d logs: give those of all hosts, from before its time", c.Request, len(c.Log))
+	}
+	return g.print(h, func(w *tabwriter.Writer) { printHistory(w, h) })
+}
+
+// openLogs opens files; - is standard input.
+func openLogs(names []string) (logs []io.Reader, done func(), err error) {
+	var files []*os.File
+	done = func() {
+		for _, f := range files {
+			_ = f.Close()
+		}
+	}
+	for _, name := range names {
+		if name == "-" {
+			logs = append(logs, os.Stdin)
+			continue
+		}
+		f, err := os.Open(name)
+		if err != nil {
+			done()
+			return nil, nil, errors.Wrap(err, "trace")
+		}
+		files = append(files, f)
+		logs = append(logs, f)
+	}
+	return logs, done, nil
+}
+
+// printHistory writes each line with its time since the first.
+func printHistory(w io.Writer, h *journal.History) {
+	began := h.Lines[0].Time
+	since := func(l *journal.Line) string { return fmt.Sprintf("%+.3fs", l.Time.Sub(began).Seconds()) }
+	_, _ = fmt.Fprintf(w, "request %s, of route %q, first seen %s\n", h.Request, h.Lines[0].Route, began.Format(time.RFC3339Nano))
+	for i := range h.Lines {
+		l := &h.Lines[i]
+		_, _ = fmt.Fprintf(w, "%s\t%s\t%s\n", since(l), l.Host, tell(l))
+		for _, c := range l.Candidates {
+			_, _ = fmt.Fprintf(w, "\t\t  not %s: %s, cost %.3f\n", c.Name, c.Reason, c.Cost)
+		}
+	}
+	if len(h.Beliefs) > 0 {
+		_, _ = fmt.Fprintln(w, "what these hosts came to believe about then:")
+	}
+	for i := range h.Beliefs {
+		l := &h.Beliefs[i]
+		_, _ = fmt.Fprintf(w, "%s\t%s\t%s %s%s%s %s\n", since(l), l.Host, l.Msg, l.Endpoint, l.DataCentre, l.State, l.Error)
+	}
+	_, _ = fmt.Fprintln(w, h.Verdict())
+	if h.Unread > 0 {
+		_, _ = fmt.Fprintf(w, "%d lines could not be read\n", h.Unread)
+	}
+}
+
+// tell words a decision or an outcome.
+func tell(l *journal.Line) string {
+	ms := func(d time.Duration) time.Duration { return d.Round(time.Millisecond) }
+	switch {
+	case l.Msg == journal.MsgOutcome:
+		return fmt.Sprintf("%s at %s, step %s %s: status %d, first after %s, %d events, took %s %s",
+			l.Outcome, l.Peer, l.Step, l.Reason, l.Status, ms(l.First), l.Events, ms(l.Took), l.Error)
+	case l.Decision == "run-here":
+		return fmt.Sprintf("attempt %d: run at %s, first expected after %s, of it %s for prompts before; holds %d of %d tokens; said %s ago to run %d and hold back %d",
+			l.Attempt, l.Target, ms(l.Wait), ms(l.Backlog), l.Holds, l.Prompt, ms(l.ReportAge), l.Running, l.Queued)
+	case l.Decision == "run-elsewhere":
+		return fmt.Sprintf("attempt %d: pass on to %s, first expected after %s", l.Attempt, l.Target, ms(l.Wait))
+	}
+	return fmt.Sprintf("attempt %d: %s %s, of %d places, by configuration %d", l.Attempt, l.Decision, l.Reason, l.Looked, l.Revision)
+}
--- a/process/journal/journal.go
+++ b/process/journal/journal.go
@@ -114,12 +114,12 @@
 
 func (j *Journal) write(r *Record) {
 	if r.Ended {
-		j.log.Info("outcome", "request", r.Request, "service", r.Service, "route", r.Route, "outcome", r.Outcome.Kind.String(),
+		j.log.Info(MsgOutcome, "request", r.Request, "service", r.Service, "route", r.Route, "outcome", r.Outcome.Kind.String(),
 			"step", string(r.Outcome.Step), "peer", r.Outcome.Peer, "reason", string(r.Outcome.Reason),
 			"hops", r.Hops, "events", r.Outcome.Events, "took", r.Took, "first", first(r), "status", r.Outcome.Status, "begun", r.Outcome.Begun, "error", cause(r.Outcome.Err))
 		return
 	}
-	j.log.Info("decision", "request", r.Request, "service", r.Service, "route", r.Route, "prompt", r.Prompt, "workspace", r.Workspace, "home", r.Home,
+	j.log.Info(MsgDecision, "request", r.Request, "service", r.Service, "route", r.Route, "prompt", r.Prompt, "workspace", r.Workspace, "home", r.Home,
 		"decision", r.Decision.Kind.String(), "target", r.Decision.Name, "reason", string(r.Decision.Reason),
 		"cost", r.Decision.Cost, "wait", r.Decision.Wait,
 		"backlog", r.Decision.Backlog, "holds", r.Decision.Holds, "gap", r.Decision.Gap, "report_age", r.Decision.Age,
