A fault soak: real processes under a random schedule of faults, with checks beside it

Cause: promises were proved by scripts and histories with few kinds of fault each; nothing let kinds overlap in orders nobody wrote down. Change: package soak and cmd/soak. A seed gives the schedule: hosts killed, frozen, stopped alone or with their region; links cut, cut one way, reset, slow; the store down, silent, slow, losing answers; endpoints killed, frozen, refusing, cutting, answering nonsense; plain services that lose answers; drains. Callers keep their connections until the process is gone. Checked from outside: whole and ordered answers, at most once, a true "not run", homes, no loops, requests that end in time, revisions that never go back, drained endpoints left alone, orderly stops, recovery, no panic or race. Text report and SVG timeline. The links' stand-in learnt to cut one way, to reset and to slow; deployments of up to ten regions have addresses.

--- /dev/null
+++ b/scenario/soak_test.go
@@ -0,0 +1,48 @@
+package scenario
+
+import (
+	"context"
+	"os"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"vetchtrail/soak"
+	"vetchtrail/standin/deployment"
+)
+
+// TestSoak plays a short run of the soak, and the seeds that once failed.
+func TestSoak(t *testing.T) {
+	const length, rate, callers = 12 * time.Second, 0.7, 2
+	for _, seed := range append([]uint64{1}, failedSeeds(t)...) {
+		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
+			t.Logf("seed %d", seed)
+			spec, err := deployment.Sized(int(firstSlot+slots.Add(1)), 3, 2, 1)
+			assert.NilError(t, err)
+			report, err := soak.Run(context.Background(), soak.Config{
+				Seed: seed, Length: length, Rate: rate, Callers: callers, Spec: spec, Binaries: binaries, Directory: t.TempDir(),
+			})
+			assert.NilError(t, err)
+			assert.Equal(t, len(report.Violations), 0, "%v", report.Violations)
+			assert.Assert(t, report.Outcomes["answered"] > 0 && len(report.Events) > 0, "%v", report.Outcomes)
+		})
+	}
+}
+
+// failedSeeds reads the seeds that are kept: each a line with its cause.
+func failedSeeds(t *testing.T) []uint64 {
+	t.Helper()
+	text, err := os.ReadFile("testdata/seeds.txt")
+	assert.NilError(t, err)
+	var out []uint64
+	for line := range strings.SplitSeq(string(text), "\n") {
+		word, _, _ := strings.Cut(line, ":")
+		if n, err := strconv.ParseUint(word, 10, 64); err == nil {
+			out = append(out, n)
+		}
+	}
+	return out
+}
--- a/standin/deployment/deployment.go
+++ b/standin/deployment/deployment.go
@@ -8,6 +8,8 @@
 	"net/netip"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"vetchtrail/process/settings"
 	"vetchtrail/standin/link"
 	"vetchtrail/version/document"
@@ -32,8 +34,8 @@
 // Networks are 127.N.S.0/24 with S the deployment's slot: N is the number of a
 // region from 1, or one of these.
 const (
-	platformNet = 9
-	linkNet     = 10 // + 3 × from + to
+	platformNet = 20
+	linkNet     = 40 // + mostRegions × from + to
 	storeNet    = 30 // + from
 )
 
@@ -115,6 +117,25 @@
 	return s
 }
 
+// Regions that a deployment of a given size may have: each pair of them has a
+// network for its link.
+const mostRegions = 10
+
+// Sized is a deployment for tests of so many regions, with hosts and engines each.
+func Sized(slot, regions, hosts, engines int) (Spec, error) {
+	if regions < 1 || regions > mostRegions || hosts < 1 || engines < 1 {
+		return Spec{}, errors.Errorf("deployment.Sized: %d regions (1 to %d) of %d hosts and %d engines (1 or more)", regions, mostRegions, hosts, engines)
+	}
+	s := Small(slot, hosts, engines)
+	one := s.Regions[0]
+	s.Regions = nil
+	for i := range regions {
+		one.Name, one.DataCentre = fmt.Sprintf("region-%d", i+1), fmt.Sprintf("centre-%d", i+1)
+		s.Regions = append(s.Regions, one)
+	}
+	return s, nil
+}
+
 // Build returns the deployment of a spec.
 func Build(s Spec) Deployment {
 	d := Deployment{
@@ -194,7 +215,7 @@
 		}
 		if other != region {
 			s.Translate = append(s.Translate, settings.Translation{
-				From: network(other+1, d.Spec.Slot), To: network(linkNet+3*region+other, d.Spec.Slot),
+				From: network(other+1, d.Spec.Slot), To: network(linkNet+mostRegions*region+other, d.Spec.Slot),
 			})
 		}
 	}
@@ -215,7 +236,7 @@
 		for k := range d.Spec.Regions[to].Hosts {
 			d.Pipes = append(d.Pipes, link.Pipe{
 				Link:   LinkName(d.Spec.Regions[from].Name, d.Spec.Regions[to].Name),
-				Listen: addr(linkNet+3*from+to, d.Spec.Slot, firstHost+k, portPeers),
+				Listen: addr(linkNet+mostRegions*from+to, d.Spec.Slot, firstHost+k, portPeers),
 				To:     addr(to+1, d.Spec.Slot, firstHost+k, portPeers),
 				Delay:  d.Spec.Delay,
 			})
--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -23,6 +23,7 @@
 	"vetchtrail/standin/client"
 	"vetchtrail/standin/deployment"
 	"vetchtrail/standin/ledger"
+	"vetchtrail/standin/link"
 )
 
 const (
@@ -266,12 +267,30 @@
 // linkState is what the link is told.
 type linkState struct {
 	Link string `json:"link"`
-	Cut  bool   `json:"cut"`
+	link.Trouble
 }
 
 // Cut cuts or heals the link from a region to another or the platform.
 func (f *Fleet) Cut(ctx context.Context, from, to string, cut bool) error {
-	return f.Client.Put(ctx, f.cfg.Deployment.Control, "/cut", linkState{Link: deployment.LinkName(from, to), Cut: cut})
+	return f.Trouble(ctx, from, to, link.Trouble{Cut: cut})
+}
+
+// Trouble sets what is wrong with the link from a region to another or the
+// platform.
+func (f *Fleet) Trouble(ctx context.Context, from, to string, t link.Trouble) error {
+	return f.Client.Put(ctx, f.cfg.Deployment.Control, "/cut", linkState{Link: deployment.LinkName(from, to), Trouble: t})
+}
+
+// Tool runs the operators' tool against a host.
+func (f *Fleet) Tool(ctx context.Context, host string, args ...string) (string, error) {
+	s, err := f.Settings(host)
+	if err != nil {
+		return "", err
+	}
+	cmd := exec.CommandContext(ctx, filepath.Join(f.cfg.Binaries, "vetchtrail"), append([]string{"--daemon", s.Listen.Peers.String()}, args...)...)
+	cmd.Dir = f.cfg.Directory
+	out, err := cmd.CombinedOutput()
+	return string(out), err
 }
 
 // EndpointAddr returns an endpoint's address.
