Lost answers don't lower limits; the first in a line waits; unknown data centres are asked at once

Each lost answer had cut the requests that its endpoint may have by three tenths, and the line believed in the time between turns of an earlier crowd for as long as it let nobody wait. Ruled out: the endpoint's slots (few of its requests ran). Change: only a timeout or a refusal lowers the limit; the first in a line always waits; the policy counts the line when it weighs another region; a listed data centre that is unknown is asked four times a second.

--- a/decision.go
+++ b/decision.go
@@ -76,6 +76,7 @@
 	Remotes   []RemoteView   // other data centres
 	Excluded  []string       // places tried before
 	Events    float64        // that the answer is expected to have; 0: not known, or not a stream
+	Line      float64        // seconds that those who wait for room here take
 	Refused   bool           // one of them, of this data centre, refused for its load
 }
 
--- a/process/load/learn.go
+++ b/process/load/learn.go
@@ -51,6 +51,9 @@
 		s.warmth = coldStart
 	case o.Outcome.Kind == vetchtrail.NotRun: // kept back here
 	default:
+		if o.Outcome.Reason == vetchtrail.ReasonDeadline {
+			s.limit = math.Max(1, s.limit*limitCut)
+		}
 		t.failed(s, now)
 	}
 }
@@ -120,10 +123,10 @@
 func (s *state) avoid(why vetchtrail.Reason, until time.Time) { s.backWhy, s.backOff = why, until }
 
 // failed counts a failure; after some in a row the endpoint is ejected, unless
-// too many of its service are already.
+// too many of its service are already. An answer that is lost says nothing of the
+// endpoint's room.
 func (t *Table) failed(s *state, now time.Time) {
 	s.failures++
-	s.limit = math.Max(1, s.limit*limitCut)
 	if s.failures < failuresTo {
 		return
 	}
--- a/process/load/load_test.go
+++ b/process/load/load_test.go
@@ -45,6 +45,29 @@
 	}
 }
 
+// TestLimit: what lowers the requests that an endpoint may have from this host.
+func TestLimit(t *testing.T) {
+	cases := map[string]struct {
+		seen  Observation
+		lower bool
+	}{
+		"an answer":                   {answered(now), false},
+		"a lost answer":               {fail(vetchtrail.Unknown, vetchtrail.StepAnswer, vetchtrail.ReasonLost), false},
+		"a broken answer":             {fail(vetchtrail.Unknown, vetchtrail.StepAnswer, vetchtrail.ReasonBroken), false},
+		"no answer in its time":       {fail(vetchtrail.Unknown, vetchtrail.StepAnswer, vetchtrail.ReasonDeadline), true},
+		"a refusal for its load":      {fail(vetchtrail.NotRun, vetchtrail.StepAnswer, vetchtrail.ReasonRefused), true},
+		"no connection was to be had": {fail(vetchtrail.NotRun, vetchtrail.StepConnect, vetchtrail.ReasonUnreachable), false},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			tab := table(1)
+			before := tab.endpoints["e000"].limit
+			release(tab, c.seen, 1)
+			assert.Equal(t, tab.endpoints["e000"].limit < before, c.lower)
+		})
+	}
+}
+
 // TestOutOfUse: which failures take an endpoint out, and what brings it back.
 func TestOutOfUse(t *testing.T) {
 	lost := fail(vetchtrail.Unknown, vetchtrail.StepAnswer, vetchtrail.ReasonLost)
--- a/process/membership/digest.go
+++ b/process/membership/digest.go
@@ -14,16 +14,42 @@
 
 // SwapDigests swaps digests with other data centres until ctx ends.
 func (m *Membership) SwapDigests(ctx context.Context, p Peers) {
-	t := time.NewTicker(SwapTick)
-	defer t.Stop()
 	for {
 		m.SwapOnce(ctx, p)
+		pause := SwapTick
+		if len(m.unknownCentres()) > 0 {
+			pause = findTick
+		}
 		select {
 		case <-ctx.Done():
 			return
-		case <-t.C:
+		case <-time.After(pause):
+		}
+	}
+}
+
+// findTick is the pause between swaps while a data centre that the platform lists is
+// not known: some round trips between regions. What may only run there is refused
+// meanwhile.
+const findTick = 250 * time.Millisecond
+
+// unknownCentres returns a listed host of each other data centre that this host has
+// no digest of, by data centre.
+func (m *Membership) unknownCentres() map[string]netip.AddrPort {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	out := map[string]netip.AddrPort{}
+	found := map[string]int{}
+	for _, h := range m.listed {
+		if _, known := m.remotes[h.DataCentre]; known || h.DataCentre == m.self.DataCentre || !h.Peers.IsValid() {
+			continue
+		}
+		found[h.DataCentre]++
+		if m.rnd.IntN(found[h.DataCentre]) == 0 { // each with the same chance
+			out[h.DataCentre] = h.Peers
 		}
 	}
+	return out
 }
 
 // SwapOnce swaps digests with a host of each data centre that is this host's
@@ -95,9 +121,13 @@
 			out = append(out, m.anyOf(name)...)
 		}
 	}
+	centres := m.unknownCentres()
+	for _, addr := range centres {
+		out = append(out, target{addr: addr})
+	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if seeds := m.unknownSeeds(); len(seeds) > 0 {
+	if seeds := m.unknownSeeds(); len(seeds) > 0 && len(centres) == 0 {
 		out = append(out, target{addr: seeds[m.rnd.IntN(len(seeds))]})
 	}
 	return out
--- a/process/membership/membership_test.go
+++ b/process/membership/membership_test.go
@@ -4,7 +4,9 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"maps"
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -290,6 +292,27 @@
 	}
 }
 
+// TestUnknownCentres: a host that has just started asks a listed host of each other
+// data centre that it knows nothing of, and none that it knows.
+func TestUnknownCentres(t *testing.T) {
+	a, x := newMember("a", "dc", 1), newMember("x", "other", 9)
+	host := func(name, dataCentre string, last byte) vetchtrail.Host {
+		return vetchtrail.Host{Name: name, DataCentre: dataCentre, Peers: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, last}), 1)}
+	}
+	a.SetListed([]vetchtrail.Host{host("a", "dc", 1), host("b", "dc", 2), host("x", "other", 9), host("y", "other", 10), host("z", "third", 11)})
+	asked := func() map[string]bool {
+		out := map[string]bool{}
+		for _, g := range a.swapTargets(now) {
+			out[g.addr.String()] = true
+		}
+		return out
+	}
+	got := asked()
+	assert.Assert(t, got["10.0.0.11:1"] && (got["10.0.0.9:1"] || got["10.0.0.10:1"]) && len(got) == 2, "%v", got)
+	a.swapped(&schema.Digests{Digest: x.ownDigest(now)}, now, now)
+	assert.DeepEqual(t, slices.Sorted(maps.Keys(a.unknownCentres())), []string{"third"})
+}
+
 // TestServing: which hosts a caller is sent to.
 func TestServing(t *testing.T) {
 	here := []string{"a1"}
--- a/request/dispatch/place.go
+++ b/request/dispatch/place.go
@@ -47,6 +47,7 @@
 	v.Events = 0
 	v.Endpoints, v.Remotes, v.Excluded = v.Endpoints[:0], v.Remotes[:0], t.places
 	v.Refused = t.refused
+	v.Line = d.line(r.Service).Wait().Seconds()
 	d.cfg.Table.Fill(v, r, now)
 	v.Events = expectedEvents(r, s.EventTokens, v.Events)
 	d.cfg.Membership.Fill(v, r.Service, func(name string) (vetchtrail.RegionID, bool) {
--- a/request/policy/policy_test.go
+++ b/request/policy/policy_test.go
@@ -57,6 +57,7 @@
 		remotes   []vetchtrail.RemoteView
 		excluded  []string
 		events    float64
+		line      float64
 		kind      vetchtrail.DecisionKind
 		name      string
 		reason    vetchtrail.Reason
@@ -178,6 +179,16 @@
 			weights: tail, remotes: []vetchtrail.RemoteView{remote("x", func(m *vetchtrail.RemoteView) { m.Reachable = false })},
 			kind: vetchtrail.Refuse, reason: vetchtrail.ReasonUnreachable,
 		},
+		"a short line is waited in": {
+			weights: tail, endpoints: []vetchtrail.EndpointView{endpoint("a", full)}, line: 0.05,
+			remotes: []vetchtrail.RemoteView{remote("x", func(m *vetchtrail.RemoteView) { m.Wait = 2 })},
+			kind:    vetchtrail.WaitHere, reason: vetchtrail.ReasonFull,
+		},
+		"a long line is left": {
+			weights: tail, endpoints: []vetchtrail.EndpointView{endpoint("a", full)}, line: 5,
+			remotes: []vetchtrail.RemoteView{remote("x", func(m *vetchtrail.RemoteView) { m.Wait = 2 })},
+			kind:    vetchtrail.RunElsewhere, name: "x", reason: vetchtrail.ReasonChosen,
+		},
 		"no room elsewhere either": {
 			weights: tail, endpoints: []vetchtrail.EndpointView{endpoint("a", full)},
 			remotes: []vetchtrail.RemoteView{remote("x", func(m *vetchtrail.RemoteView) { m.Own = 8 })},
@@ -191,7 +202,7 @@
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
-			v := &vetchtrail.View{Region: 1, Weights: c.weights, Endpoints: c.endpoints, Remotes: c.remotes, Excluded: c.excluded, Events: c.events}
+			v := &vetchtrail.View{Region: 1, Weights: c.weights, Endpoints: c.endpoints, Remotes: c.remotes, Excluded: c.excluded, Events: c.events, Line: c.line}
 			d := Weighted{}.Decide(now, request(c.request), v, rand.New(rand.NewPCG(1, 1)))
 			assert.Equal(t, d.Kind, c.kind)
 			assert.Equal(t, d.Name, c.name)
--- a/request/policy/weighted.go
+++ b/request/policy/weighted.go
@@ -89,6 +89,7 @@
 		return refuse(&d, vetchtrail.ReasonDeadline, now, 0)
 	}
 	score(&s, &d, now, r, v)
+	s.wait = max(s.wait, v.Line)
 	remote, remoteCost := bestRemote(&d, now, r, v)
 	if s.open > 0 && (remote < 0 || s.best*awayMargin <= remoteCost) {
 		return runHere(&d, &s, now, r, v, rnd)
--- a/request/queue/queue.go
+++ b/request/queue/queue.go
@@ -72,7 +72,9 @@
 	}
 	at, _ := slices.BinarySearchFunc(l.waiting, w, compare)
 	wait := time.Duration(at+1) * l.interval
-	if now.Add(wait).After(w.deadline) {
+	// The first in the line always waits: how long turns took in an earlier crowd says
+	// nothing of it, and would be believed for as long as nobody may wait.
+	if len(l.waiting) > 0 && now.Add(wait).After(w.deadline) {
 		return Verdict{Reason: vetchtrail.ReasonDeadline, Wait: wait}
 	}
 	if len(l.waiting) >= limit && !l.displace(w, now) {
@@ -145,11 +147,11 @@
 	return len(l.waiting)
 }
 
-// Wait estimates how long one more would wait.
+// Wait estimates how long one more would wait for those before it.
 func (l *Line) Wait() time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return time.Duration(len(l.waiting)+1) * l.interval
+	return time.Duration(len(l.waiting)) * l.interval
 }
 
 // signal tells the first that there may be room. The caller holds the lock.
--- a/request/queue/queue_test.go
+++ b/request/queue/queue_test.go
@@ -124,3 +124,15 @@
 	l.Leave(b, true, now)
 	assert.Equal(t, l.Len(), 0)
 }
+
+// TestFirstWaits: however long turns took before, the first in the line waits; the
+// next is told at once if its turn can't come in time.
+func TestFirstWaits(t *testing.T) {
+	l := still()
+	l.interval = time.Hour
+	assert.Equal(t, l.Wait(), time.Duration(0))
+	assert.Assert(t, l.Join(request("a", 0, time.Second), 10, now).Waiter != nil)
+	v := l.Join(request("b", 0, time.Second), 10, now)
+	assert.Assert(t, v.Waiter == nil)
+	assert.Equal(t, v.Reason, vetchtrail.ReasonDeadline)
+}
