Membership: a young host looks for data centres until their digests tell of services

Hosts looked for others before they had read the platform's list, rested a second, and then held digests of the time before the other side held a configuration. Change: a host looks four times a second in its first ten seconds while the list is to come, or a listed data centre is unknown or told of no service.

--- a/process/membership/digest.go
+++ b/process/membership/digest.go
@@ -16,32 +16,47 @@
 func (m *Membership) SwapDigests(ctx context.Context, p Peers) {
 	for {
 		m.SwapOnce(ctx, p)
-		pause := SwapTick
-		if len(m.unknownCentres()) > 0 {
-			pause = findTick
-		}
 		select {
 		case <-ctx.Done():
 			return
-		case <-time.After(pause):
+		case <-time.After(m.swapPause(time.Now())):
 		}
 	}
 }
 
+// swapPause is short while this host is young and a data centre is to be found, or
+// the platform's list of hosts is still to come.
+func (m *Membership) swapPause(now time.Time) time.Duration {
+	m.mu.Lock()
+	awaited := m.cfg.WholeRegion && len(m.listed) == 0
+	young := now.Sub(m.born) < findFor
+	m.mu.Unlock()
+	if young && (awaited || len(m.unknownCentres()) > 0) {
+		return findTick
+	}
+	return SwapTick
+}
+
 // findTick is the pause between swaps while a data centre that the platform lists is
 // not known: some round trips between regions. What may only run there is refused
 // meanwhile.
 const findTick = 250 * time.Millisecond
 
+// findFor is for how long after its start a host looks for data centres so often:
+// those that it has not found then are gone or cut off.
+const findFor = 10 * time.Second
+
 // unknownCentres returns a listed host of each other data centre that this host has
-// no digest of, by data centre.
+// no digest of, or one of the time before its hosts held a configuration and lists,
+// by data centre.
 func (m *Membership) unknownCentres() map[string]netip.AddrPort {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	out := map[string]netip.AddrPort{}
 	found := map[string]int{}
 	for _, h := range m.listed {
-		if _, known := m.remotes[h.DataCentre]; known || h.DataCentre == m.self.DataCentre || !h.Peers.IsValid() {
+		d, known := m.remotes[h.DataCentre]
+		if (known && len(d.digest.GetServices()) > 0) || h.DataCentre == m.self.DataCentre || !h.Peers.IsValid() {
 			continue
 		}
 		found[h.DataCentre]++
--- a/process/membership/membership.go
+++ b/process/membership/membership.go
@@ -60,6 +60,7 @@
 	mu      sync.Mutex
 	rnd     *rand.Rand
 	self    vetchtrail.Host
+	born    time.Time
 	counter uint64
 	members map[string]*member
 	shorts  map[uint32]string // names by their short forms
@@ -132,6 +133,7 @@
 		cfg:     c,
 		rnd:     rand.New(rand.NewPCG(c.Seed, c.Seed>>1)),
 		self:    c.Self,
+		born:    time.Now(),
 		members: map[string]*member{},
 		shorts:  map[uint32]string{},
 		remotes: map[string]*remote{},
--- a/process/membership/membership_test.go
+++ b/process/membership/membership_test.go
@@ -293,9 +293,13 @@
 }
 
 // TestUnknownCentres: a host that has just started asks a listed host of each other
-// data centre that it knows nothing of, and none that it knows.
+// data centre that it knows nothing of, often, and none that it knows.
 func TestUnknownCentres(t *testing.T) {
 	a, x := newMember("a", "dc", 1), newMember("x", "other", 9)
+	a.born = now
+	assert.Equal(t, a.swapPause(now), SwapTick, "without a platform that lists hosts")
+	a.cfg.WholeRegion = true
+	assert.Equal(t, a.swapPause(now), findTick, "the list is still to come")
 	host := func(name, dataCentre string, last byte) vetchtrail.Host {
 		return vetchtrail.Host{Name: name, DataCentre: dataCentre, Peers: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, last}), 1)}
 	}
@@ -309,7 +313,12 @@
 	}
 	got := asked()
 	assert.Assert(t, got["10.0.0.11:1"] && (got["10.0.0.9:1"] || got["10.0.0.10:1"]) && len(got) == 2, "%v", got)
+	assert.Equal(t, a.swapPause(now), findTick)
+	assert.Equal(t, a.swapPause(now.Add(findFor)), SwapTick, "it is not looked for for ever")
 	a.swapped(&schema.Digests{Digest: x.ownDigest(now)}, now, now)
+	assert.DeepEqual(t, slices.Sorted(maps.Keys(a.unknownCentres())), []string{"other", "third"}) // it held nothing yet
+	x.cfg.Load.Configure([]load.Placed{{Endpoint: vetchtrail.Endpoint{Name: "e", Service: "s", Slots: 10}}})
+	a.swapped(&schema.Digests{Digest: x.ownDigest(now)}, now.Add(time.Second), now.Add(time.Second))
 	assert.DeepEqual(t, slices.Sorted(maps.Keys(a.unknownCentres())), []string{"third"})
 }
 
