--- a/scenario/soak_test.go
+++ b/scenario/soak_test.go
@@ -35,7 +35,7 @@
 // failedSeeds reads the seeds that are kept: each a line with its cause.
 func failedSeeds(t *testing.T) []uint64 {
 	t.Helper()
-	text, err := os.ReadFile("testdata/seeds.txt")
+	text, err := os.ReadFile("../soak/testdata/seeds.txt")
 	assert.NilError(t, err)
 	var out []uint64
 	for line := range strings.SplitSeq(string(text), "\n") {
