--- a/soak/check.go
+++ b/soak/check.go
@@ -147,6 +147,8 @@
 	switch {
 	case r.Whole && r.Status == 200 && r.Text != want:
 		c.violate("a whole answer is the right one", "%s: %q instead of %q", host, r.Text, want)
+	case r.Status == 200 && !r.Whole && r.Err == nil:
+		c.violate("an answer that ends early does not look whole", "%s: ended in order after %q", host, r.Text)
 	case len(r.Text) > len(want) || r.Text != want[:len(r.Text)]:
 		c.violate("a stream comes in order", "%s: %q is no beginning of %q", host, r.Text, want)
 	case r.Took > a.Timeout+heldMost && !c.struck(host, began, time.Now()):
--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"testing"
 	"time"
 
@@ -43,8 +44,13 @@
 		"a short answer as if whole": {func(c *checker) {
 			c.asked(ask, "centre-1-1", began, client.Result{Status: 200, Whole: true, Text: want[:2]})
 		}, "a whole answer is the right one"},
-		"a cut answer":               {func(c *checker) { c.asked(ask, "centre-1-1", began, client.Result{Status: 200, Text: want[:2]}) }, ""},
-		"events out of order":        {func(c *checker) { c.asked(ask, "centre-1-1", began, client.Result{Status: 200, Text: want[2:4]}) }, "a stream comes in order"},
+		"a cut answer": {func(c *checker) {
+			c.asked(ask, "centre-1-1", began, client.Result{Status: 200, Text: want[:2], Err: io.ErrUnexpectedEOF})
+		}, ""},
+		"one that ends in order": {func(c *checker) { c.asked(ask, "centre-1-1", began, client.Result{Status: 200, Text: want[:2]}) }, "an answer that ends early does not look whole"},
+		"events out of order": {func(c *checker) {
+			c.asked(ask, "centre-1-1", began, client.Result{Status: 200, Text: want[2:4], Err: io.ErrUnexpectedEOF})
+		}, "a stream comes in order"},
 		"held for long":              {func(c *checker) { c.asked(ask, "centre-1-1", began, client.Result{Took: time.Minute}) }, "a request ends in its time"},
 		"once":                       {func(c *checker) { c.once("k", []attempt{at(0, "answered", "a")}, 1) }, ""},
 		"twice":                      {func(c *checker) { c.once("k", []attempt{at(0, "answered", "a")}, 2) }, "a keyed request runs at most once"},
