--- a/soak/check.go
+++ b/soak/check.go
@@ -114,7 +114,7 @@
 func (c *checker) calm(from, until time.Time) bool {
 	for _, e := range c.events {
 		switch e.Kind {
-		case EngineRefuse, EngineCut, EngineJunk, EngineKill, EngineFreeze, AppLost, Drain, LinkReset:
+		case EngineRefuse, EngineCut, EngineEarly, EngineJunk, EngineKill, EngineFreeze, AppLost, Drain, LinkReset:
 			continue
 		}
 		if c.began.Add(e.At).Before(until) && c.began.Add(e.End()+settle).After(from) {
--- a/soak/inject.go
+++ b/soak/inject.go
@@ -18,7 +18,7 @@
 const (
 	// slowBy is what a slow link or store adds to each passage.
 	slowBy = 300 * time.Millisecond
-	// cutEvents is after how many events an engine that cuts its streams does so.
+	// cutEvents is after how many events an engine cuts its streams, or ends them early.
 	cutEvents = 2
 	// lostMost is how many answers a store or service loses at a time.
 	lostMost = 2
@@ -93,6 +93,8 @@
 		return at(engine.Faults{Refuse: true}), at(engine.Faults{})
 	case EngineCut:
 		return at(engine.Faults{CutAfter: cutEvents}), at(engine.Faults{})
+	case EngineEarly:
+		return at(engine.Faults{EndEarly: cutEvents}), at(engine.Faults{})
 	case EngineJunk:
 		return at(engine.Faults{Nonsense: true}), at(engine.Faults{})
 	case AppLost:
--- a/soak/schedule.go
+++ b/soak/schedule.go
@@ -33,6 +33,7 @@
 	EngineFreeze Kind = "endpoint frozen"
 	EngineRefuse Kind = "endpoint refuses"
 	EngineCut    Kind = "endpoint cuts streams"
+	EngineEarly  Kind = "endpoint ends streams early, as if whole"
 	EngineJunk   Kind = "endpoint answers nonsense"
 	AppLost      Kind = "plain service loses answers"
 	Drain        Kind = "endpoint drained and taken back"
@@ -45,7 +46,7 @@
 }{
 	{HostKill, 4}, {HostStop, 4}, {HostFreeze, 3}, {AllStop, 1}, {LinkCut, 3}, {LinkForth, 3}, {LinkReset, 2}, {LinkSlow, 2},
 	{StoreDown, 2}, {StoreSilent, 2}, {StoreSlow, 1}, {StoreLost, 2}, {EngineKill, 3}, {EngineFreeze, 2}, {EngineRefuse, 2},
-	{EngineCut, 2}, {EngineJunk, 1}, {AppLost, 2}, {Drain, 3},
+	{EngineCut, 2}, {EngineEarly, 2}, {EngineJunk, 1}, {AppLost, 2}, {Drain, 3},
 }
 
 // Event is one fault, from a moment of the run on.
