Dispatch: a request that was tried is no first try any more

Cause: read in the diff: a stream that broke after its goal and could go on elsewhere was told to come back, as its request still counted as a first try that would begin late. Change: after an attempt a request is not fresh. The case of TestAttempts failed first. Run: tests of request/ with the race detector.

--- a/request/dispatch/dispatch.go
+++ b/request/dispatch/dispatch.go
@@ -203,6 +203,7 @@
 			return d.end(t.total(o), a)
 		}
 		o = d.try(ctx, r, p, a)
+		r.Fresh = false // it has used its time: a stream that began goes on, late or not
 		o.Begun = o.Begun || r.Begun
 		if o.Kind == vetchtrail.Answered {
 			return o
--- a/request/dispatch/dispatch_test.go
+++ b/request/dispatch/dispatch_test.go
@@ -92,6 +92,14 @@
 	}
 }
 
+// late does a step after some time.
+func late(s step) step {
+	return func(r *vetchtrail.Request, a vetchtrail.Answer) vetchtrail.Outcome {
+		time.Sleep(30 * time.Millisecond)
+		return s(r, a)
+	}
+}
+
 func refuses(where vetchtrail.Step, why vetchtrail.Reason) step {
 	return func(*vetchtrail.Request, vetchtrail.Answer) vetchtrail.Outcome {
 		return vetchtrail.Outcome{Kind: vetchtrail.NotRun, Status: 503, Step: where, Reason: why}
@@ -164,23 +172,24 @@
 		tries     int
 		last      string // event that the last attempt was told of
 	}{
-		"answered":                  {nil, []step{answers("ok")}, 2, vetchtrail.Answered, 200, "ok", 1, ""},
-		"lost, may not repeat":      {nil, []step{breaks("")}, 2, vetchtrail.Unknown, 502, "", 1, ""},
-		"refused, one attempt":      {nil, []step{refuses(vetchtrail.StepAnswer, vetchtrail.ReasonRefused)}, 2, vetchtrail.NotRun, 503, "", 1, ""},
-		"another process there":     {nil, []step{refuses(vetchtrail.StepAnswer, vetchtrail.ReasonMisled), answers("ok")}, 2, vetchtrail.Answered, 200, "ok", 2, ""},
-		"not reached":               {nil, []step{refuses(vetchtrail.StepConnect, vetchtrail.ReasonUnreachable), answers("ok")}, 2, vetchtrail.Answered, 200, "ok", 2, ""},
-		"refused, two attempts":     {safe, []step{refuses(vetchtrail.StepAnswer, vetchtrail.ReasonRefused), answers("ok")}, 2, vetchtrail.Answered, 200, "ok", 2, ""},
-		"lost, may repeat":          {safe, []step{breaks(""), answers("ok")}, 2, vetchtrail.Answered, 200, "ok", 2, ""},
-		"failed, bettered":          {safe, []step{fails, answers("ok")}, 2, vetchtrail.Answered, 200, "ok", 2, ""},
-		"failed twice":              {safe, []step{fails, fails}, 2, vetchtrail.Answered, 500, "failed", 2, ""},
-		"lost, then not run":        {safe, []step{breaks(""), refuses(vetchtrail.StepAnswer, vetchtrail.ReasonRefused)}, 2, vetchtrail.Unknown, 502, "", 2, ""},
-		"stream goes on":            {resumable, []step{breaks(one), answers(two)}, 2, vetchtrail.Answered, 200, one + two, 2, "1"},
-		"stream breaks twice":       {resumable, []step{breaks(one), breaks(two)}, 2, vetchtrail.Unknown, 502, one + two, 2, "1"},
-		"no failure as its end":     {resumable, []step{breaks(one), fails}, 2, vetchtrail.Unknown, 502, one, 2, "1"},
-		"stream may not go on":      {func(r *vetchtrail.Request) { r.Stream, r.Attempts = true, 2 }, []step{breaks(one)}, 2, vetchtrail.Unknown, 502, one, 1, ""},
-		"elsewhere":                 {nil, []step{answers("ok")}, 0, vetchtrail.Answered, 200, "ok", 1, ""},
-		"a leaving host elsewhere":  {nil, []step{refuses(vetchtrail.StepForward, vetchtrail.ReasonLeaving), answers("ok")}, 0, vetchtrail.Answered, 200, "ok", 2, ""},
-		"elsewhere lacks the route": {nil, []step{lacksRoute}, 0, vetchtrail.NotRun, 503, "", 1, ""},
+		"answered":                     {nil, []step{answers("ok")}, 2, vetchtrail.Answered, 200, "ok", 1, ""},
+		"lost, may not repeat":         {nil, []step{breaks("")}, 2, vetchtrail.Unknown, 502, "", 1, ""},
+		"refused, one attempt":         {nil, []step{refuses(vetchtrail.StepAnswer, vetchtrail.ReasonRefused)}, 2, vetchtrail.NotRun, 503, "", 1, ""},
+		"another process there":        {nil, []step{refuses(vetchtrail.StepAnswer, vetchtrail.ReasonMisled), answers("ok")}, 2, vetchtrail.Answered, 200, "ok", 2, ""},
+		"not reached":                  {nil, []step{refuses(vetchtrail.StepConnect, vetchtrail.ReasonUnreachable), answers("ok")}, 2, vetchtrail.Answered, 200, "ok", 2, ""},
+		"refused, two attempts":        {safe, []step{refuses(vetchtrail.StepAnswer, vetchtrail.ReasonRefused), answers("ok")}, 2, vetchtrail.Answered, 200, "ok", 2, ""},
+		"lost, may repeat":             {safe, []step{breaks(""), answers("ok")}, 2, vetchtrail.Answered, 200, "ok", 2, ""},
+		"failed, bettered":             {safe, []step{fails, answers("ok")}, 2, vetchtrail.Answered, 200, "ok", 2, ""},
+		"failed twice":                 {safe, []step{fails, fails}, 2, vetchtrail.Answered, 500, "failed", 2, ""},
+		"lost, then not run":           {safe, []step{breaks(""), refuses(vetchtrail.StepAnswer, vetchtrail.ReasonRefused)}, 2, vetchtrail.Unknown, 502, "", 2, ""},
+		"stream goes on":               {resumable, []step{breaks(one), answers(two)}, 2, vetchtrail.Answered, 200, one + two, 2, "1"},
+		"stream goes on past its goal": {func(r *vetchtrail.Request) { resumable(r); r.Fresh, r.Goal = true, time.Now().Add(20*time.Millisecond) }, []step{late(breaks(one)), answers(two)}, 2, vetchtrail.Answered, 200, one + two, 2, "1"},
+		"stream breaks twice":          {resumable, []step{breaks(one), breaks(two)}, 2, vetchtrail.Unknown, 502, one + two, 2, "1"},
+		"no failure as its end":        {resumable, []step{breaks(one), fails}, 2, vetchtrail.Unknown, 502, one, 2, "1"},
+		"stream may not go on":         {func(r *vetchtrail.Request) { r.Stream, r.Attempts = true, 2 }, []step{breaks(one)}, 2, vetchtrail.Unknown, 502, one, 1, ""},
+		"elsewhere":                    {nil, []step{answers("ok")}, 0, vetchtrail.Answered, 200, "ok", 1, ""},
+		"a leaving host elsewhere":     {nil, []step{refuses(vetchtrail.StepForward, vetchtrail.ReasonLeaving), answers("ok")}, 0, vetchtrail.Answered, 200, "ok", 2, ""},
+		"elsewhere lacks the route":    {nil, []step{lacksRoute}, 0, vetchtrail.NotRun, 503, "", 1, ""},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
