--- a/process/load/kinds.go
+++ b/process/load/kinds.go
@@ -43,9 +43,14 @@
 
 // sawEvents learns how many events a route's streams have.
 func (m *means) sawEvents(route string, n int) {
-	if n > 0 {
-		m.kindOf(route).events.observe(float64(n))
+	if n == 0 {
+		return
+	}
+	k := m.kindOf(route)
+	if k.events.seen == 0 {
+		k.events.value = float64(n) // else the mean would begin at none
 	}
+	k.events.observe(float64(n))
 }
 
 // usualEvents is how many events a route's streams have; 0: not known.
