Losses: a verb tells from the logs where requests were lost, and why

Decisions log the time to the goal, the time left and whether it is a first try; outcomes whether a host was lost.

Cause: a second's lines were written in one call, and what takes them took some 8 KB of each.

--- a/cmd/vetchtrail/main.go
+++ b/cmd/vetchtrail/main.go
@@ -39,6 +39,7 @@
 	Decisions decisionsCommand `cmd:"" help:"Show a host's recent decisions."`
 	Explain   explainCommand   `cmd:"" help:"Tell why a request ran where it did."`
 	Trace     traceCommand     `cmd:"" help:"Tell a request's history from the logs of several hosts."`
+	Losses    lossesCommand    `cmd:"" help:"Tell from the logs of all hosts where requests were lost, and why."`
 	Settings  settingsCommand  `cmd:"" help:"Daemons' settings files."`
 }
 
--- a/process/journal/history.go
+++ b/process/journal/history.go
@@ -57,6 +57,9 @@
 	Queued     int           `json:"queued,omitempty"`
 	Looked     int           `json:"looked,omitempty"`
 	Candidates []candidate   `json:"candidates,omitempty"`
+	Goal       time.Duration `json:"goal,omitempty"`  // from the line to the request's goal
+	Left       time.Duration `json:"left,omitempty"`  // from the line to its deadline
+	Fresh      bool          `json:"fresh,omitempty"` // its caller's first try
 
 	// Of an outcome.
 	Outcome string        `json:"outcome,omitempty"`
@@ -67,7 +70,9 @@
 	Status  int           `json:"status,omitempty"`
 	Events  int           `json:"events,omitempty"`
 	Begun   bool          `json:"begun,omitempty"`
-	Error   string        `json:"error,omitempty"`
+	// HostLost says that the host which it was passed to was lost.
+	HostLost bool   `json:"host_lost,omitempty"`
+	Error    string `json:"error,omitempty"`
 
 	// Of what a host came to believe.
 	Endpoint      string `json:"endpoint,omitempty"`
--- a/process/journal/journal.go
+++ b/process/journal/journal.go
@@ -30,6 +30,9 @@
 	Decision  vetchtrail.Decision
 	Attempt   int
 	Hops      int
+	Goal      time.Time // until when an answer is worth all it can be; zero: not said
+	Deadline  time.Time
+	Fresh     bool // a first try
 	Revision  uint64
 	Ended     bool // the line tells how the request ended
 	Outcome   vetchtrail.Outcome
@@ -116,7 +119,7 @@
 	if r.Ended {
 		j.log.Info(MsgOutcome, "request", r.Request, "service", r.Service, "route", r.Route, "outcome", r.Outcome.Kind.String(),
 			"step", string(r.Outcome.Step), "peer", r.Outcome.Peer, "reason", string(r.Outcome.Reason),
-			"hops", r.Hops, "events", r.Outcome.Events, "took", r.Took, "first", first(r), "status", r.Outcome.Status, "begun", r.Outcome.Begun, "error", cause(r.Outcome.Err))
+			"hops", r.Hops, "events", r.Outcome.Events, "took", r.Took, "first", first(r), "status", r.Outcome.Status, "begun", r.Outcome.Begun, "host_lost", r.Outcome.HostLost, "error", cause(r.Outcome.Err))
 		return
 	}
 	j.log.Info(MsgDecision, "request", r.Request, "service", r.Service, "route", r.Route, "prompt", r.Prompt, "workspace", r.Workspace, "home", r.Home,
@@ -124,7 +127,8 @@
 		"cost", r.Decision.Cost, "wait", r.Decision.Wait,
 		"backlog", r.Decision.Backlog, "holds", r.Decision.Holds, "gap", r.Decision.Gap, "report_age", r.Decision.Age,
 		"running", r.Decision.Running, "queued", r.Decision.Queued, "own", r.Decision.Own, "looked", r.Decision.Looked,
-		"candidates", candidates(&r.Decision), "revision", r.Revision, "hops", r.Hops, "attempt", r.Attempt)
+		"candidates", candidates(&r.Decision), "revision", r.Revision, "hops", r.Hops, "attempt", r.Attempt,
+		"goal", until(r.Goal, r.At), "left", until(r.Deadline, r.At), "fresh", r.Fresh)
 }
 
 // cause is the text of an error; empty for none.
@@ -135,6 +139,14 @@
 	return err.Error()
 }
 
+// until is the time to a moment; 0 where there is none.
+func until(t, now time.Time) time.Duration {
+	if t.IsZero() {
+		return 0
+	}
+	return t.Sub(now)
+}
+
 // first is the time from a request's arrival to the first of its answer; 0 for
 // one that ran elsewhere or has no answer.
 func first(r *Record) time.Duration {
--- a/process/logs/logs.go
+++ b/process/logs/logs.go
@@ -4,6 +4,7 @@
 package logs
 
 import (
+	"bytes"
 	"fmt"
 	"io"
 	"sync"
@@ -16,6 +17,11 @@
 	bufferSize = 1 << 20
 	// flushEvery is how long lines are gathered: each write is a system call.
 	flushEvery = 100 * time.Millisecond
+	// pieceSize bounds what is written at once, in bytes, where a line is no longer: a
+	// pipe takes so much in one piece (PIPE_BUF), and a collector that takes little at a
+	// time loses no part of a line. Written whole, one request in six of a busy host had
+	// no end in the collected log.
+	pieceSize = 4096
 )
 
 // Writer is an io.Writer that never blocks. Each call of Write is a line.
@@ -87,10 +93,26 @@
 	if dropped > 0 {
 		out = fmt.Appendf(out, "{\"level\":\"WARN\",\"msg\":\"log lines dropped\",\"lines\":%d}\n", dropped)
 	}
-	if len(out) > 0 {
-		_, _ = l.to.Write(out) // nobody is left to tell
+	for rest := out; len(rest) > 0; {
+		n := piece(rest)
+		_, _ = l.to.Write(rest[:n]) // nobody is left to tell
+		rest = rest[n:]
 	}
 	l.mu.Lock()
 	l.spare = out
 	l.mu.Unlock()
 }
+
+// piece is the length of the whole lines that are written next.
+func piece(lines []byte) int {
+	if len(lines) <= pieceSize {
+		return len(lines)
+	}
+	if end := bytes.LastIndexByte(lines[:pieceSize], '\n'); end >= 0 {
+		return end + 1
+	}
+	if end := bytes.IndexByte(lines, '\n'); end >= 0 {
+		return end + 1 // one line, longer than a piece
+	}
+	return len(lines)
+}
