--- a/process/daemon/operators.go
+++ b/process/daemon/operators.go
@@ -9,7 +9,6 @@
 	"github.com/go-faster/errors"
 
 	"vetchtrail"
-	"vetchtrail/process/journal"
 	"vetchtrail/process/load"
 	"vetchtrail/schema"
 	"vetchtrail/version/changelog"
@@ -156,19 +155,19 @@
 		most = mostDecisions
 	}
 	out := &schema.DecisionsReply{}
-	for _, r := range o.d.journal.Recent(most, func(r *journal.Record) bool { return matches(q, r) }) {
+	for _, r := range o.d.journal.Recent(most, func(r *vetchtrail.Record) bool { return matches(q, r) }) {
 		out.Records = append(out.Records, recordOf(r))
 	}
 	return out, nil
 }
 
-func matches(q *schema.DecisionsRequest, r *journal.Record) bool {
+func matches(q *schema.DecisionsRequest, r *vetchtrail.Record) bool {
 	return (q.GetRequest() == "" || q.GetRequest() == r.Request) &&
 		(q.GetService() == "" || q.GetService() == r.Service) &&
 		(q.GetOutcome() == "" || (r.Ended && q.GetOutcome() == r.Outcome.Kind.String()))
 }
 
-func recordOf(r journal.Record) *schema.DecisionRecord {
+func recordOf(r vetchtrail.Record) *schema.DecisionRecord {
 	m := &schema.DecisionRecord{
 		Request: r.Request, Service: r.Service, Workspace: r.Workspace, Home: r.Home, Revision: r.Revision,
 		Hops: int32(r.Hops), Attempt: int32(r.Attempt), At: stamp(r.At),
--- a/process/journal/journal.go
+++ b/process/journal/journal.go
@@ -18,27 +18,6 @@
 	ringSize = 4096 // lines waiting to be written
 )
 
-// Record is one decision, and with Outcome set what came of it.
-type Record struct {
-	At        time.Time
-	Request   string
-	Service   string
-	Route     string
-	Prompt    int // tokens
-	Workspace string
-	Home      string
-	Decision  vetchtrail.Decision
-	Attempt   int
-	Hops      int
-	Goal      time.Time // until when an answer is worth all it can be; zero: not said
-	Deadline  time.Time
-	Fresh     bool // a first try
-	Revision  uint64
-	Ended     bool // the line tells how the request ended
-	Outcome   vetchtrail.Outcome
-	Took      time.Duration
-}
-
 // Config is what a Journal needs.
 type Config struct {
 	Log *slog.Logger
@@ -47,22 +26,22 @@
 // Journal is safe for use by many.
 type Journal struct {
 	log     *slog.Logger
-	ring    chan Record
+	ring    chan vetchtrail.Record
 	dropped atomic.Uint64
 
 	mu     sync.Mutex
-	recent [kept]Record
+	recent [kept]vetchtrail.Record
 	count  int
 }
 
 // New returns an empty journal. Run writes its lines.
 func New(c Config) *Journal {
-	return &Journal{log: c.Log, ring: make(chan Record, ringSize)}
+	return &Journal{log: c.Log, ring: make(chan vetchtrail.Record, ringSize)}
 }
 
 // Note takes a record without waiting. A line that finds the ring full is not
 // written; it stays among the recent ones.
-func (j *Journal) Note(r Record) {
+func (j *Journal) Note(r vetchtrail.Record) {
 	j.mu.Lock()
 	j.recent[j.count%kept] = r
 	j.count++
@@ -79,10 +58,10 @@
 func (j *Journal) Dropped() uint64 { return j.dropped.Load() }
 
 // Recent returns up to most records that match, newest first.
-func (j *Journal) Recent(most int, match func(*Record) bool) []Record {
+func (j *Journal) Recent(most int, match func(*vetchtrail.Record) bool) []vetchtrail.Record {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	var out []Record
+	var out []vetchtrail.Record
 	for i := j.count - 1; i >= max(0, j.count-kept) && len(out) < most; i-- {
 		if r := &j.recent[i%kept]; match(r) {
 			out = append(out, *r)
@@ -115,7 +94,7 @@
 	}
 }
 
-func (j *Journal) write(r *Record) {
+func (j *Journal) write(r *vetchtrail.Record) {
 	if r.Ended {
 		j.log.Info(MsgOutcome, "request", r.Request, "service", r.Service, "route", r.Route, "outcome", r.Outcome.Kind.String(),
 			"step", string(r.Outcome.Step), "peer", r.Outcome.Peer, "reason", string(r.Outcome.Reason),
@@ -149,7 +128,7 @@
 
 // first is the time from a request's arrival to the first of its answer; 0 for
 // one that ran elsewhere or has no answer.
-func first(r *Record) time.Duration {
+func first(r *vetchtrail.Record) time.Duration {
 	if r.Outcome.First.IsZero() {
 		return 0
 	}
--- a/process/load/learn.go
+++ b/process/load/learn.go
@@ -7,18 +7,8 @@
 	"vetchtrail"
 )
 
-// Observation is what a finished attempt showed of its endpoint.
-type Observation struct {
-	Request string // id
-	Outcome vetchtrail.Outcome
-	Timing  vetchtrail.Timing
-	Route   string
-	Tokens  int  // of the prompt
-	Cancel  bool // the caller left: says nothing of the endpoint
-}
-
 // Release gives the room back and learns from the attempt.
-func (t *Table) Release(name string, o Observation, now time.Time) {
+func (t *Table) Release(name string, o vetchtrail.Observation, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s, ok := t.endpoints[name]
@@ -58,7 +48,7 @@
 	}
 }
 
-func (t *Table) answered(s *state, o Observation, now time.Time) {
+func (t *Table) answered(s *state, o vetchtrail.Observation, now time.Time) {
 	m := t.means[s.Service]
 	s.failures, s.ejects, s.downs = 0, 0, 0
 	s.warmth = math.Min(1, s.warmth+warmStep)
--- a/process/load/load_test.go
+++ b/process/load/load_test.go
@@ -34,12 +34,12 @@
 	return vetchtrail.EndpointView{}
 }
 
-func fail(kind vetchtrail.OutcomeKind, step vetchtrail.Step, why vetchtrail.Reason) Observation {
-	return Observation{Outcome: vetchtrail.Outcome{Kind: kind, Step: step, Reason: why, RetryAt: now.Add(time.Second)}}
+func fail(kind vetchtrail.OutcomeKind, step vetchtrail.Step, why vetchtrail.Reason) vetchtrail.Observation {
+	return vetchtrail.Observation{Outcome: vetchtrail.Outcome{Kind: kind, Step: step, Reason: why, RetryAt: now.Add(time.Second)}}
 }
 
-func answered(at time.Time) Observation {
-	return Observation{
+func answered(at time.Time) vetchtrail.Observation {
+	return vetchtrail.Observation{
 		Outcome: vetchtrail.Outcome{Kind: vetchtrail.Answered},
 		Timing:  vetchtrail.Timing{Sent: at, First: at.Add(10 * time.Millisecond), Done: at.Add(100 * time.Millisecond)}, Tokens: 10,
 	}
@@ -48,7 +48,7 @@
 // TestLimit: what lowers the requests that an endpoint may have from this host.
 func TestLimit(t *testing.T) {
 	cases := map[string]struct {
-		seen  Observation
+		seen  vetchtrail.Observation
 		lower bool
 	}{
 		"an answer":                   {answered(now), false},
@@ -111,7 +111,7 @@
 	}
 }
 
-func release(t *Table, o Observation, times int) {
+func release(t *Table, o vetchtrail.Observation, times int) {
 	for range times {
 		t.Acquire("e000", &vetchtrail.Request{}, now)
 		t.Release("e000", o, now)
@@ -200,7 +200,7 @@
 		sent := now.Add(time.Duration(i) * 100 * time.Millisecond)
 		done := sent.Add(time.Duration(15+i%20) * time.Millisecond)
 		assert.Assert(t, tab.Acquire("e000", &vetchtrail.Request{}, sent))
-		tab.Release("e000", Observation{
+		tab.Release("e000", vetchtrail.Observation{
 			Outcome: vetchtrail.Outcome{Kind: vetchtrail.Answered}, Timing: vetchtrail.Timing{Sent: sent, First: done, Done: done},
 		}, done)
 	}
--- a/process/load/mechanisms_test.go
+++ b/process/load/mechanisms_test.go
@@ -24,7 +24,7 @@
 		}
 		return r.PromptFrom.Addr().As4()[3]
 	}
-	lost := Observation{Outcome: vetchtrail.Outcome{Kind: vetchtrail.Unknown, Reason: vetchtrail.ReasonLost}}
+	lost := vetchtrail.Observation{Outcome: vetchtrail.Outcome{Kind: vetchtrail.Unknown, Reason: vetchtrail.ReasonLost}}
 	cases := map[string]struct {
 		off  vetchtrail.Mechanism
 		does func(tab *Table) bool // true while it is on
@@ -57,7 +57,7 @@
 		"adaptive limits": {vetchtrail.AdaptiveLimits, func(tab *Table) bool {
 			before := views(tab, asking("x", session, 0))["a"].Limit
 			tab.Acquire("a", asking("x", session, 0), now)
-			tab.Release("a", Observation{Outcome: vetchtrail.Outcome{Reason: vetchtrail.ReasonRefused, RetryAt: now}}, now)
+			tab.Release("a", vetchtrail.Observation{Outcome: vetchtrail.Outcome{Reason: vetchtrail.ReasonRefused, RetryAt: now}}, now)
 			return views(tab, asking("x", session, 0))["a"].Limit < before
 		}},
 		"warm up": {vetchtrail.WarmUp, func(tab *Table) bool {
--- a/process/load/prefill_test.go
+++ b/process/load/prefill_test.go
@@ -118,12 +118,15 @@
 		priority int8
 		waits    bool
 	}{
-		"idle":                {func(*Table) {}, 0, false},
-		"one of its rank":     {func(t *Table) { t.Acquire("a", asking("x", 3, 0), now) }, 0, true},
-		"one more urgent":     {func(t *Table) { t.Acquire("a", asking("x", 3, 1), now) }, 0, true},
-		"one less urgent":     {func(t *Table) { t.Acquire("a", asking("x", 3, -1), now) }, 0, false},
-		"its answer began":    {func(t *Table) { t.Acquire("a", asking("x", 3, 0), now); t.Started(e, asking("x", 3, 0), now) }, 0, false},
-		"it ended":            {func(t *Table) { t.Acquire("a", asking("x", 3, 0), now); t.Release("a", Observation{Request: "x"}, now) }, 0, false},
+		"idle":             {func(*Table) {}, 0, false},
+		"one of its rank":  {func(t *Table) { t.Acquire("a", asking("x", 3, 0), now) }, 0, true},
+		"one more urgent":  {func(t *Table) { t.Acquire("a", asking("x", 3, 1), now) }, 0, true},
+		"one less urgent":  {func(t *Table) { t.Acquire("a", asking("x", 3, -1), now) }, 0, false},
+		"its answer began": {func(t *Table) { t.Acquire("a", asking("x", 3, 0), now); t.Started(e, asking("x", 3, 0), now) }, 0, false},
+		"it ended": {func(t *Table) {
+			t.Acquire("a", asking("x", 3, 0), now)
+			t.Release("a", vetchtrail.Observation{Request: "x"}, now)
+		}, 0, false},
 		"others' by its word": {func(t *Table) { t.Told(e, vetchtrail.LoadReport{At: now, Queued: 4}) }, 0, true},
 		"others' elsewhere, unheard of itself": {func(t *Table) {
 			t.Told(vetchtrail.Endpoint{Name: "b"}, vetchtrail.LoadReport{At: now, Queued: 4})
@@ -161,7 +164,7 @@
 			r := asking(string(rune('p'+i)), 4, 0)
 			read += tab.endpoints["a"].reading[r.ID].tokens
 			tab.Started(vetchtrail.Endpoint{Name: "a"}, r, at.Add(time.Duration(float64(read)*token*float64(time.Second))))
-			tab.Release("a", Observation{Request: r.ID, Outcome: vetchtrail.Outcome{Kind: vetchtrail.Answered}}, at.Add(9*time.Second))
+			tab.Release("a", vetchtrail.Observation{Request: r.ID, Outcome: vetchtrail.Outcome{Kind: vetchtrail.Answered}}, at.Add(9*time.Second))
 		}
 	}
 	_, got := tab.means["s"].prefill.line()
@@ -285,7 +288,7 @@
 		"it ended": {func(t *Table) {
 			t.Acquire("a", stream, now)
 			t.Started(e, stream, now)
-			t.Release("a", Observation{Request: "x"}, now)
+			t.Release("a", vetchtrail.Observation{Request: "x"}, now)
 		}, false},
 		"it took no room":    {func(t *Table) { t.Started(e, stream, now) }, false},
 		"it has not started": {func(t *Table) { t.Acquire("a", stream, now) }, false},
--- a/process/membership/remote.go
+++ b/process/membership/remote.go
@@ -45,16 +45,13 @@
 	return out
 }
 
-// Placer gives the id of a region.
-type Placer func(region string) (vetchtrail.RegionID, bool)
-
 const (
 	coldRegion = 0.2 // share of a returned data centre's free slots used first
 	warmRegion = 0.1 // gained by an answer
 )
 
-// Fill appends the other data centres that serve a service to a view.
-func (m *Membership) Fill(v *vetchtrail.View, service string, place Placer, now time.Time) {
+// Fill implements vetchtrail.Hosts.
+func (m *Membership) Fill(v *vetchtrail.View, service string, place func(region string) (vetchtrail.RegionID, bool), now time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	senders := m.senders(now)
--- a/request/dispatch/dispatch.go
+++ b/request/dispatch/dispatch.go
@@ -11,9 +11,6 @@
 	"time"
 
 	"vetchtrail"
-	"vetchtrail/process/journal"
-	"vetchtrail/process/load"
-	"vetchtrail/process/membership"
 	"vetchtrail/request/budget"
 	"vetchtrail/request/once"
 	"vetchtrail/request/queue"
@@ -46,12 +43,12 @@
 	Self       vetchtrail.Host
 	Policy     vetchtrail.Policy
 	Rules      func() *rules.Rules
-	Table      *load.Table
-	Membership *membership.Membership
+	Table      vetchtrail.Endpoints
+	Membership vetchtrail.Hosts
 	Endpoints  vetchtrail.EndpointCaller
 	Peers      vetchtrail.Forwarder
 	Keeper     *once.Keeper
-	Journal    *journal.Journal
+	Journal    vetchtrail.Recorder
 	Seed       uint64 // of the random choices
 	Budget     budget.Config
 	Off        vetchtrail.Mechanisms // that are not used
@@ -88,7 +85,7 @@
 	defer d.inFlight.Add(-1)
 	began := time.Now()
 	o := d.run(ctx, r, a)
-	d.cfg.Journal.Note(journal.Record{
+	d.cfg.Journal.Note(vetchtrail.Record{
 		At: began, Request: r.ID, Service: r.Service, Route: r.Route, Workspace: r.Workspace, Hops: r.Hops,
 		Ended: true, Outcome: o, Took: time.Since(began),
 	})
@@ -306,7 +303,7 @@
 	}
 	o, timing := d.cfg.Endpoints.Call(ctx, p.endpoint, r, a)
 	o.First = timing.First
-	d.cfg.Table.Release(p.endpoint.Name, load.Observation{
+	d.cfg.Table.Release(p.endpoint.Name, vetchtrail.Observation{
 		Request: r.ID, Route: r.Route, Outcome: o, Timing: timing, Tokens: r.PromptTokens(), Cancel: ctx.Err() != nil,
 	}, time.Now())
 	return o
--- a/request/dispatch/dispatch_test.go
+++ b/request/dispatch/dispatch_test.go
@@ -224,7 +224,7 @@
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			d := dispatcher(t, &places{steps: []step{answers("ok")}}, 1)
-			d.cfg.Membership.SetState(vetchtrail.HostLeaving)
+			d.cfg.Membership.(*membership.Membership).SetState(vetchtrail.HostLeaving)
 			r := &vetchtrail.Request{
 				ID: "x", Service: "s", Route: "r", Attempts: 1, Hops: c.hops, Allowed: vetchtrail.AllRegions, Deadline: time.Now().Add(10 * time.Second),
 			}
@@ -252,7 +252,7 @@
 			d := dispatcher(t, p, 1)
 			slow := &schema.Digest{DataCentre: "b-1", Region: "b", Revision: 7, Services: []*schema.ServiceDigest{{Service: "s", Free: 4, Slots: 4, WaitMillis: 2000}},
 				Members: []*schema.Member{{Name: "far", State: uint32(vetchtrail.HostReady), Peers: "10.0.0.2:1"}}}
-			d.cfg.Membership.Swapped(&schema.Digests{From: "far", Digest: slow})
+			d.cfg.Membership.(*membership.Membership).Swapped(&schema.Digests{From: "far", Digest: slow})
 			for i := range 8 {
 				d.cfg.Table.Acquire("1", &vetchtrail.Request{ID: string(rune('a' + i)), Service: "s"}, time.Now())
 			}
--- a/request/dispatch/place.go
+++ b/request/dispatch/place.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"vetchtrail"
-	"vetchtrail/process/journal"
 	"vetchtrail/request/queue"
 )
 
@@ -173,7 +172,7 @@
 }
 
 func (d *Dispatcher) note(r *vetchtrail.Request, dec vetchtrail.Decision, attempt int) {
-	d.cfg.Journal.Note(journal.Record{
+	d.cfg.Journal.Note(vetchtrail.Record{
 		At: time.Now(), Request: r.ID, Service: r.Service, Route: r.Route, Prompt: r.PromptTokens(), Workspace: r.Workspace,
 		Home: d.cfg.Rules().RegionName(r.Home), Decision: dec, Attempt: attempt, Hops: r.Hops, Revision: r.Revision,
 		Goal: r.Goal, Deadline: r.Deadline, Fresh: r.Fresh,
