Forwards: a caller that leaves takes no host out of use

Change: such a forward ends as left by its caller, and says nothing of the host. The new case of TestForward fails on the code before.

--- a/connection/peer/client.go
+++ b/connection/peer/client.go
@@ -163,6 +163,16 @@
 // Forward implements vetchtrail.Forwarder. It says "not run" only when the
 // message was not sent, or the host said so.
 func (c *Client) Forward(ctx context.Context, h vetchtrail.Host, r *vetchtrail.Request, a vetchtrail.Answer) vetchtrail.Outcome {
+	o := c.forward(ctx, h, r, a)
+	if o.HostLost && ctx.Err() != nil {
+		// The caller left, which says nothing of the host: 36 callers of 10,000 took
+		// a host out of use for two seconds each by leaving.
+		o.Reason, o.HostLost = vetchtrail.ReasonCallerGone, false
+	}
+	return o
+}
+
+func (c *Client) forward(ctx context.Context, h vetchtrail.Host, r *vetchtrail.Request, a vetchtrail.Answer) vetchtrail.Outcome {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	late := time.AfterFunc(time.Until(r.Deadline)+lateAnswer, cancel)
--- a/connection/peer/peer_test.go
+++ b/connection/peer/peer_test.go
@@ -68,6 +68,8 @@
 	cases := map[string]struct {
 		run    func(ctx context.Context, r *vetchtrail.Request, a vetchtrail.Answer) vetchtrail.Outcome
 		dead   bool
+		leaves bool // the caller does, before an answer
+		lost   bool // the host is told to be
 		kind   vetchtrail.OutcomeKind
 		reason vetchtrail.Reason
 		body   string
@@ -87,8 +89,12 @@
 		"never answers": {run: func(ctx context.Context, _ *vetchtrail.Request, _ vetchtrail.Answer) vetchtrail.Outcome {
 			<-ctx.Done()
 			return ok
-		}, kind: vetchtrail.Unknown, reason: vetchtrail.ReasonLost},
-		"not there": {dead: true, kind: vetchtrail.NotRun, reason: vetchtrail.ReasonUnreachable},
+		}, kind: vetchtrail.Unknown, reason: vetchtrail.ReasonLost, lost: true},
+		"its caller leaves": {run: func(ctx context.Context, _ *vetchtrail.Request, _ vetchtrail.Answer) vetchtrail.Outcome {
+			<-ctx.Done()
+			return ok
+		}, leaves: true, kind: vetchtrail.Unknown, reason: vetchtrail.ReasonCallerGone},
+		"not there": {dead: true, kind: vetchtrail.NotRun, reason: vetchtrail.ReasonUnreachable, lost: true},
 	}
 	for name, c := range cases {
 		for _, repeats := range []bool{true, false} {
@@ -101,9 +107,15 @@
 				defer client.Close()
 				var got parts
 				r := &vetchtrail.Request{ID: "r", Deadline: time.Now().Add(200 * time.Millisecond), Repeats: repeats}
-				o := client.Forward(context.Background(), vetchtrail.Host{Name: "h", Peers: addr}, r, &got)
+				ctx, cancel := context.WithCancel(context.Background())
+				defer cancel()
+				if c.leaves {
+					time.AfterFunc(20*time.Millisecond, cancel)
+				}
+				o := client.Forward(ctx, vetchtrail.Host{Name: "h", Peers: addr}, r, &got)
 				assert.Equal(t, o.Kind, c.kind, o.Error())
 				assert.Equal(t, o.Reason, c.reason)
+				assert.Equal(t, o.HostLost, c.lost)
 				assert.Equal(t, string(got.body), c.body)
 			})
 		}
