--- a/cmd/vetchtrail/losses.go
+++ b/cmd/vetchtrail/losses.go
@@ -22,8 +22,9 @@
 
 // lossesCommand tells what became of the requests in logs. It asks no daemon.
 type lossesCommand struct {
-	Log []string `arg:"" help:"Logs of all hosts, in any order; - for standard input."`
-	CSV bool     `help:"One line for each second, route, region and cause, with a count."`
+	Log  []string `arg:"" help:"Logs of all hosts, in any order; - for standard input."`
+	Plot string   `help:"Also draw how the requests of each second ended: a file that ends in .svg, .png or .pdf."`
+	CSV  bool     `help:"One line for each second, route, region and cause, with a count."`
 }
 
 // Run implements the subcommand.
@@ -40,6 +41,11 @@
 	if len(l.Rows) == 0 {
 		return errors.Errorf("losses: no request is in the %d logs: give those of the hosts that callers ask", len(c.Log))
 	}
+	if c.Plot != "" {
+		if err := plotLosses(l, c.Plot); err != nil {
+			return err
+		}
+	}
 	if c.CSV {
 		return writeLosses(os.Stdout, l)
 	}
