Elsewhere: what was lately sent to a data centre no longer counts as waiting there

Removed with its switch, its decay, its constants and the count of senders; the case of TestWeighted that showed it goes with it.

--- a/decision.go
+++ b/decision.go
@@ -119,8 +119,6 @@
 	Free       int           // free slots for the service
 	Slots      int           // of its endpoints
 	Own        int           // this host's requests in flight there
-	Sent       float64       // prompt tokens that this host lately sent to its region
-	Senders    int           // hosts here that send as this one does
 	Age        time.Duration // of the digest
 	Reachable  bool
 	Warmth     float64
--- a/mechanism.go
+++ b/mechanism.go
@@ -22,7 +22,6 @@
 	UrgentFirst                     // less urgent streams are told so earlier than more urgent ones
 	Shedding                        // first tries that would begin late are told to come back
 	Forwarding                      // requests are passed to other data centres
-	SentElsewhere                   // what was lately sent to a data centre counts there
 	Waiting                         // requests wait here for room
 	LastChance                      // who has waited is passed on before it is refused
 	Retries                         // a request is tried again where that is safe
@@ -35,7 +34,7 @@
 
 var mechanismNames = [...]string{
 	"affinity", "prompt-moves", "far-moves", "last-sent", "kept-elsewhere", "prompt-backlog", "pace", "urgent-first",
-	"shedding", "forwarding", "sent-elsewhere", "waiting", "last-chance", "retries", "failure-cost", "ejection",
+	"shedding", "forwarding", "waiting", "last-chance", "retries", "failure-cost", "ejection",
 	"silence", "adaptive-limits", "warm-up",
 }
 
--- a/observation.go
+++ b/observation.go
@@ -34,8 +34,8 @@
 	// Fill appends the other data centres that serve a service to a view; place gives
 	// the id of a region.
 	Fill(v *View, service string, place func(region string) (RegionID, bool), now time.Time)
-	// Pick returns a host of a data centre and counts a forward of a prompt to it.
-	Pick(dataCentre, service string, tokens int, now time.Time) (Host, bool)
+	// Pick returns a host of a data centre and counts a forward to it.
+	Pick(dataCentre, service string, now time.Time) (Host, bool)
 	// Returned counts the forward's end and learns from it.
 	Returned(dataCentre, service string, o Outcome, now time.Time)
 }
--- a/process/membership/digest.go
+++ b/process/membership/digest.go
@@ -224,7 +224,7 @@
 	r, ok := m.remotes[name]
 	switch {
 	case !ok:
-		r = &remote{own: map[string]int{}, sent: map[string]*sent{}, warmth: 1, delay: defaultDelay}
+		r = &remote{own: map[string]int{}, warmth: 1, delay: defaultDelay}
 		m.remotes[name] = r
 	case !at.After(r.at):
 		return r.fillMembers(d)
--- a/process/membership/remote.go
+++ b/process/membership/remote.go
@@ -1,7 +1,6 @@
 package membership
 
 import (
-	"math"
 	"slices"
 	"strings"
 	"time"
@@ -17,7 +16,6 @@
 	at     time.Time // when the digest was made, by this host's clock
 	delay  time.Duration
 	own    map[string]int // this host's forwards in flight, by service
-	sent   map[string]*sent
 	warmth float64
 }
 
@@ -54,7 +52,6 @@
 func (m *Membership) Fill(v *vetchtrail.View, service string, place func(region string) (vetchtrail.RegionID, bool), now time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	senders := m.senders(now)
 	for name, d := range m.remotes {
 		region, ok := place(d.digest.GetRegion())
 		line := d.service(service)
@@ -64,7 +61,6 @@
 		v.Remotes = append(v.Remotes, vetchtrail.RemoteView{
 			DataCentre: name, Region: region, Delay: d.delay,
 			Wait: float64(line.GetWaitMillis()) / 1e3, Free: int(line.GetFree()), Slots: int(line.GetSlots()), Own: d.own[service],
-			Sent: m.sentTo(d.digest.GetRegion(), service, now), Senders: senders,
 			Age: now.Sub(d.at), Reachable: now.Sub(d.at) < reachableFor && len(m.takers(d, now)) > 0, Warmth: d.warmth,
 			Gap: float64(line.GetGapMillis()) / 1e3,
 		})
@@ -80,57 +76,8 @@
 	return nil
 }
 
-// sentFades is the time in which what was sent to a data centre falls to 1/e: about
-// the age of its digest, which then tells of it.
-const sentFades = time.Second
-
-// sent is the prompt tokens that were lately sent somewhere.
-type sent struct {
-	tokens float64
-	at     time.Time
-}
-
-func (s *sent) now(now time.Time) float64 {
-	return s.tokens * math.Exp(-now.Sub(s.at).Seconds()/sentFades.Seconds())
-}
-
-// sentTo is what this host lately sent to a region for a service: the hosts of its
-// data centres call the same endpoints. The caller holds the lock.
-func (m *Membership) sentTo(region, service string, now time.Time) float64 {
-	sum := 0.0
-	for _, d := range m.remotes {
-		if s, ok := d.sent[service]; ok && d.digest.GetRegion() == region {
-			sum += s.now(now)
-		}
-	}
-	return sum
-}
-
-// senders is how many hosts of this region may send requests elsewhere. The caller
-// holds the lock.
-func (m *Membership) senders(now time.Time) int {
-	n := 1
-	for _, b := range m.members {
-		if b.state(now) == vetchtrail.HostReady {
-			n++
-		}
-	}
-	for _, d := range m.remotes {
-		if d.digest.GetRegion() != m.self.Region || now.Sub(d.at) >= reachableFor {
-			continue
-		}
-		for _, line := range d.digest.GetMembers() {
-			if line.GetState() == uint32(vetchtrail.HostReady) {
-				n++
-			}
-		}
-	}
-	return n
-}
-
-// Pick returns a ready host of another data centre and counts a forward to it of a
-// prompt of so many tokens.
-func (m *Membership) Pick(dataCentre, service string, tokens int, now time.Time) (vetchtrail.Host, bool) {
+// Pick returns a ready host of another data centre and counts a forward to it.
+func (m *Membership) Pick(dataCentre, service string, now time.Time) (vetchtrail.Host, bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	d, ok := m.remotes[dataCentre]
@@ -142,12 +89,6 @@
 		return vetchtrail.Host{}, false
 	}
 	d.own[service]++
-	s, ok := d.sent[service]
-	if !ok {
-		s = &sent{}
-		d.sent[service] = s
-	}
-	s.tokens, s.at = s.now(now)+float64(tokens), now
 	return d.host(ready[m.rnd.IntN(len(ready))]), true
 }
 
--- a/request/dispatch/place.go
+++ b/request/dispatch/place.go
@@ -79,7 +79,7 @@
 // take gets room at the place decided on; false: it was filled in between.
 func (d *Dispatcher) take(r *vetchtrail.Request, dec vetchtrail.Decision) (placement, bool) {
 	if dec.Kind == vetchtrail.RunElsewhere {
-		h, ok := d.cfg.Membership.Pick(dec.Name, r.Service, r.PromptTokens(), time.Now())
+		h, ok := d.cfg.Membership.Pick(dec.Name, r.Service, time.Now())
 		return placement{host: h, dataCentre: dec.Name}, ok
 	}
 	now := time.Now()
--- a/request/policy/mechanisms_test.go
+++ b/request/policy/mechanisms_test.go
@@ -31,13 +31,12 @@
 		view    vetchtrail.View
 		on, out vetchtrail.DecisionKind // with it, without it
 	}{
-		"pace":        {vetchtrail.Pace, stream(nil), vetchtrail.View{Events: 100, Endpoints: one(func(e *vetchtrail.EndpointView) { e.Gap = 0.1 })}, vetchtrail.Refuse, vetchtrail.RunHere},
-		"urgency":     {vetchtrail.UrgentFirst, stream(nil), vetchtrail.View{Events: 10, UrgentPace: 0.2, Endpoints: one(func(e *vetchtrail.EndpointView) { e.Gap = 0.1 })}, vetchtrail.Refuse, vetchtrail.RunHere},
-		"shedding":    {vetchtrail.Shedding, stream(nil), vetchtrail.View{Endpoints: one(func(e *vetchtrail.EndpointView) { e.Backlog = 3 })}, vetchtrail.Refuse, vetchtrail.RunHere},
-		"forwarding":  {vetchtrail.Forwarding, nil, vetchtrail.View{Remotes: far}, vetchtrail.RunElsewhere, vetchtrail.Refuse},
-		"waiting":     {vetchtrail.Waiting, nil, vetchtrail.View{Endpoints: one(func(e *vetchtrail.EndpointView) { e.Own = e.Limit })}, vetchtrail.WaitHere, vetchtrail.Refuse},
-		"sent before": {vetchtrail.SentElsewhere, nil, vetchtrail.View{Endpoints: one(func(e *vetchtrail.EndpointView) { e.Backlog = 3 }), Remotes: []vetchtrail.RemoteView{remote("x", func(m *vetchtrail.RemoteView) { m.Sent, m.Senders, m.Slots = 90000, 2, 8 })}}, vetchtrail.RunHere, vetchtrail.RunElsewhere},
-		"failures":    {vetchtrail.FailureCost, nil, vetchtrail.View{Endpoints: one(func(e *vetchtrail.EndpointView) { e.Failing = 1 }), Remotes: []vetchtrail.RemoteView{remote("x", func(m *vetchtrail.RemoteView) { m.Delay = 300 * time.Millisecond })}}, vetchtrail.RunElsewhere, vetchtrail.RunHere},
+		"pace":       {vetchtrail.Pace, stream(nil), vetchtrail.View{Events: 100, Endpoints: one(func(e *vetchtrail.EndpointView) { e.Gap = 0.1 })}, vetchtrail.Refuse, vetchtrail.RunHere},
+		"urgency":    {vetchtrail.UrgentFirst, stream(nil), vetchtrail.View{Events: 10, UrgentPace: 0.2, Endpoints: one(func(e *vetchtrail.EndpointView) { e.Gap = 0.1 })}, vetchtrail.Refuse, vetchtrail.RunHere},
+		"shedding":   {vetchtrail.Shedding, stream(nil), vetchtrail.View{Endpoints: one(func(e *vetchtrail.EndpointView) { e.Backlog = 3 })}, vetchtrail.Refuse, vetchtrail.RunHere},
+		"forwarding": {vetchtrail.Forwarding, nil, vetchtrail.View{Remotes: far}, vetchtrail.RunElsewhere, vetchtrail.Refuse},
+		"waiting":    {vetchtrail.Waiting, nil, vetchtrail.View{Endpoints: one(func(e *vetchtrail.EndpointView) { e.Own = e.Limit })}, vetchtrail.WaitHere, vetchtrail.Refuse},
+		"failures":   {vetchtrail.FailureCost, nil, vetchtrail.View{Endpoints: one(func(e *vetchtrail.EndpointView) { e.Failing = 1 }), Remotes: []vetchtrail.RemoteView{remote("x", func(m *vetchtrail.RemoteView) { m.Delay = 300 * time.Millisecond })}}, vetchtrail.RunElsewhere, vetchtrail.RunHere},
 		"kept elsewhere": {vetchtrail.KeptElsewhere, stream(func(r *vetchtrail.Request) {
 			r.Prompt = []vetchtrail.PromptPart{{ID: 1, Tokens: 9000}, {ID: 2, Tokens: 1000}}
 		}), vetchtrail.View{KeptShare: 1, IdleRead: 1e-4, Endpoints: one(func(e *vetchtrail.EndpointView) { e.Backlog, e.Kept = 0.5, 9000 }), Remotes: far}, vetchtrail.RunElsewhere, vetchtrail.RunHere},
--- a/request/policy/policy_test.go
+++ b/request/policy/policy_test.go
@@ -147,14 +147,6 @@
 			},
 			kind: vetchtrail.RunElsewhere, name: "y", reason: vetchtrail.ReasonChosen,
 		},
-		"it goes where less was sent lately": {
-			request: stream, weights: tail, endpoints: []vetchtrail.EndpointView{endpoint("a", func(e *vetchtrail.EndpointView) { e.Backlog = 3 })},
-			remotes: []vetchtrail.RemoteView{
-				remote("x", func(m *vetchtrail.RemoteView) { m.Slots, m.Sent, m.Senders = 8, 40000, 2 }),
-				remote("y", func(m *vetchtrail.RemoteView) { m.Slots, m.Sent, m.Senders = 8, 1000, 2 }),
-			},
-			kind: vetchtrail.RunElsewhere, name: "y", reason: vetchtrail.ReasonChosen,
-		},
 		"where its prompt is kept, though another is idle": {
 			request: stream, weights: vetchtrail.Weights{Tail: 1, Read: 3},
 			endpoints: []vetchtrail.EndpointView{endpoint("a", func(e *vetchtrail.EndpointView) { e.Kept, e.Backlog = 9000, 1 }), endpoint("b", nil)},
--- a/request/policy/remote.go
+++ b/request/policy/remote.go
@@ -11,9 +11,6 @@
 	// doubt is the share of a digest's age that is added to the wait it tells of:
 	// others have read the same.
 	doubt = 0.05
-	// sentShare is the part of the prompts that were sent to a region since it told
-	// of its load that is taken to wait there: the rest it has read meanwhile.
-	sentShare = 0.5
 	// awayMargin is the share by which another data centre must be better, so
 	// that small errors of lagging digests don't send requests away.
 	awayMargin = 0.97
@@ -35,7 +32,7 @@
 			d.Note(m.DataCentre, m.Gap, vetchtrail.ReasonSlow)
 			continue
 		}
-		c := v.Weights.Tail*(2*m.Delay.Seconds()+m.Wait+sentWait(s, m, v)+doubt*m.Age.Seconds()) + awayCost(m, v) + usualCost(s, r, v)
+		c := v.Weights.Tail*(2*m.Delay.Seconds()+m.Wait+doubt*m.Age.Seconds()) + awayCost(m, v) + usualCost(s, r, v)
 		d.Note(m.DataCentre, c, vetchtrail.ReasonCost)
 		if c < cost {
 			at, cost = i, c
@@ -44,17 +41,6 @@
 	return at, cost
 }
 
-// sentWait predicts the seconds by which the prompts that were sent there since its
-// digest make a request wait, if the other hosts here send as this one does.
-func sentWait(s *scored, m *vetchtrail.RemoteView, v *vetchtrail.View) float64 {
-	if len(v.Endpoints) == 0 || m.Slots == 0 || s.off.Has(vetchtrail.SentElsewhere) {
-		return 0
-	}
-	e := &v.Endpoints[0]
-	endpoints := float64(m.Slots) / float64(max(e.Slots, 1)) // of the kind of those here
-	return sentShare * m.Sent * float64(m.Senders) * e.Prefill / max(endpoints, 1)
-}
-
 // usualCost is what a request costs at an idle endpoint, as far as those here
 // show it: elsewhere it is no less.
 func usualCost(s *scored, r *vetchtrail.Request, v *vetchtrail.View) float64 {
