--- a/process/journal/history.go
+++ b/process/journal/history.go
@@ -1,10 +1,8 @@
 package journal
 
 import (
-	"bufio"
 	"bytes"
 	"cmp"
-	"encoding/json"
 	"io"
 	"slices"
 	"time"
@@ -13,9 +11,6 @@
 )
 
 const (
-	// longestLine bounds a line of a log that is read, in bytes: a decision's is some
-	// hundreds.
-	longestLine = 1 << 20
 	// believedBefore and believedAfter are how long before a request's first line and
 	// after its last what its hosts came to believe is told with it: lists are some
 	// seconds late.
@@ -23,64 +18,6 @@
 	believedAfter  = 5 * time.Second
 )
 
-// Messages of the lines that tell of a request.
-const (
-	MsgDecision = "decision"
-	MsgOutcome  = "outcome"
-)
-
-// Line is a line of a host's log, as far as it serves to explain a request.
-type Line struct {
-	Time     time.Time `json:"time"`
-	Level    string    `json:"level"`
-	Msg      string    `json:"msg"`
-	Host     string    `json:"host"`
-	Request  string    `json:"request,omitempty"`
-	Service  string    `json:"service,omitempty"`
-	Route    string    `json:"route,omitempty"`
-	Hops     int       `json:"hops"`
-	Reason   string    `json:"reason,omitempty"`
-	Revision uint64    `json:"revision,omitempty"`
-
-	// Of a decision.
-	Decision   string        `json:"decision,omitempty"`
-	Target     string        `json:"target,omitempty"`
-	Home       string        `json:"home,omitempty"`
-	Attempt    int           `json:"attempt,omitempty"`
-	Prompt     int           `json:"prompt,omitempty"`
-	Wait       time.Duration `json:"wait,omitempty"`
-	Backlog    time.Duration `json:"backlog,omitempty"`
-	Holds      int           `json:"holds,omitempty"`
-	Gap        time.Duration `json:"gap,omitempty"`
-	ReportAge  time.Duration `json:"report_age,omitempty"`
-	Running    int           `json:"running,omitempty"`
-	Queued     int           `json:"queued,omitempty"`
-	Looked     int           `json:"looked,omitempty"`
-	Candidates []candidate   `json:"candidates,omitempty"`
-	Goal       time.Duration `json:"goal,omitempty"`  // from the line to the request's goal
-	Left       time.Duration `json:"left,omitempty"`  // from the line to its deadline
-	Fresh      bool          `json:"fresh,omitempty"` // its caller's first try
-
-	// Of an outcome.
-	Outcome string        `json:"outcome,omitempty"`
-	Step    string        `json:"step,omitempty"`
-	Peer    string        `json:"peer,omitempty"`
-	Took    time.Duration `json:"took,omitempty"`
-	First   time.Duration `json:"first,omitempty"`
-	Status  int           `json:"status,omitempty"`
-	Events  int           `json:"events,omitempty"`
-	Begun   bool          `json:"begun,omitempty"`
-	// HostLost says that the host which it was passed to was lost.
-	HostLost bool   `json:"host_lost,omitempty"`
-	Error    string `json:"error,omitempty"`
-
-	// Of what a host came to believe.
-	Endpoint      string `json:"endpoint,omitempty"`
-	DataCentre    string `json:"data_centre,omitempty"`
-	State         string `json:"state,omitempty"`
-	StoreRevision uint64 `json:"store_revision,omitempty"`
-}
-
 // History is what the logs of some hosts tell of one request, in the order of time.
 type History struct {
 	Request string `json:"request"`
@@ -110,29 +47,18 @@
 
 // read takes the lines of one log: those of the request, and those of none.
 func (h *History) read(log io.Reader, others *[]Line) error {
-	in := bufio.NewScanner(log)
-	in.Buffer(nil, longestLine)
 	mine, any := []byte(`"`+h.Request+`"`), []byte(`"request":"`)
-	for in.Scan() {
-		text := in.Bytes()
-		// A collector may have put its own words before the line.
-		at := bytes.IndexByte(text, '{')
-		if at < 0 || (bytes.Contains(text, any) && !bytes.Contains(text, mine)) {
-			continue
-		}
-		var l Line
-		if json.Unmarshal(text[at:], &l) != nil {
-			h.Unread++
-			continue
-		}
+	bears := func(text []byte) bool { return !bytes.Contains(text, any) || bytes.Contains(text, mine) }
+	unread, err := readLines(log, bears, func(l Line) {
 		switch l.Request {
 		case h.Request:
 			h.Lines = append(h.Lines, l)
 		case "":
 			*others = append(*others, l)
 		}
-	}
-	if err := in.Err(); err != nil {
+	})
+	h.Unread += unread
+	if err != nil {
 		return errors.Wrap(err, "journal.ReadHistory")
 	}
 	return nil
--- a/process/journal/losses.go
+++ b/process/journal/losses.go
@@ -1,10 +1,7 @@
 package journal
 
 import (
-	"bufio"
-	"bytes"
 	"cmp"
-	"encoding/json"
 	"io"
 	"slices"
 	"time"
@@ -92,21 +89,10 @@
 
 // read takes the lines of one log.
 func (l *Losses) read(log io.Reader, stories map[string]*story) error {
-	in := bufio.NewScanner(log)
-	in.Buffer(nil, longestLine)
-	for in.Scan() {
-		text := in.Bytes()
-		at := bytes.IndexByte(text, '{') // a collector may have put its own words before
-		if at < 0 {
-			continue
-		}
-		var line Line
-		if json.Unmarshal(text[at:], &line) != nil {
-			l.Unread++
-			continue
-		}
+	all := func([]byte) bool { return true }
+	unread, err := readLines(log, all, func(line Line) {
 		if line.Msg != MsgDecision && line.Msg != MsgOutcome {
-			continue
+			return
 		}
 		if l.From.IsZero() || line.Time.Before(l.From) {
 			l.From = line.Time
@@ -117,8 +103,9 @@
 			stories[line.Request] = s
 		}
 		s.take(line)
-	}
-	if err := in.Err(); err != nil {
+	})
+	l.Unread += unread
+	if err != nil {
 		return errors.Wrap(err, "journal.ReadLosses")
 	}
 	return nil
