--- a/process/load/learn.go
+++ b/process/load/learn.go
@@ -150,8 +150,8 @@
 // its own, so that no share of them bounds it.
 func (s *state) avoid(why vetchtrail.Reason, until time.Time) { s.backWhy, s.backOff = why, until }
 
-// failed counts a failure; after some in a row the endpoint is ejected. An answer that is lost says nothing of the
-// endpoint's room.
+// failed counts a failure; after some in a row the endpoint is ejected. An answer that
+// is lost says nothing of the endpoint's room.
 func (t *Table) failed(s *state, now time.Time) {
 	s.failures++
 	if s.failures < failuresTo || t.off.Has(vetchtrail.Ejection) {
--- a/process/load/load.go
+++ b/process/load/load.go
@@ -122,9 +122,9 @@
 
 // means are a service's, over all its endpoints.
 type means struct {
-	service average // seconds a request occupies a slot
-	token   average // seconds a prompt token takes to the first of the answer
-	reading reading
+	service average          // seconds a request occupies a slot
+	token   average          // seconds a prompt token takes to the first of the answer
+	reading reading          // of prompts, by idle endpoints
 	prefill fit              // seconds to the first of the answer by tokens read
 	gaps    fit              // seconds between two events of a stream by the requests that run
 	fails   average          // share of the answers that were failures of the endpoints
