Soak: its default directories hold wherever the programs run

The README's soak command failed at its first seed: the default output directory is relative, and the operators' tool runs in it.

--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -40,14 +40,13 @@
 func (a *arguments) Run() error {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	binaries, err := filepath.Abs(a.Binaries)
-	if err != nil {
+	if err := a.absolute(); err != nil {
 		return err
 	}
 	var broken []uint64
 	for n := range a.Runs {
 		seed := a.Seed + uint64(n)
-		ok, err := a.one(ctx, seed, binaries)
+		ok, err := a.one(ctx, seed)
 		if err != nil {
 			return errors.Wrapf(err, "seed %d", seed)
 		}
@@ -62,8 +61,20 @@
 	return nil
 }
 
+// absolute makes the paths absolute: the programs run in directories of their own.
+func (a *arguments) absolute() error {
+	for _, path := range []*string{&a.Binaries, &a.Out} {
+		whole, err := filepath.Abs(*path)
+		if err != nil {
+			return errors.Wrap(err, "soak: paths")
+		}
+		*path = whole
+	}
+	return nil
+}
+
 // one runs a seed and writes its report.
-func (a *arguments) one(ctx context.Context, seed uint64, binaries string) (bool, error) {
+func (a *arguments) one(ctx context.Context, seed uint64) (bool, error) {
 	dir := filepath.Join(a.Out, fmt.Sprint(seed))
 	if err := os.MkdirAll(dir, 0o700); err != nil {
 		return false, err
@@ -74,7 +85,7 @@
 	}
 	report, err := soak.Run(ctx, soak.Config{
 		Seed: seed, Length: time.Duration(a.Minutes * float64(time.Minute)), Rate: a.Rate, Callers: a.Callers, Spec: spec,
-		Binaries: binaries, Directory: dir, Progress: os.Stderr,
+		Binaries: a.Binaries, Directory: dir, Progress: os.Stderr,
 	})
 	if err != nil {
 		return false, err
