--- a/cmd/standin/load.go
+++ b/cmd/standin/load.go
@@ -10,6 +10,7 @@
 
 	"github.com/go-faster/errors"
 
+	"vetchtrail"
 	"vetchtrail/request/policy"
 	"vetchtrail/standin/deployment"
 	"vetchtrail/standin/loadrun"
@@ -17,14 +18,15 @@
 
 // loadCommand compares the policies on the same arrivals.
 type loadCommand struct {
-	Deployment string        `enum:"wycena,cadastral" default:"wycena" help:"Whose deployment of today."`
-	Policies   []string      `default:"round-robin,least-in-flight,two-choices,weighted" help:"Policies to run."`
-	Cases      []string      `help:"Cases to run, by the beginnings of their names; all if none are given."`
-	Rate       float64       `default:"100" help:"Arrivals a second at the steady case."`
-	Length     time.Duration `default:"12s" help:"Of one run."`
-	Deadline   time.Duration `default:"6s" help:"Of a request."`
-	Prefixes   int           `default:"48" help:"Prompt beginnings in use."`
-	Seed       uint64        `default:"1" help:"Of the arrivals."`
+	Deployment string                 `enum:"wycena,cadastral" default:"wycena" help:"Whose deployment of today."`
+	Policies   []string               `default:"round-robin,least-in-flight,two-choices,weighted" help:"Policies to run."`
+	Off        []vetchtrail.Mechanism `help:"Mechanisms of the policy that are switched off, by their names in the settings."`
+	Cases      []string               `help:"Cases to run, by the beginnings of their names; all if none are given."`
+	Rate       float64                `default:"100" help:"Arrivals a second at the steady case."`
+	Length     time.Duration          `default:"12s" help:"Of one run."`
+	Deadline   time.Duration          `default:"6s" help:"Of a request."`
+	Prefixes   int                    `default:"48" help:"Prompt beginnings in use."`
+	Seed       uint64                 `default:"1" help:"Of the arrivals."`
 }
 
 const (
@@ -57,7 +59,7 @@
 				return err
 			}
 			res, err := loadrun.Run(ctx, loadrun.Config{
-				Spec: run, Policy: name, Name: p, Case: k, Rate: c.Rate, Length: c.Length, Seed: c.Seed, Deadline: c.Deadline, Prefixes: max(c.Prefixes, 2),
+				Spec: run, Policy: name, SwitchedOff: c.Off, Name: p, Case: k, Rate: c.Rate, Length: c.Length, Seed: c.Seed, Deadline: c.Deadline, Prefixes: max(c.Prefixes, 2),
 				Log: slog.New(slog.NewTextHandler(io.Discard, nil)),
 			})
 			if err != nil {
--- a/standin/loadrun/loadrun.go
+++ b/standin/loadrun/loadrun.go
@@ -16,6 +16,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/go-faster/errors"
 
+	"vetchtrail"
 	"vetchtrail/connection/operator"
 	"vetchtrail/request/dispatch"
 	"vetchtrail/schema"
@@ -45,16 +46,17 @@
 
 // Config is what a run needs.
 type Config struct {
-	Spec     deployment.Spec
-	Policy   string
-	Name     string // of the run in the results
-	Case     Case
-	Rate     float64 // arrivals a second in all regions at the steady case
-	Length   time.Duration
-	Seed     uint64
-	Prefixes int // prompt beginnings in use, at least 2
-	Deadline time.Duration
-	Log      *slog.Logger
+	Spec        deployment.Spec
+	Policy      string
+	SwitchedOff []vetchtrail.Mechanism // of the policy
+	Name        string                 // of the run in the results
+	Case        Case
+	Rate        float64 // arrivals a second in all regions at the steady case
+	Length      time.Duration
+	Seed        uint64
+	Prefixes    int // prompt beginnings in use, at least 2
+	Deadline    time.Duration
+	Log         *slog.Logger
 }
 
 const (
@@ -168,7 +170,7 @@
 // Run makes one run.
 func Run(ctx context.Context, c Config) (Result, error) {
 	d := deployment.Build(c.Spec)
-	w, err := world.Start(ctx, world.Config{Deployment: d, Engine: engineConfig, Policy: c.Policy, Log: c.Log})
+	w, err := world.Start(ctx, world.Config{Deployment: d, Engine: engineConfig, Policy: c.Policy, SwitchedOff: c.SwitchedOff, Log: c.Log})
 	if err != nil {
 		return Result{}, err
 	}
--- a/standin/world/world.go
+++ b/standin/world/world.go
@@ -13,6 +13,7 @@
 
 	"github.com/go-faster/errors"
 
+	"vetchtrail"
 	"vetchtrail/process/daemon"
 	"vetchtrail/process/settings"
 	"vetchtrail/standin/client"
@@ -28,11 +29,12 @@
 
 // Config is what a World needs.
 type Config struct {
-	Deployment deployment.Deployment
-	Engine     engine.Config
-	Policy     string // of the daemons; empty: their default
-	ListLag    time.Duration
-	Log        *slog.Logger
+	Deployment  deployment.Deployment
+	Engine      engine.Config
+	Policy      string                 // of the daemons; empty: their default
+	SwitchedOff []vetchtrail.Mechanism // of the daemons' policy
+	ListLag     time.Duration
+	Log         *slog.Logger
 }
 
 // World is a running deployment.
@@ -149,6 +151,7 @@
 func (w *World) StartHost(name string) error {
 	s := w.Settings(name)
 	s.Explain = true
+	s.SwitchedOff = w.cfg.SwitchedOff
 	if w.cfg.Policy != "" {
 		s.Policy = w.cfg.Policy
 	}
