Sharding: the requests of a session are placed by one host of its region

Cause: with n hosts in a region each sees one n-th of what an endpoint gets and places its requests on guesses of the rest. An endpoint's prompts change within 100 ms, what hosts tell each other is 0.5 to 1 s old.

Ruled out before: telling loads more often costs each host messages for each endpoint and stays older than what it tells of; a subset of endpoints for each host makes as many homes for a session as there are subsets.

Change: a data centre's endpoints are divided into shards of about four; a shard's owner is found by rendezvous hashing over the ready hosts there. Mechanism: sharding.

--- a/outcome.go
+++ b/outcome.go
@@ -127,4 +127,5 @@
 	ReasonSilent       Reason = "endpoint-silent"
 	ReasonNoRoute      Reason = "no-route"
 	ReasonSlow         Reason = "slow"
+	ReasonOwner        Reason = "shard-owner"
 )
--- a/process/load/load.go
+++ b/process/load/load.go
@@ -8,6 +8,8 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"vetchtrail"
 )
 
@@ -84,6 +86,8 @@
 type state struct {
 	vetchtrail.Endpoint
 	region   vetchtrail.RegionID
+	hash     uint64 // of its name
+	shard    vetchtrail.Shard
 	report   vetchtrail.LoadReport
 	reported bool
 	polled   bool // the report was fetched by this host
@@ -178,7 +182,7 @@
 			}
 		}
 		s.cold.configure(e.ColdUntil, e.ColdRate)
-		s.Endpoint, s.region = e.Endpoint, e.RegionID
+		s.Endpoint, s.region, s.hash = e.Endpoint, e.RegionID, xxhash.Sum64String(e.Name)
 		t.endpoints[e.Name] = s
 		t.shorts[Short(e.Name)] = s
 		t.services[e.Service] = append(t.services[e.Service], s)
@@ -187,6 +191,7 @@
 		}
 	}
 	for service := range t.services {
+		divide(t.services[service])
 		t.wake(service)
 	}
 }
@@ -203,7 +208,10 @@
 func (t *Table) SetFar(endpoints []Placed) {
 	far := map[string][]*state{}
 	for _, e := range endpoints {
-		far[e.Service] = append(far[e.Service], &state{Endpoint: e.Endpoint, region: e.RegionID})
+		far[e.Service] = append(far[e.Service], &state{Endpoint: e.Endpoint, region: e.RegionID, hash: xxhash.Sum64String(e.Name)})
+	}
+	for _, states := range far {
+		divide(states)
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
