Platform: one host of a region reads the lists, the others ask it

Cause: every host listed all keys at its start, three hosts of each data centre read all changes every 0.7 s, and each host kept an entry.

Ruled out: longer waits of the same watch (it answers at once however long it may wait); dated reads at the start (what revision they belong to is not said).

Change: - Start: a host asks its seeds for lists; the seeds themselves, and who was lent none within 0.7 s (spread over 1.5 s more), read the platform's. - Following: the first live host of a region by rendezvous hashing, at 0.4 of the time in which endpoints that leave must be known (new setting known_within). Others take over by the age of what they hold, one more a second and data centre, so that an outage raises calls by a few hosts. - Configuration: a second host of the region waits 28 s for op/config. - Spread: who is asked for lists tells its configuration's revision too. One that fails or is cut off itself is followed by the next. - Entries: three hosts of a data centre, once they have heard of others. Cold endpoints are ranked among the listed only. Hosts of a data centre without a seed are introduced to each other by those elsewhere. - Connections to peers and the store end within three seconds of silence (probes, and TCP_USER_TIMEOUT for what is not acknowledged). - vetchtrail_store_calls_total counts calls by what they do.

Tests: TestReads, TestOutage, TestLending, TestRank, TestIntroduced, TestUnlistedGoBehind, TestFewGoFirst (now with few listed), TestConfigurationWatch, TestStopDuringWatch, TestRegisterWhenDue, TestDialer.

--- a/cmd/vetchtraild/serve.go
+++ b/cmd/vetchtraild/serve.go
@@ -72,9 +72,9 @@
 	}
 	log = log.With("host", s.Host)
 	return &daemon.Hosted{
-		Feed: func(follows func() bool, held func() *vetchtrail.Listing) vetchtrail.Feed {
+		Feed: func(f vetchtrail.Following) vetchtrail.Feed {
 			return platform.NewFeed(platform.FeedConfig{
-				Store: s.Platform.Store, Places: s.Platform.DataCentres, Log: log, Follows: follows, Held: held,
+				Store: s.Platform.Store, Places: s.Platform.DataCentres, Log: log, Following: f,
 				Weights: platform.Weights{Model: vetchtrail.Weights(s.Platform.Weights.Model), Plain: vetchtrail.Weights(s.Platform.Weights.Plain)},
 			})
 		},
--- a/connection/endpoint/endpoint.go
+++ b/connection/endpoint/endpoint.go
@@ -15,6 +15,7 @@
 	"github.com/valyala/fasthttp"
 
 	"vetchtrail"
+	"vetchtrail/connection/dial"
 	"vetchtrail/connection/dialect"
 )
 
@@ -63,7 +64,7 @@
 	}
 	k := &Caller{cfg: c}
 	k.pool.idle = map[place][]*conn{}
-	k.pool.dialer = dialer()
+	k.pool.dialer = dial.Dialer(dialTime)
 	return k
 }
 
--- a/connection/endpoint/pool.go
+++ b/connection/endpoint/pool.go
@@ -32,10 +32,6 @@
 	// silenceLook is how often a waiting attempt asks whether its endpoint has gone
 	// silent.
 	silenceLook = 200 * time.Millisecond
-	// Probes that find a connection to a host that has gone silent.
-	keepIdle     = time.Second
-	keepInterval = time.Second
-	keepCount    = 2
 )
 
 // place is an endpoint's process at an address: addresses are used again.
@@ -46,12 +42,6 @@
 
 func placeOf(e vetchtrail.Endpoint) place { return place{addr: e.Addr, instance: e.Instance} }
 
-func dialer() net.Dialer {
-	return net.Dialer{Timeout: dialTime, KeepAliveConfig: net.KeepAliveConfig{
-		Enable: true, Idle: keepIdle, Interval: keepInterval, Count: keepCount,
-	}}
-}
-
 // conn is a connection to an endpoint that counts what was written for the
 // request in hand, so that "no byte left" can be said truthfully.
 type conn struct {
--- a/connection/peer/client.go
+++ b/connection/peer/client.go
@@ -16,6 +16,7 @@
 	"storj.io/drpc/drpcwire"
 
 	"vetchtrail"
+	"vetchtrail/connection/dial"
 	"vetchtrail/schema"
 )
 
@@ -64,7 +65,7 @@
 func New(c Config) *Client {
 	return &Client{
 		cfg:    c,
-		dialer: net.Dialer{Timeout: dialTime},
+		dialer: dial.Dialer(dialTime),
 		pool:   drpcpool.New[netip.AddrPort, *drpcconn.Conn](drpcpool.Options{Expiration: idleFor, KeyCapacity: idleEach}),
 		once:   drpcpool.New[netip.AddrPort, *drpcconn.Conn](drpcpool.Options{Expiration: onceIdle, KeyCapacity: idleEach}),
 	}
--- a/connection/peer/server.go
+++ b/connection/peer/server.go
@@ -29,6 +29,7 @@
 // Lister gives the platform's lists as they were last read; nil: never.
 type Lister interface {
 	Listing() *vetchtrail.Listing
+	Revision() uint64 // of the configuration held
 }
 
 // Runner runs a forwarded request.
@@ -93,13 +94,16 @@
 // List implements schema.DRPCPeersServer.
 func (s *Server) List(_ context.Context, q *schema.ListRequest) (*schema.Listing, error) {
 	l := s.cfg.Lister.Listing()
-	if l == nil {
-		return &schema.Listing{}, nil
+	m := &schema.Listing{}
+	switch {
+	case l == nil:
+	case l.Revision <= q.GetRevision():
+		m.Seen, m.Age = l.Seen, int64(time.Since(l.At))
+	default:
+		m = schema.FromListing(l, time.Now())
 	}
-	if l.Revision <= q.GetRevision() {
-		return &schema.Listing{Seen: l.Seen, Age: int64(time.Since(l.At))}, nil
-	}
-	return schema.FromListing(l, time.Now()), nil
+	m.Configuration = s.cfg.Lister.Revision()
+	return m, nil
 }
 
 // Forward implements schema.DRPCPeersServer.
--- a/feed.go
+++ b/feed.go
@@ -19,6 +19,18 @@
 	Run(ctx context.Context, s Sink)
 }
 
+// Following says what part a host has in following its platform, whose calls are limited
+// and priced.
+type Following interface {
+	// Reads says whether the platform's lists are to be read now, at the pace.
+	Reads() bool
+	Pace() time.Duration
+	// WatchesConfiguration says whether configurations are to be waited for beside it.
+	WatchesConfiguration() bool
+	// Listing returns the lists that the host holds, its own or a peer's; nil: none.
+	Listing() *Listing
+}
+
 // Sink takes what a Feed tells. Its methods don't block.
 type Sink interface {
 	// Configured offers a configuration. One older than what is held is passed
@@ -37,7 +49,8 @@
 	Hosts     []Host // that have registered themselves, live or not long dead
 }
 
-// Registry keeps a host in the platform's list of hosts while ctx lasts.
+// Registry keeps a host in the platform's list of hosts while ctx lasts, from when it is
+// due.
 type Registry interface {
-	Register(ctx context.Context, h Host)
+	Register(ctx context.Context, h Host, due func() bool)
 }
--- a/process/daemon/daemon.go
+++ b/process/daemon/daemon.go
@@ -56,9 +56,8 @@
 // Hosted is how the daemon speaks to a platform that keeps the configuration
 // and the list of endpoints.
 type Hosted struct {
-	// Feed makes the platform's feed; follows says whether it is to make calls, held
-	// returns the lists that the host holds, its own or a peer's.
-	Feed      func(follows func() bool, held func() *vetchtrail.Listing) vetchtrail.Feed
+	// Feed makes the platform's feed.
+	Feed      func(f vetchtrail.Following) vetchtrail.Feed
 	Registry  vetchtrail.Registry
 	Dialect   vetchtrail.Dialect
 	Directory func(m *membership.Membership, homes func(name string) (regions []string, known bool)) Directory
@@ -90,7 +89,9 @@
 	directory  Directory
 	endpoints  *endpoint.Caller
 	listing    atomic.Pointer[vetchtrail.Listing]
-	listed     sync.Mutex // guards steps of listing
+	listed     sync.Mutex                // guards steps of listing
+	tookOver   atomic.Pointer[time.Time] // when this host began to read the lists for another; nil: never
+	born       time.Time
 	timing     atomic.Pointer[settings.Timing]
 	inForce    atomic.Uint64 // revision that all parts of the host hold; what others are told
 
@@ -100,7 +101,7 @@
 
 // New puts a daemon together. It does not listen yet.
 func New(c Config) (*Daemon, error) {
-	d := &Daemon{set: c.Settings, log: c.Log, table: load.New(), hosted: c.Hosted, leave: make(chan struct{})}
+	d := &Daemon{set: c.Settings, log: c.Log, table: load.New(), hosted: c.Hosted, born: time.Now(), leave: make(chan struct{})}
 	d.table.SwitchOff(vetchtrail.MechanismsOf(d.set.SwitchedOff...))
 	d.timing.Store(&d.set.Timing)
 	d.log = c.Log.With("host", c.Settings.Host)
--- /dev/null
+++ b/process/daemon/follow_test.go
@@ -0,0 +1,98 @@
+package daemon
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"vetchtrail"
+)
+
+// TestReads: which hosts read the platform's lists, by what they hold and whom they know.
+func TestReads(t *testing.T) {
+	const pace = 2 * time.Second
+	settled := func(change func(*following)) following {
+		f := following{held: true, since: time.Hour, pace: pace, took: -1, region: 1}
+		if change != nil {
+			change(&f)
+		}
+		return f
+	}
+	old := func(before int) time.Duration {
+		return pace + takeoverSlack + time.Duration(before)*takeoverStep
+	}
+	cases := map[string]struct {
+		f    following
+		want bool
+	}{
+		"the first of its region":              {settled(func(f *following) { f.region = 0 }), true},
+		"another":                              {settled(nil), false},
+		"lists a little old":                   {settled(func(f *following) { f.age = old(0) }), false},
+		"lists too old":                        {settled(func(f *following) { f.age = old(0) + 1 }), true},
+		"the next one waits longer":            {settled(func(f *following) { f.age, f.dataCentre = old(0)+1, 1 }), false},
+		"but not for ever":                     {settled(func(f *following) { f.age, f.dataCentre = old(1)+1, 1 }), true},
+		"it took over and goes on":             {settled(func(f *following) { f.took = time.Second }), true},
+		"it took over long ago":                {settled(func(f *following) { f.took = takeoverHeld }), false},
+		"a seed starts":                        {following{seed: true, pace: pace, took: -1}, true},
+		"another starts, seeds may lend":       {following{since: unlentAfter, pace: pace, took: -1}, false},
+		"nobody lent":                          {following{since: unlentAfter + 1, pace: pace, took: -1}, true},
+		"nobody lent, spread":                  {following{since: unlentAfter + 1, spread: 0.5, pace: pace, took: -1}, false},
+		"young: knows nobody, is no seed":      {settled(func(f *following) { f.since, f.region = settleTime/2, 0 }), false},
+		"young seed":                           {settled(func(f *following) { f.since, f.seed = settleTime/2, true }), true},
+		"young, and its lists are very old":    {settled(func(f *following) { f.since, f.age = settleTime/2, old(1)+1 }), true},
+		"young, lists old, others before it":   {settled(func(f *following) { f.since, f.age, f.spread = settleTime/2, old(1)+1, 1 }), false},
+		"young, old, and it waited its turn":   {settled(func(f *following) { f.since, f.age, f.spread = settleTime/2, old(1+lenders)+1, 1 }), true},
+		"settled: what seeds it had no matter": {settled(func(f *following) { f.seed = true }), false},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) { assert.Equal(t, c.f.reads(), c.want) })
+	}
+}
+
+// TestOutage: while the platform answers nobody, few hosts of a data centre call it: one
+// more each second, not all.
+func TestOutage(t *testing.T) {
+	const hosts = 50
+	calling := func(age time.Duration) (n int) {
+		for rank := range hosts {
+			f := following{held: true, since: time.Hour, pace: 2 * time.Second, took: -1, region: rank, dataCentre: rank, age: age}
+			if f.reads() {
+				n++
+			}
+		}
+		return n
+	}
+	assert.Equal(t, calling(0), 1)
+	assert.Equal(t, calling(5*time.Second), 2)
+	assert.Equal(t, calling(10*time.Second), 7)
+}
+
+// TestLending: which host is asked for lists after how the questions before went.
+func TestLending(t *testing.T) {
+	all := []vetchtrail.Host{{Name: "a"}, {Name: "b"}, {Name: "c"}}
+	cases := map[string]struct {
+		useful []bool
+		want   string
+	}{
+		"the first":              {nil, "a"},
+		"while it is of use":     {[]bool{true, true}, "a"},
+		"the next":               {[]bool{false}, "b"},
+		"and stays there":        {[]bool{false, true, true}, "b"},
+		"round":                  {[]bool{false, false, false}, "a"},
+		"the first again, later": {[]bool{false, true, true, true, true, true, true, true, true, true}, "a"},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			var l lending
+			for _, u := range c.useful {
+				l.asked(u)
+			}
+			h, ok := l.host(all)
+			assert.Assert(t, ok)
+			assert.Equal(t, h.Name, c.want)
+		})
+	}
+	_, ok := (&lending{}).host(nil)
+	assert.Assert(t, !ok)
+}
--- a/process/daemon/hosted.go
+++ b/process/daemon/hosted.go
@@ -18,18 +18,6 @@
 // so little that all could still send one in the same second.
 const coldHosts = 4
 
-const (
-	// borrowAfter is the age of the lists after which peers are asked for newer
-	// ones: a host that the platform answers reads them every second or so.
-	borrowAfter = 2500 * time.Millisecond
-	borrowEvery = 500 * time.Millisecond
-	// followers is how many hosts of a data centre follow the platform, whose calls
-	// are limited and priced: one may be cut off and another be stopped.
-	followers = 3
-	// followDuty names the duty to follow the platform.
-	followDuty = "follow the platform"
-)
-
 // placeEvery is how often the endpoints are placed again though nothing was
 // listed: the parts of cold ones follow from live membership.
 const placeEvery = time.Second
@@ -51,8 +39,8 @@
 			}
 		}()
 	}
-	duties.Go(func() { d.hosted.Feed(d.follows, d.Listing).Run(ctx, hostedSink{d}) })
-	duties.Go(func() { d.hosted.Registry.Register(ctx, d.membership.Self()) })
+	duties.Go(func() { d.hosted.Feed(d).Run(ctx, hostedSink{d}) })
+	duties.Go(func() { d.hosted.Registry.Register(ctx, d.membership.Self(), d.registers) })
 	duties.Go(func() { d.placeOn(ctx) })
 	duties.Go(func() { d.borrow(ctx) })
 	return nil
@@ -99,81 +87,17 @@
 	d.readyWhenHeld()
 }
 
-// Listing implements peer.Lister.
+// Listing implements peer.Lister and vetchtrail.Following.
 func (d *Daemon) Listing() *vetchtrail.Listing { return d.listing.Load() }
 
-// borrow asks peers for the platform's lists while the platform does not answer
-// this host.
-func (d *Daemon) borrow(ctx context.Context) {
-	for try := 0; ctx.Err() == nil; try++ {
-		wait(ctx, borrowEvery)
-		now := time.Now()
-		held := d.listing.Load()
-		if held != nil && d.onFollowDuty(now) && now.Sub(held.At) < borrowAfter {
-			continue
-		}
-		h, ok := d.lender(try, now)
-		if !ok {
-			continue
-		}
-		if err := d.borrowFrom(ctx, h, held); err != nil {
-			d.log.Info("lists not borrowed", "peer", h.Name, "error", err)
-		}
-	}
-}
-
-// lender is the host to ask for lists at a try: one that follows the platform, and
-// each third time any, as the platform may have turned those away.
-func (d *Daemon) lender(try int, now time.Time) (vetchtrail.Host, bool) {
-	const others = 3
-	if try%others != others-1 {
-		if h, ok := d.membership.Doer(followDuty, followers, now); ok {
-			return h, true
-		}
-	}
-	return d.membership.AnyPeer(now)
-}
-
-func (d *Daemon) borrowFrom(ctx context.Context, h vetchtrail.Host, held *vetchtrail.Listing) error {
-	var revision uint64
-	if held != nil {
-		revision = held.Revision
-	}
-	reply, err := d.peers.List(ctx, h.Peers, revision)
-	if err != nil || reply.GetSeen() == 0 {
-		return err
-	}
-	if reply.GetRevision() == 0 { // the same lists, seen later
-		if held == nil || d.listing.Load() != held {
-			return nil // others were taken meanwhile
-		}
-		l := *held
-		l.Seen, l.At = reply.GetSeen(), time.Now().Add(-time.Duration(reply.GetAge()))
-		d.take(l)
-		return nil
-	}
-	l, err := schema.ToListing(reply, time.Now())
-	if err != nil {
-		return err
-	}
-	d.log.Info("lists borrowed", "peer", h.Name, "store_revision", l.Seen, "age", time.Since(l.At), "held", revision)
-	d.take(l)
-	return nil
-}
+// Reads implements vetchtrail.Following.
+func (d *Daemon) Reads() bool { return d.reads() }
 
-// onFollowDuty says whether this host is one of the few of its data centre that
-// follow the platform; the others learn of it from their peers.
-func (d *Daemon) onFollowDuty(now time.Time) bool {
-	return d.membership.OnDuty(followDuty, followers, now)
-}
+// WatchesConfiguration implements vetchtrail.Following.
+func (d *Daemon) WatchesConfiguration() bool { return d.watchesConfiguration() }
 
-// follows says whether the feed is to make calls: on duty, or while the lists
-// that peers tell are old.
-func (d *Daemon) follows() bool {
-	now := time.Now()
-	held := d.listing.Load()
-	return held == nil || now.Sub(held.At) > borrowAfter || d.onFollowDuty(now)
-}
+// Pace implements vetchtrail.Following.
+func (d *Daemon) Pace() time.Duration { return d.pace() }
 
 // placeOn places the endpoints again now and then.
 func (d *Daemon) placeOn(ctx context.Context) {
--- a/process/daemon/hosted_test.go
+++ b/process/daemon/hosted_test.go
@@ -46,7 +46,7 @@
 
 type noRegistry struct{}
 
-func (noRegistry) Register(context.Context, vetchtrail.Host) {}
+func (noRegistry) Register(context.Context, vetchtrail.Host, func() bool) {}
 
 type noDirectory struct{}
 
@@ -65,7 +65,7 @@
 	d, err := New(Config{
 		Settings: s, Log: slog.New(slog.NewTextHandler(io.Discard, nil)),
 		Hosted: &Hosted{
-			Feed: func(func() bool, func() *vetchtrail.Listing) vetchtrail.Feed { return feed }, Registry: noRegistry{}, Dialect: dialect.Plain{},
+			Feed: func(vetchtrail.Following) vetchtrail.Feed { return feed }, Registry: noRegistry{}, Dialect: dialect.Plain{},
 			Directory: func(*membership.Membership, func(string) ([]string, bool)) Directory { return noDirectory{} },
 		},
 	})
--- a/process/membership/digest.go
+++ b/process/membership/digest.go
@@ -25,10 +25,10 @@
 }
 
 // swapPause is short while this host is young and a data centre is to be found, or
-// the platform's list of hosts is still to come.
+// the platform's lists are still to come.
 func (m *Membership) swapPause(now time.Time) time.Duration {
 	m.mu.Lock()
-	awaited := m.cfg.WholeRegion && len(m.listed) == 0
+	awaited := m.cfg.WholeRegion && !m.lists
 	young := now.Sub(m.born) < findFor
 	m.mu.Unlock()
 	if young && (awaited || len(m.unknownCentres()) > 0) {
@@ -199,8 +199,9 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	known := m.introduce(in.GetDigest())
 	whole := m.mergeDigest(in.GetDigest(), now, now, true)
-	return &schema.Digests{From: m.cfg.Self.Name, Digest: own, WantMembers: !whole}
+	return &schema.Digests{From: m.cfg.Self.Name, Digest: own, WantMembers: !whole, Introduced: known}
 }
 
 // swapped takes the answer to a swap that was sent at a moment.
@@ -208,6 +209,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.mergeDigest(in.GetDigest(), now, now, true)
+	m.meet(in.GetIntroduced())
 	if r, ok := m.remotes[in.GetDigest().GetDataCentre()]; ok {
 		r.delay = now.Sub(sent) / 2
 	}
--- a/process/membership/exchange.go
+++ b/process/membership/exchange.go
@@ -78,6 +78,7 @@
 	m.rnd.Shuffle(len(live), func(i, j int) { live[i], live[j] = live[j], live[i] })
 	out := live[:min(Fanout, len(live))]
 	silent = append(silent, m.unknownSeeds()...)
+	silent = append(silent, m.toMeet()...)
 	if len(silent) > 0 {
 		out = append(out, silent[m.rnd.IntN(len(silent))])
 	}
--- a/process/membership/find.go
+++ b/process/membership/find.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"math"
 	"slices"
 	"strings"
 	"time"
@@ -61,68 +62,76 @@
 	return out
 }
 
-// AnyPeer returns some other host that is likely to live, of this data centre if
-// there is one.
-func (m *Membership) AnyPeer(now time.Time) (vetchtrail.Host, bool) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	var all []vetchtrail.Host
-	for _, b := range m.members {
-		if b.state(now) <= vetchtrail.HostLeaving {
-			all = append(all, b.Host)
-		}
-	}
-	for _, d := range m.remotes {
-		if len(all) == 0 && now.Sub(d.at) < reachableFor {
-			for _, line := range d.digest.GetMembers() {
-				all = append(all, d.host(line))
-			}
-		}
-	}
-	if len(all) == 0 {
-		return vetchtrail.Host{}, false
-	}
-	return all[m.rnd.IntN(len(all))], true
-}
-
 // SetListed replaces the hosts that the platform lists: the unknown ones are
 // looked for at their addresses.
 func (m *Membership) SetListed(hosts []vetchtrail.Host) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.listed = hosts
+	m.listed, m.lists = hosts, true
 	m.seeds = slices.Clone(m.cfg.Seeds)
 	for _, h := range hosts {
 		m.seeds = append(m.seeds, h.Peers)
 	}
 }
 
-// Before returns how many hosts of this host's region go before it for a duty:
-// the listed ones and those heard of, though some may be dead.
+// Before returns how many hosts of this host's region go before it for a duty that only
+// a few may have at any moment: those that the platform lists, though some may be dead.
+// All hosts hold the same lists, while each has heard of others; one that is not listed
+// goes behind all. Where none is listed yet, those heard of are ranked.
 func (m *Membership) Before(duty string, now time.Time) int {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	names := map[string]bool{}
-	for _, b := range m.members {
-		names[b.Name] = b.state(now) != vetchtrail.HostDead
-	}
-	for _, d := range m.remotes {
-		for _, line := range d.digest.GetMembers() {
-			names[line.GetName()] = d.digest.GetRegion() == m.self.Region
-		}
+	names, self := m.listedHere()
+	if len(names) == 0 {
+		names, self = m.heardHere(now), true
 	}
-	for _, h := range m.listed {
-		names[h.Name] = names[h.Name] || h.Region == m.self.Region
+	if !self {
+		return math.MaxInt
 	}
 	mine, before := weigh(duty, m.self.Name), 0
-	for name, counts := range names {
-		if counts && name != m.self.Name && weigh(duty, name) > mine {
+	for name := range names {
+		if weigh(duty, name) > mine {
 			before++
 		}
 	}
 	return before
 }
 
+// listedHere returns the other hosts of the region that the platform lists, and whether
+// it lists this one. The caller holds the lock.
+func (m *Membership) listedHere() (names map[string]bool, self bool) {
+	names = map[string]bool{}
+	for _, h := range m.listed {
+		switch {
+		case h.Name == m.self.Name:
+			self = true
+		case h.Region == m.self.Region:
+			names[h.Name] = true
+		}
+	}
+	return names, self
+}
+
+// heardHere returns the other hosts of the region that were heard of. The caller holds
+// the lock.
+func (m *Membership) heardHere(now time.Time) map[string]bool {
+	names := map[string]bool{}
+	for _, b := range m.members {
+		if b.state(now) != vetchtrail.HostDead {
+			names[b.Name] = true
+		}
+	}
+	for _, d := range m.remotes {
+		if d.digest.GetRegion() != m.self.Region {
+			continue
+		}
+		for _, line := range d.digest.GetMembers() {
+			names[line.GetName()] = true
+		}
+	}
+	return names
+}
+
 // Count returns how many hosts are known, this one and those lately dead
 // included: limits that hold over all hosts are divided by it.
 func (m *Membership) Count() int {
--- a/process/membership/find_test.go
+++ b/process/membership/find_test.go
@@ -95,20 +95,21 @@
 	assert.Equal(t, len(seen), 9, "each host has a rank of its own: %v", seen)
 }
 
-// TestFewGoFirst: whatever hosts have heard of each other, no more than n of
-// those that the platform lists hold a rank below n for a duty.
+// TestFewGoFirst: whatever hosts have heard of each other, and however few of them the
+// platform lists, no more than n hold a rank below n for a duty.
 func TestFewGoFirst(t *testing.T) {
 	const n = 4
 	rapid.Check(t, func(t *rapid.T) {
-		var listed []vetchtrail.Host
+		var hosts, listed []vetchtrail.Host
 		for i := range rapid.IntRange(1, 30).Draw(t, "hosts") {
-			listed = append(listed, vetchtrail.Host{Name: fmt.Sprintf("h%d", i), Region: "r", DataCentre: fmt.Sprintf("d%d", i%3)})
+			hosts = append(hosts, vetchtrail.Host{Name: fmt.Sprintf("h%d", i), Region: "r", DataCentre: fmt.Sprintf("d%d", i%3)})
 		}
+		listed = hosts[:rapid.IntRange(1, len(hosts)).Draw(t, "listed")]
 		first := 0
-		for _, self := range listed {
+		for _, self := range hosts {
 			m := New(Config{Self: self, Load: load.New(), Revision: func() uint64 { return 1 }, Log: slog.New(slog.NewTextHandler(io.Discard, nil))})
 			m.SetListed(listed)
-			for _, other := range listed {
+			for _, other := range hosts {
 				if other.DataCentre == self.DataCentre && rapid.Bool().Draw(t, "heard") {
 					m.Exchanged(&schema.Heartbeat{From: other.Name, DataCentre: self.DataCentre, Members: []*schema.Member{
 						{Name: other.Name, Incarnation: 1, Counter: 1, State: uint32(vetchtrail.HostReady), Peers: "10.0.0.1:1", Callers: "10.0.0.1:2"},
--- a/process/membership/membership.go
+++ b/process/membership/membership.go
@@ -4,7 +4,6 @@
 package membership
 
 import (
-	"cmp"
 	"log/slog"
 	"math/rand/v2"
 	"net/netip"
@@ -65,8 +64,10 @@
 	shorts  map[uint32]string // names by their short forms
 	remotes map[string]*remote
 	seeds   []netip.AddrPort
-	listed  []vetchtrail.Host    // by the platform
-	avoid   map[string]time.Time // until when a host of another data centre is passed nothing, by name
+	listed  []vetchtrail.Host       // by the platform
+	lists   bool                    // the platform's lists were told at all
+	met     map[netip.AddrPort]bool // hosts of this data centre that others told of, not known yet
+	avoid   map[string]time.Time    // until when a host of another data centre is passed nothing, by name
 }
 
 // member is a host of this data centre.
@@ -126,6 +127,7 @@
 		shorts:  map[uint32]string{},
 		remotes: map[string]*remote{},
 		avoid:   map[string]time.Time{},
+		met:     map[netip.AddrPort]bool{},
 		seeds:   c.Seeds,
 	}
 	return m
@@ -242,24 +244,6 @@
 	return s == vetchtrail.HostReady || s == vetchtrail.HostStarting
 }
 
-// Doer returns, at random, one of the first n of the other live hosts of this data
-// centre for a duty.
-func (m *Membership) Doer(duty string, n int, now time.Time) (vetchtrail.Host, bool) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	var live []vetchtrail.Host
-	for _, b := range m.members {
-		if b.works(now) {
-			live = append(live, b.Host)
-		}
-	}
-	if len(live) == 0 {
-		return vetchtrail.Host{}, false
-	}
-	slices.SortFunc(live, func(a, b vetchtrail.Host) int { return cmp.Compare(weigh(duty, b.Name), weigh(duty, a.Name)) })
-	return live[m.rnd.IntN(min(n, len(live)))], true
-}
-
 func weigh(duty, host string) uint64 {
 	var d xxhash.Digest
 	d.Reset()
--- a/process/membership/membership_test.go
+++ b/process/membership/membership_test.go
@@ -100,12 +100,11 @@
 		}
 		assert.Equal(t, len(on), 2, duty)
 		for _, m := range all {
-			h, ok := m.Doer(duty, 1, now)
-			assert.Assert(t, ok && (on[h.Name] || on[m.self.Name]), "%s takes %s for one that does %s", m.self.Name, h.Name, duty)
+			first := m.Ranked(duty, 1, now)
+			assert.Assert(t, len(first) == 1 && (on[first[0].Name] || on[m.self.Name]), "%s takes %v for one that does %s", m.self.Name, first, duty)
 		}
 	}
-	_, ok := all[0].Doer("any", 1, now.Add(deadAfter+1))
-	assert.Assert(t, !ok, "none is known to live")
+	assert.Equal(t, len(all[0].Ranked("any", 1, now.Add(deadAfter+1))), 0, "none is known to live")
 	assert.Assert(t, all[0].OnDuty("any", 1, now.Add(deadAfter+1)), "alone, a host has all duties")
 }
 
--- /dev/null
+++ b/process/membership/rank.go
@@ -0,0 +1,59 @@
+package membership
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"vetchtrail"
+)
+
+// Rank returns how many live hosts of this host's region, and of its data centre, go
+// before it for a duty, by rendezvous hashing. Hosts with different views may have the
+// same rank for a while: a duty must bear being done twice.
+func (m *Membership) Rank(duty string, now time.Time) (region, dataCentre int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	mine := weigh(duty, m.self.Name)
+	for _, h := range m.regionHosts(now) {
+		if weigh(duty, h.Name) <= mine {
+			continue
+		}
+		region++
+		if h.DataCentre == m.self.DataCentre {
+			dataCentre++
+		}
+	}
+	return region, dataCentre
+}
+
+// Ranked returns the first n of the other live hosts of this host's region for a duty.
+func (m *Membership) Ranked(duty string, n int, now time.Time) []vetchtrail.Host {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	live := m.regionHosts(now)
+	slices.SortFunc(live, func(a, b vetchtrail.Host) int { return cmp.Compare(weigh(duty, b.Name), weigh(duty, a.Name)) })
+	return live[:min(n, len(live))]
+}
+
+// regionHosts returns the other hosts of the region that do duties, as far as they can be
+// reached. The caller holds the lock.
+func (m *Membership) regionHosts(now time.Time) []vetchtrail.Host {
+	var out []vetchtrail.Host
+	for _, b := range m.members {
+		if b.works(now) {
+			out = append(out, b.Host)
+		}
+	}
+	for _, d := range m.remotes {
+		if d.digest.GetRegion() != m.self.Region || now.Sub(d.at) >= reachableFor {
+			continue
+		}
+		for _, line := range d.digest.GetMembers() {
+			if s := vetchtrail.HostState(line.GetState()); s == vetchtrail.HostReady || s == vetchtrail.HostStarting {
+				out = append(out, d.host(line))
+			}
+		}
+	}
+	return out
+}
--- a/process/settings/settings.go
+++ b/process/settings/settings.go
@@ -62,6 +62,9 @@
 	DataCentres map[string]string `yaml:"data_centres"`
 	// Weights are those of a hosted platform's services, whose configuration has none.
 	Weights Weights `yaml:"weights"`
+	// KnownWithin is the time in which all hosts must know of an endpoint that leaves a
+	// hosted platform, and of a new configuration.
+	KnownWithin time.Duration `yaml:"known_within"`
 }
 
 // Weights are the weights of services by their kind.
@@ -132,7 +135,11 @@
 	minKeyTime     = time.Minute
 	maxKeyTime     = 24 * time.Hour
 	maxLeave       = time.Minute
-	maxBody        = 64 << 20
+	// defaultKnown is the shortest time that deployments ask for so far.
+	defaultKnown = 3 * time.Second
+	minKnown     = time.Second
+	maxKnown     = time.Minute
+	maxBody      = 64 << 20
 )
 
 // Weights that stand where a hosted platform's settings say nothing, in seconds of
@@ -163,7 +170,7 @@
 		// A host's own bound where none is set for all: a tenth, and a few that a
 		// quiet service starts with.
 		Retries: Retries{Window: 10 * time.Second, Share: 0.1, Base: 5},
-		Platform: Platform{Kind: PlatformOwn, Weights: Weights{
+		Platform: Platform{Kind: PlatformOwn, KnownWithin: defaultKnown, Weights: Weights{
 			Model: document.Weights{Tail: tailWeight, Away: awayWeight, Cost: costWeight, Read: readWeight},
 			Plain: document.Weights{Tail: tailWeight, Away: awayWeight},
 		}},
@@ -221,6 +228,7 @@
 		{s.Platform.Kind != PlatformOwn && s.Platform.Kind != PlatformHosted, "platform.kind", "is not own or hosted"},
 		{s.Platform.Kind == PlatformHosted && s.Platform.DataCentres[s.DataCentre] != s.Region, "platform.data_centres",
 			"does not give this host's data centre its region"},
+		{outside(s.Platform.KnownWithin, minKnown, maxKnown), "platform.known_within", fmt.Sprintf("must be from %s to %s", minKnown, maxKnown)},
 		{badWeights(s.Platform.Weights.Model), "platform.weights.model", weightsText},
 		{badWeights(s.Platform.Weights.Plain), "platform.weights.plain", weightsText},
 		{s.Limits.Memory < 0, "limits.memory", "is below 0 MB"},
--- a/process/settings/settings_test.go
+++ b/process/settings/settings_test.go
@@ -50,6 +50,7 @@
 		"a weight below 0":    {"platform:", "platform:\n  weights: {model: {tail: -1}}", "platform.weights.model must be from 0 to 1000 each"},
 		"no weight at all":    {"platform:", "platform:\n  weights: {plain: {tail: 0, away: 0}}", "platform.weights.plain must be"},
 		"a weight unknown":    {"platform:", "platform:\n  weights: {model: {tall: 1}}", `unknown field "tall"`},
+		"known in no time":    {"platform:", "platform:\n  known_within: 10ms", "platform.known_within must be from 1s to 1m0s"},
 		"no YAML":             {"host: a", "host: [", "[1:"},
 		"wrong kind of value": {"poll: 1s", "poll: [1]", "15"},
 	}
--- a/request/dispatch/handover_test.go
+++ b/request/dispatch/handover_test.go
@@ -113,7 +113,8 @@
 			if c.owned {
 				withOwner(t, d, r)
 			}
-			d.Run(context.Background(), r, &got{})
+			o := d.Run(context.Background(), r, &got{})
+			assert.Equal(t, o.Kind, vetchtrail.Answered)
 			assert.Equal(t, fresh, c.want)
 		})
 	}
