--- a/endpoint.go
+++ b/endpoint.go
@@ -32,8 +32,7 @@
 // owner, places the requests whose sessions belong to it.
 type Shard struct {
 	DataCentre string
-	Service    string
-	Index, Of  int // this one, of so many of the service there; of 0: no shard
+	Key        string // the same on all hosts; empty: no shard
 }
 
 // LoadReport is what an endpoint last said of itself.
--- a/process/load/shard.go
+++ b/process/load/shard.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"strconv"
 	"time"
 
 	"vetchtrail"
@@ -11,7 +12,7 @@
 // shardSize is how many endpoints a shard has, about: so few that their owner has the
 // processor time and the link for their requests, and so many that one of them is likely
 // to be idle.
-const shardSize = 3
+const shardSize = 4
 
 // divide puts a service's endpoints into shards: each data centre's, in the order of
 // their hashes, in runs of about the same length. All hosts with the same lists divide
@@ -25,7 +26,7 @@
 		slices.SortFunc(all, func(a, b *state) int { return cmp.Compare(a.hash, b.hash) })
 		shards := max(1, (len(all)+shardSize/2)/shardSize)
 		for i, s := range all {
-			s.shard = vetchtrail.Shard{DataCentre: name, Service: s.Service, Index: i * shards / len(all), Of: shards}
+			s.shard = vetchtrail.Shard{DataCentre: name, Key: s.Service + " shard " + strconv.Itoa(i*shards/len(all))}
 		}
 	}
 }
--- a/process/membership/exchange.go
+++ b/process/membership/exchange.go
@@ -259,7 +259,6 @@
 	case !ok || line.GetIncarnation() > b.Incarnation:
 		b = &member{sent: map[string]time.Time{}, digests: map[string]relayed{}}
 		m.members[line.GetName()] = b
-		clear(m.owned)
 	case line.GetIncarnation() < b.Incarnation || line.GetCounter() <= b.counter:
 		return true
 	}
--- a/process/membership/membership.go
+++ b/process/membership/membership.go
@@ -64,9 +64,8 @@
 	shorts  map[uint32]string // names by their short forms
 	remotes map[string]*remote
 	seeds   []netip.AddrPort
-	listed  []vetchtrail.Host // by the platform
-	lists   bool              // the platform's lists were told at all
-	owned   map[divided]owners
+	listed  []vetchtrail.Host       // by the platform
+	lists   bool                    // the platform's lists were told at all
 	met     map[netip.AddrPort]bool // hosts of this data centre that others told of, not known yet
 	avoid   map[string]time.Time    // until when a host of another data centre is passed nothing, by name
 }
@@ -129,7 +128,6 @@
 		remotes: map[string]*remote{},
 		avoid:   map[string]time.Time{},
 		met:     map[netip.AddrPort]bool{},
-		owned:   map[divided]owners{},
 		seeds:   c.Seeds,
 	}
 	return m
@@ -154,7 +152,6 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.self.State = s
-	clear(m.owned)
 	m.counter++
 }
 
