--- a/decision.go
+++ b/decision.go
@@ -14,10 +14,9 @@
 	RunHere
 	RunElsewhere
 	WaitHere // until an endpoint of this data centre has room
-	HandOver // to the host that places the requests of its session's shard
 )
 
-var decisionNames = [...]string{"refuse", "run-here", "run-elsewhere", "wait-here", "hand-over"}
+var decisionNames = [...]string{"refuse", "run-here", "run-elsewhere", "wait-here"}
 
 // String returns the kind as it stands in logs.
 func (k DecisionKind) String() string { return nameOf(decisionNames[:], int(k)) }
@@ -85,7 +84,6 @@
 	Line       float64 // seconds that those who wait for room here take
 	Refused    bool    // one of them, of this data centre, refused for its load
 	Waited     bool    // the request has waited for room here as long as it may
-	Owner      string  // host that owns the shard of the request's session; empty: this one, or none is known
 }
 
 // EndpointView is what a host believes of one endpoint.
--- a/endpoint.go
+++ b/endpoint.go
@@ -28,13 +28,6 @@
 	MoveToken float64
 }
 
-// Shard is a group of a data centre's endpoints of one service. One host at a time, its
-// owner, places the requests whose sessions belong to it.
-type Shard struct {
-	DataCentre string
-	Key        string // the same on all hosts; empty: no shard
-}
-
 // LoadReport is what an endpoint last said of itself.
 type LoadReport struct {
 	At      time.Time // when the report was fetched
--- a/mechanism.go
+++ b/mechanism.go
@@ -30,13 +30,12 @@
 	Silence                         // endpoints whose streams all stop are out of use
 	AdaptiveLimits                  // what an endpoint may have in flight follows its answers
 	WarmUp                          // endpoints that return take a share that grows
-	Sharding                        // requests of a session are placed by one host of the region
 )
 
 var mechanismNames = [...]string{
 	"affinity", "prompt-moves", "far-moves", "last-sent", "kept-elsewhere", "prompt-backlog", "pace", "urgent-first",
 	"shedding", "forwarding", "waiting", "last-chance", "retries", "failure-cost", "ejection",
-	"silence", "adaptive-limits", "warm-up", "sharding",
+	"silence", "adaptive-limits", "warm-up",
 }
 
 // String returns the mechanism's name in the settings.
--- a/observation.go
+++ b/observation.go
@@ -23,9 +23,6 @@
 	// Endpoint returns one that may be used; Known one whether or not it may.
 	Endpoint(name string, now time.Time) (Endpoint, bool)
 	Known(name string) (Endpoint, bool)
-	// Shard returns the shard that a request's session belongs to in a region; false: it
-	// has no session, or no endpoint there serves it.
-	Shard(r *Request, region string, now time.Time) (Shard, bool)
 	// Freed returns a channel that is closed when a service may have room.
 	Freed(service string) <-chan struct{}
 }
@@ -37,13 +34,8 @@
 	// Fill appends the other data centres that serve a service to a view; place gives
 	// the id of a region.
 	Fill(v *View, service string, place func(region string) (RegionID, bool), now time.Time)
-	// Owner returns the host that places the requests of a shard; false: none is known.
-	Owner(s Shard, now time.Time) (Host, bool)
-	// Pick returns a host of a data centre, the owner of a shard there if one is given,
-	// and counts a forward to it.
-	Pick(dataCentre, service string, s Shard, now time.Time) (Host, bool)
-	// RegionOf returns the region of another data centre.
-	RegionOf(dataCentre string) (string, bool)
+	// Pick returns a host of a data centre and counts a forward to it.
+	Pick(dataCentre, service string, now time.Time) (Host, bool)
 	// Returned counts the forward's end and learns from it.
 	Returned(dataCentre, service string, o Outcome, now time.Time)
 }
--- a/outcome.go
+++ b/outcome.go
@@ -127,5 +127,4 @@
 	ReasonSilent       Reason = "endpoint-silent"
 	ReasonNoRoute      Reason = "no-route"
 	ReasonSlow         Reason = "slow"
-	ReasonOwner        Reason = "shard-owner"
 )
--- a/process/load/load.go
+++ b/process/load/load.go
@@ -8,8 +8,6 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"vetchtrail"
 )
 
@@ -86,8 +84,6 @@
 type state struct {
 	vetchtrail.Endpoint
 	region   vetchtrail.RegionID
-	hash     uint64 // of its name
-	shard    vetchtrail.Shard
 	report   vetchtrail.LoadReport
 	reported bool
 	polled   bool // the report was fetched by this host
@@ -182,7 +178,7 @@
 			}
 		}
 		s.cold.configure(e.ColdUntil, e.ColdRate)
-		s.Endpoint, s.region, s.hash = e.Endpoint, e.RegionID, xxhash.Sum64String(e.Name)
+		s.Endpoint, s.region = e.Endpoint, e.RegionID
 		t.endpoints[e.Name] = s
 		t.shorts[Short(e.Name)] = s
 		t.services[e.Service] = append(t.services[e.Service], s)
@@ -191,7 +187,6 @@
 		}
 	}
 	for service := range t.services {
-		divide(t.services[service])
 		t.wake(service)
 	}
 }
@@ -208,10 +203,7 @@
 func (t *Table) SetFar(endpoints []Placed) {
 	far := map[string][]*state{}
 	for _, e := range endpoints {
-		far[e.Service] = append(far[e.Service], &state{Endpoint: e.Endpoint, region: e.RegionID, hash: xxhash.Sum64String(e.Name)})
-	}
-	for _, states := range far {
-		divide(states)
+		far[e.Service] = append(far[e.Service], &state{Endpoint: e.Endpoint, region: e.RegionID})
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/process/load/prefill.go
+++ b/process/load/prefill.go
@@ -5,6 +5,8 @@
 	"net/netip"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"vetchtrail"
 )
 
@@ -75,7 +77,7 @@
 }
 
 func weighSession(s *state, session uint64) uint64 {
-	return mix(s.hash ^ session*0x9e3779b97f4a7c15)
+	return mix(xxhash.Sum64String(s.Name) ^ session*0x9e3779b97f4a7c15)
 }
 
 // mix spreads the bits of x (the finalizer of splitmix64).
--- a/process/membership/membership_test.go
+++ b/process/membership/membership_test.go
@@ -170,7 +170,7 @@
 			at := now.Add(c.after)
 			picked := map[string]bool{}
 			for range 50 {
-				if h, ok := a.Pick("other", "s", vetchtrail.Shard{}, at); ok {
+				if h, ok := a.Pick("other", "s", at); ok {
 					picked[h.Name] = true
 				}
 			}
--- a/process/membership/remote.go
+++ b/process/membership/remote.go
@@ -76,20 +76,10 @@
 	return nil
 }
 
-// Pick returns a ready host of another data centre, the owner of a shard if one is given
-// and its data centre can be reached, and counts a forward to it.
-func (m *Membership) Pick(dataCentre, service string, s vetchtrail.Shard, now time.Time) (vetchtrail.Host, bool) {
+// Pick returns a ready host of another data centre and counts a forward to it.
+func (m *Membership) Pick(dataCentre, service string, now time.Time) (vetchtrail.Host, bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if h, ok := m.owner(s, now); ok && h.DataCentre != m.self.DataCentre {
-		m.remotes[h.DataCentre].own[service]++
-		return h, true
-	}
-	return m.pick(dataCentre, service, now)
-}
-
-// pick returns one of the ready hosts of another data centre. The caller holds the lock.
-func (m *Membership) pick(dataCentre, service string, now time.Time) (vetchtrail.Host, bool) {
 	d, ok := m.remotes[dataCentre]
 	if !ok {
 		return vetchtrail.Host{}, false
@@ -119,9 +109,6 @@
 	defer m.mu.Unlock()
 	d, ok := m.remotes[dataCentre]
 	if !ok {
-		if o.HostLost {
-			m.shun(o.Peer, now)
-		}
 		return
 	}
 	d.own[service]--
@@ -137,20 +124,15 @@
 // comes back with a part of its load, as its endpoints may be as new. The caller
 // holds the lock.
 func (m *Membership) hostLost(d *remote, name string, now time.Time) {
-	m.shun(name, now)
-	left := len(m.takers(d, now))
-	if left == 0 {
-		d.warmth = coldRegion
-	}
-	m.cfg.Log.Info("host not reached", "peer", name, "data_centre", d.digest.GetDataCentre(), "until", m.avoid[name], "hosts_left", left)
-}
-
-// shun passes nothing to a host for a while. The caller holds the lock.
-func (m *Membership) shun(name string, now time.Time) {
 	for old, until := range m.avoid {
 		if !now.Before(until) {
 			delete(m.avoid, old)
 		}
 	}
 	m.avoid[name] = now.Add(unreachedTime)
+	left := len(m.takers(d, now))
+	if left == 0 {
+		d.warmth = coldRegion
+	}
+	m.cfg.Log.Info("host not reached", "peer", name, "data_centre", d.digest.GetDataCentre(), "until", m.avoid[name], "hosts_left", left)
 }
--- a/request/dispatch/dispatch.go
+++ b/request/dispatch/dispatch.go
@@ -202,9 +202,7 @@
 			return d.end(t.total(o), a)
 		}
 		o = d.try(ctx, r, p, a)
-		if !p.handedOver || o.Kind != vetchtrail.NotRun {
-			r.Fresh = false // it has used its time: a stream that began goes on, late or not
-		}
+		r.Fresh = false // it has used its time: a stream that began goes on, late or not
 		o.Begun = o.Begun || r.Begun
 		if o.Kind == vetchtrail.Answered {
 			return o
@@ -229,10 +227,10 @@
 	if arrived(o) && o.Reason != vetchtrail.ReasonMisled {
 		t.sent++ // else the endpoint has ended, and another process has its address
 	}
-	if o.Reason != vetchtrail.ReasonLeaving || p.handedOver {
+	if o.Reason != vetchtrail.ReasonLeaving {
 		t.places = append(t.places, p.name()) // else another host there may take it
 	}
-	t.refused = t.refused || (o.Reason == vetchtrail.ReasonRefused && p.dataCentre == "") || (o.Reason == vetchtrail.ReasonOverCapacity && p.handedOver)
+	t.refused = t.refused || (o.Reason == vetchtrail.ReasonRefused && p.dataCentre == "")
 }
 
 // arrived says whether an attempt got to some process, as far as is known.
@@ -287,13 +285,9 @@
 	endpoint   vetchtrail.Endpoint
 	host       vetchtrail.Host // with a data centre: elsewhere
 	dataCentre string
-	handedOver bool // to the owner of its shard
 }
 
 func (p placement) name() string {
-	if p.handedOver {
-		return p.host.Name
-	}
 	if p.dataCentre != "" {
 		return p.dataCentre
 	}
@@ -303,7 +297,6 @@
 // try makes one attempt.
 func (d *Dispatcher) try(ctx context.Context, r *vetchtrail.Request, p placement, a vetchtrail.Answer) vetchtrail.Outcome {
 	if p.dataCentre != "" {
-		r.Fresh = r.Fresh && p.handedOver // this host has decided for it, or leaves that to the owner
 		o := d.cfg.Peers.Forward(ctx, p.host, r, a)
 		d.cfg.Membership.Returned(p.dataCentre, r.Service, o, time.Now())
 		return asSeenHere(o)
--- a/request/dispatch/place.go
+++ b/request/dispatch/place.go
@@ -27,7 +27,7 @@
 		if p, ok := d.take(r, dec); ok {
 			return p, vetchtrail.Outcome{}, true
 		}
-		if dec.Kind == vetchtrail.RunElsewhere || dec.Kind == vetchtrail.HandOver {
+		if dec.Kind == vetchtrail.RunElsewhere {
 			t.places = append(t.places, dec.Name)
 		}
 	}
@@ -47,7 +47,6 @@
 	v.Endpoints, v.Remotes, v.Excluded = v.Endpoints[:0], v.Remotes[:0], t.places
 	v.Refused, v.Waited = t.refused, t.waited
 	v.Line = d.line(r.Service).Wait().Seconds()
-	v.Owner = d.owner(r, now)
 	d.cfg.Table.Fill(v, r, now)
 	v.Events = expectedEvents(r, s.EventTokens, v.Events)
 	d.cfg.Membership.Fill(v, r.Service, func(name string) (vetchtrail.RegionID, bool) {
@@ -59,22 +58,6 @@
 	return d.cfg.Policy.Decide(now, r, v, rnd)
 }
 
-// owner names the host that is to place a request; empty: this one, or none is known.
-func (d *Dispatcher) owner(r *vetchtrail.Request, now time.Time) string {
-	if r.Hops >= vetchtrail.MaxHops {
-		return ""
-	}
-	s, ok := d.cfg.Table.Shard(r, d.cfg.Self.Region, now)
-	if !ok {
-		return ""
-	}
-	h, ok := d.cfg.Membership.Owner(s, now)
-	if !ok || h.Name == d.cfg.Self.Name {
-		return ""
-	}
-	return h.Name
-}
-
 // mostShare is the share of the tokens that an answer may have which it is taken
 // to have while nothing better is known.
 const mostShare = 0.5
@@ -95,14 +78,11 @@
 
 // take gets room at the place decided on; false: it was filled in between.
 func (d *Dispatcher) take(r *vetchtrail.Request, dec vetchtrail.Decision) (placement, bool) {
-	now := time.Now()
-	switch dec.Kind {
-	case vetchtrail.RunElsewhere:
-		return d.elsewhere(r, dec.Name, now)
-	case vetchtrail.HandOver:
-		h, ok := d.cfg.Membership.Find(dec.Name, now)
-		return placement{host: h, dataCentre: h.DataCentre, handedOver: true}, ok
+	if dec.Kind == vetchtrail.RunElsewhere {
+		h, ok := d.cfg.Membership.Pick(dec.Name, r.Service, time.Now())
+		return placement{host: h, dataCentre: dec.Name}, ok
 	}
+	now := time.Now()
 	if !d.cfg.Table.Acquire(dec.Name, r, now) {
 		return placement{}, false
 	}
@@ -110,17 +90,6 @@
 	return placement{endpoint: e}, ok
 }
 
-// elsewhere picks a host for a request that goes to another data centre: the owner of
-// its session's shard in that region, if it is known.
-func (d *Dispatcher) elsewhere(r *vetchtrail.Request, dataCentre string, now time.Time) (placement, bool) {
-	var s vetchtrail.Shard
-	if c, ok := d.cfg.Membership.RegionOf(dataCentre); ok {
-		s, _ = d.cfg.Table.Shard(r, c, now)
-	}
-	h, ok := d.cfg.Membership.Pick(dataCentre, r.Service, s, now)
-	return placement{host: h, dataCentre: h.DataCentre}, ok
-}
-
 // wait stands in the service's line until there is room.
 func (d *Dispatcher) wait(ctx context.Context, r *vetchtrail.Request, t tried, attempt int) (placement, vetchtrail.Outcome, bool) {
 	if d.cfg.Off.Has(vetchtrail.Waiting) {
--- a/request/dispatch/resume.go
+++ b/request/dispatch/resume.go
@@ -33,7 +33,7 @@
 	if r.Hops >= vetchtrail.MaxHops {
 		return d.refusal(vetchtrail.StepForward, vetchtrail.ReasonHops, time.Time{})
 	}
-	h, ok := d.cfg.Membership.Pick(e.DataCentre, r.Service, vetchtrail.Shard{}, time.Now())
+	h, ok := d.cfg.Membership.Pick(e.DataCentre, r.Service, time.Now())
 	if !ok {
 		return d.refusal(vetchtrail.StepForward, vetchtrail.ReasonUnreachable, time.Now().Add(time.Second))
 	}
--- a/request/policy/mechanisms_test.go
+++ b/request/policy/mechanisms_test.go
@@ -37,7 +37,6 @@
 		"forwarding": {vetchtrail.Forwarding, nil, vetchtrail.View{Remotes: far}, vetchtrail.RunElsewhere, vetchtrail.Refuse},
 		"waiting":    {vetchtrail.Waiting, nil, vetchtrail.View{Endpoints: one(func(e *vetchtrail.EndpointView) { e.Own = e.Limit })}, vetchtrail.WaitHere, vetchtrail.Refuse},
 		"failures":   {vetchtrail.FailureCost, nil, vetchtrail.View{Endpoints: one(func(e *vetchtrail.EndpointView) { e.Failing = 1 }), Remotes: []vetchtrail.RemoteView{remote("x", func(m *vetchtrail.RemoteView) { m.Delay = 300 * time.Millisecond })}}, vetchtrail.RunElsewhere, vetchtrail.RunHere},
-		"sharding":   {vetchtrail.Sharding, nil, vetchtrail.View{Owner: "o", Endpoints: one(nil)}, vetchtrail.HandOver, vetchtrail.RunHere},
 		"kept elsewhere": {vetchtrail.KeptElsewhere, stream(func(r *vetchtrail.Request) {
 			r.Prompt = []vetchtrail.PromptPart{{ID: 1, Tokens: 9000}, {ID: 2, Tokens: 1000}}
 		}), vetchtrail.View{KeptShare: 1, IdleRead: 1e-4, Endpoints: one(func(e *vetchtrail.EndpointView) { e.Backlog, e.Kept = 0.5, 9000 }), Remotes: far}, vetchtrail.RunElsewhere, vetchtrail.RunHere},
--- a/request/policy/weighted.go
+++ b/request/policy/weighted.go
@@ -50,10 +50,6 @@
 	if !now.Before(r.Deadline) {
 		return refuse(&d, vetchtrail.ReasonDeadline, now, 0)
 	}
-	if handsOver(&s, r, v) {
-		d.Kind, d.Name, d.Reason = vetchtrail.HandOver, v.Owner, vetchtrail.ReasonOwner
-		return d
-	}
 	score(&s, &d, now, r, v)
 	s.wait = max(s.wait, v.Line)
 	remote, remoteCost := bestRemote(&d, &s, r, v)
--- a/schema/convert.go
+++ b/schema/convert.go
@@ -187,7 +187,7 @@
 		Resume: &StreamPosition{Endpoint: r.Resume.Endpoint, Stream: r.Resume.Stream, Offset: int32(r.Resume.Offset)},
 		Route:  r.Route, GoalRemaining: left(r.Goal, now), Prompt: fromPrompt(r.Prompt), Resumable: r.Resumable, LastEvent: r.LastEvent,
 		Begun: r.Begun, PatienceRemaining: left(r.Patience, now),
-		AnswerTokens: uint32(r.AnswerTokens), MostTokens: uint32(r.MostTokens), Fresh: r.Fresh,
+		AnswerTokens: uint32(r.AnswerTokens), MostTokens: uint32(r.MostTokens),
 	}
 }
 
@@ -240,7 +240,7 @@
 		Route:  m.GetRoute(), Goal: after(m.GetGoalRemaining(), now), Prompt: toPrompt(m.GetPrompt()),
 		Resumable: m.GetResumable(), LastEvent: m.GetLastEvent(),
 		Begun: m.GetBegun(), Patience: after(m.GetPatienceRemaining(), now),
-		AnswerTokens: int(m.GetAnswerTokens()), MostTokens: int(m.GetMostTokens()), Fresh: m.GetFresh(),
+		AnswerTokens: int(m.GetAnswerTokens()), MostTokens: int(m.GetMostTokens()),
 	}, nil
 }
 
