Start: hosts are introduced to those of their own data centre, and ask their seeds first

The first message of a swap names no members, so that nobody was ever introduced; each took itself for the first of its data centre and read the store when its lists were 3.3 s old. After a power cut the first question came 200 ms after the start.

Change: introductions whenever the members differ; seeds are asked first for four seconds; the first question after 40 ms, then 80, 160 and each 200 ms.

--- a/process/daemon/follow.go
+++ b/process/daemon/follow.go
@@ -18,8 +18,11 @@
 	// borrowEvery is the pause between two questions for newer lists to the host that
 	// follows the platform: half a second of age, and two small calls a second and host.
 	borrowEvery = 500 * time.Millisecond
-	// borrowFirst is the same while a starting host has no lists.
-	borrowFirst = 200 * time.Millisecond
+	// borrowFirst is the same while a starting host has no lists: the first of it, twice
+	// as long each time up to borrowFirstMost. Its seeds may start at the same moment and
+	// take some tens of milliseconds to read them.
+	borrowFirst     = 40 * time.Millisecond
+	borrowFirstMost = 200 * time.Millisecond
 	// listTime bounds such a question: the host is of the same region, some
 	// milliseconds away. A starting host takes the whole lists, some 20 KB with 200
 	// endpoints, from one that many ask.
@@ -153,10 +156,13 @@
 // borrow asks other hosts for newer lists and configurations until ctx ends.
 func (d *Daemon) borrow(ctx context.Context) {
 	var l lending
+	first := borrowFirst
 	for ctx.Err() == nil {
 		held := d.listing.Load()
 		if held == nil {
-			wait(ctx, borrowFirst)
+			wait(ctx, first)
+			first = min(2*first, borrowFirstMost)
+			held = d.listing.Load()
 		} else {
 			wait(ctx, borrowEvery)
 		}
@@ -164,7 +170,7 @@
 		if held != nil && now.Sub(held.At) < d.pace() && d.reads() {
 			continue
 		}
-		h, ok := l.host(d.lenders(now, held == nil))
+		h, ok := l.host(d.lenders(now, held == nil || now.Sub(d.born) < settleTime))
 		if !ok {
 			continue
 		}
@@ -202,7 +208,8 @@
 }
 
 // lenders returns the hosts to ask for lists: the first of the region for that duty, and
-// while none are held the seeds too.
+// in a host's first seconds the seeds before them, as nobody takes itself for the first
+// then.
 func (d *Daemon) lenders(now time.Time, starting bool) []vetchtrail.Host {
 	out := d.membership.Ranked(followDuty, lenders, now)
 	if !starting {
--- a/process/daemon/follow_test.go
+++ b/process/daemon/follow_test.go
@@ -110,7 +110,7 @@
 		fmt.Sprintf("asks, every %s", borrowEvery),
 		fmt.Sprintf("`known_within` + %s, then another takes over, one more each %s", takeoverSlack, takeoverStep),
 		fmt.Sprintf("none lent within %s to %s", unlentAfter, unlentAfter+unlentSpread),
-		fmt.Sprintf("is asked, every %s", borrowFirst),
+		fmt.Sprintf("is asked, after %s and up to %s", borrowFirst, borrowFirstMost),
 		fmt.Sprintf("took over reads for %s", takeoverHeld),
 		fmt.Sprintf("In a host's first %s", settleTime),
 		fmt.Sprintf("heartbeats (%s) and digests (%s)", membership.Tick, membership.SwapTick),
--- a/process/membership/digest.go
+++ b/process/membership/digest.go
@@ -199,7 +199,7 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	known := m.introduce(in.GetDigest())
+	known := m.introduce(in)
 	whole := m.mergeDigest(in.GetDigest(), now, now, true)
 	return &schema.Digests{From: m.cfg.Self.Name, Digest: own, WantMembers: !whole, Introduced: known}
 }
--- a/process/membership/introduce.go
+++ b/process/membership/introduce.go
@@ -14,23 +14,21 @@
 	metMost = 16
 )
 
-// introduce returns hosts of another data centre for one of that data centre that knows
-// few of them: those that it does not name as its own. Only some hosts are listed by the
-// platform, and a host's settings name peers of a few data centres only. The caller holds
-// the lock.
-func (m *Membership) introduce(d *schema.Digest) []string {
-	held, ok := m.remotes[d.GetDataCentre()]
-	if !ok || len(d.GetMembers()) > introducedMost || len(d.GetMembers()) == 0 {
+// introduce returns hosts of another data centre for one of that data centre whose members
+// are not those that this host holds of it: only some hosts are listed by the platform, and
+// a host's settings name peers of a few data centres only. With 295 hosts, those of a data
+// centre without a seed knew none of each other after four seconds. The caller holds the
+// lock.
+func (m *Membership) introduce(in *schema.Digests) []string {
+	held, ok := m.remotes[in.GetDigest().GetDataCentre()]
+	if !ok || in.GetDigest().GetMembersHash() == held.digest.GetMembersHash() {
 		return nil
 	}
-	known := map[string]bool{}
-	for _, line := range d.GetMembers() {
-		known[line.GetName()] = true
-	}
+	lines := held.digest.GetMembers()
 	var out []string
-	for _, line := range held.digest.GetMembers() {
-		if !known[line.GetName()] && len(out) < introducedMost {
-			out = append(out, line.GetPeers())
+	for _, i := range m.rnd.Perm(len(lines)) {
+		if lines[i].GetName() != in.GetFrom() && len(out) < introducedMost {
+			out = append(out, lines[i].GetPeers())
 		}
 	}
 	return out
--- a/process/membership/rank_test.go
+++ b/process/membership/rank_test.go
@@ -59,7 +59,11 @@
 	seed := newMember("seed", "other", 9)
 	first, second := newMember("a", "dc", 1), newMember("b", "dc", 2)
 	meet := func(m *Membership, at time.Time) {
-		m.swapped(seed.Swapped(&schema.Digests{From: m.self.Name, Digest: m.ownDigest(at)}), at, at)
+		first := seed.Swapped(&schema.Digests{From: m.self.Name, Digest: withoutMembers(m.ownDigest(at))})
+		m.swapped(first, at, at)
+		if first.GetWantMembers() { // as a host does that is asked for them
+			seed.Swapped(&schema.Digests{From: m.self.Name, Digest: m.ownDigest(at)})
+		}
 	}
 	meet(first, now)
 	assert.Equal(t, len(first.targets(now)), 0, "nobody else is known yet")
