--- a/decision.go
+++ b/decision.go
@@ -81,9 +81,12 @@
 	// UrgentPace is the time between two events, in seconds, at which streams that are
 	// more urgent than the request's take all of their time; 0: there are none.
 	UrgentPace float64
-	Line       float64 // seconds that those who wait for room here take
-	Refused    bool    // one of them, of this data centre, refused for its load
-	Waited     bool    // the request has waited for room here as long as it may
+	// Borne is the part of a predicted time to the first of a stream that usually passes,
+	// as observed; 0: not known.
+	Borne   float64
+	Line    float64 // seconds that those who wait for room here take
+	Refused bool    // one of them, of this data centre, refused for its load
+	Waited  bool    // the request has waited for room here as long as it may
 }
 
 // EndpointView is what a host believes of one endpoint.
--- a/observation.go
+++ b/observation.go
@@ -8,8 +8,11 @@
 	Outcome Outcome
 	Timing  Timing
 	Route   string
-	Tokens  int  // of the prompt
-	Cancel  bool // the caller left: says nothing of the endpoint
+	Tokens  int // of the prompt
+	// Predicted is the time to the first of the answer that the decision was made by;
+	// 0: none was.
+	Predicted time.Duration
+	Cancel    bool // the caller left: says nothing of the endpoint
 }
 
 // Endpoints is what a host believes of the endpoints that it may call.
--- a/process/load/learn.go
+++ b/process/load/learn.go
@@ -59,6 +59,9 @@
 	if whole <= 0 {
 		return
 	}
+	if o.Outcome.Events > 0 {
+		m.borne.observe(o.Predicted.Seconds(), first)
+	}
 	s.observed = now
 	s.service.observe(whole)
 	m.service.observe(whole)
--- a/process/load/load.go
+++ b/process/load/load.go
@@ -130,6 +130,7 @@
 	fails   average          // share of the answers that were failures of the endpoints
 	kinds   map[string]*kind // of streams, by route
 	prompt  average          // tokens that a request makes an endpoint read
+	borne   borne            // of what is predicted
 	waiting float64          // requests of other hosts that wait at an endpoint, in the mean
 }
 
@@ -138,6 +139,7 @@
 		service: average{value: firstService},
 		token:   average{value: firstPrefill},
 		reading: newReading(),
+		borne:   borne{part: 1},
 		prefill: newPrefill(),
 		gaps:    fit{most: gapSlopeMost},
 		kinds:   map[string]*kind{},
@@ -251,7 +253,7 @@
 	states := t.services[r.Service]
 	if m, ok := t.means[r.Service]; ok {
 		m.asked(r, now)
-		v.IdleRead, v.KeptShare = m.reading.idle, m.reading.kept.value
+		v.IdleRead, v.KeptShare, v.Borne = m.reading.idle, m.reading.kept.value, m.borne.part
 		v.Events, v.UrgentPace = m.usualEvents(r.Route), m.urgentPace(r, now)
 		m.waiting = meanWaiting(states, now)
 	}
--- a/request/dispatch/dispatch.go
+++ b/request/dispatch/dispatch.go
@@ -285,6 +285,7 @@
 	endpoint   vetchtrail.Endpoint
 	host       vetchtrail.Host // with a data centre: elsewhere
 	dataCentre string
+	predicted  time.Duration // to the first of the answer
 }
 
 func (p placement) name() string {
@@ -305,6 +306,7 @@
 	o.First = timing.First
 	d.cfg.Table.Release(p.endpoint.Name, vetchtrail.Observation{
 		Request: r.ID, Route: r.Route, Outcome: o, Timing: timing, Tokens: r.PromptTokens(), Cancel: ctx.Err() != nil,
+		Predicted: p.predicted,
 	}, time.Now())
 	return o
 }
--- a/request/dispatch/place.go
+++ b/request/dispatch/place.go
@@ -43,7 +43,7 @@
 	s, _ := held.Service(r.Service)
 	here, _ := held.Region(d.cfg.Self.Region)
 	v.Region, v.Weights = here.ID, s.Weights
-	v.Events, v.UrgentPace, v.IdleRead, v.KeptShare = 0, 0, 0, 0
+	v.Events, v.UrgentPace, v.IdleRead, v.KeptShare, v.Borne = 0, 0, 0, 0, 0
 	v.Endpoints, v.Remotes, v.Excluded = v.Endpoints[:0], v.Remotes[:0], t.places
 	v.Refused, v.Waited = t.refused, t.waited
 	v.Line = d.line(r.Service).Wait().Seconds()
@@ -87,7 +87,7 @@
 		return placement{}, false
 	}
 	e, ok := d.cfg.Table.Known(dec.Name)
-	return placement{endpoint: e}, ok
+	return placement{endpoint: e, predicted: dec.Wait}, ok
 }
 
 // wait stands in the service's line until there is room.
--- a/request/policy/admission.go
+++ b/request/policy/admission.go
@@ -19,7 +19,8 @@
 	// answered 1 in 100 less; 0.75 gained half as much.
 	yieldShare = 0.5
 	// crowdedGoals is how many times the time to its goal a first try's answer may be
-	// expected to take to begin: of those expected later, over half do begin late.
+	// expected to take to begin: of those expected later, over half do begin late, as the
+	// expectation is the median of what predictions have borne out.
 	crowdedGoals = 1.1
 )
 
@@ -47,3 +48,11 @@
 func crowded(s *scored, wait time.Duration, r *vetchtrail.Request) bool {
 	return !s.off.Has(vetchtrail.Shedding) && r.Fresh && r.Stream && !r.Goal.IsZero() && float64(wait) > crowdedGoals*float64(r.Goal.Sub(s.now))
 }
+
+// likely is the time that usually passes of one that was predicted for an endpoint here.
+func likely(wait time.Duration, v *vetchtrail.View) time.Duration {
+	if v.Borne == 0 {
+		return wait
+	}
+	return time.Duration(v.Borne * float64(wait))
+}
--- a/request/policy/policy_test.go
+++ b/request/policy/policy_test.go
@@ -60,6 +60,7 @@
 		events    float64
 		urgent    float64
 		line      float64
+		borne     float64
 		waited    bool
 		kind      vetchtrail.DecisionKind
 		name      string
@@ -165,6 +166,11 @@
 			weights: tail, endpoints: []vetchtrail.EndpointView{endpoint("a", func(e *vetchtrail.EndpointView) { e.Backlog = 3 })},
 			kind: vetchtrail.Refuse, reason: vetchtrail.ReasonOverCapacity,
 		},
+		"a first try that would begin late, where less passes than is predicted": {
+			request: func(r *vetchtrail.Request) { stream(r); r.Fresh, r.Goal = true, now.Add(time.Second) },
+			weights: tail, endpoints: []vetchtrail.EndpointView{endpoint("a", func(e *vetchtrail.EndpointView) { e.Backlog = 3 })}, borne: 0.15,
+			kind: vetchtrail.RunHere, name: "a", reason: vetchtrail.ReasonChosen,
+		},
 		"one that came back is served, late": {
 			request: func(r *vetchtrail.Request) { stream(r); r.Fresh, r.Goal = false, now.Add(time.Second) },
 			weights: tail, endpoints: []vetchtrail.EndpointView{endpoint("a", func(e *vetchtrail.EndpointView) { e.Backlog = 3 })},
@@ -233,7 +239,7 @@
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
-			v := &vetchtrail.View{Region: 1, Weights: c.weights, Endpoints: c.endpoints, Remotes: c.remotes, Excluded: c.excluded, Events: c.events, Line: c.line, Waited: c.waited, UrgentPace: c.urgent}
+			v := &vetchtrail.View{Region: 1, Weights: c.weights, Endpoints: c.endpoints, Remotes: c.remotes, Excluded: c.excluded, Events: c.events, Line: c.line, Waited: c.waited, UrgentPace: c.urgent, Borne: c.borne}
 			d := Weighted{}.Decide(now, request(c.request), v, rand.New(rand.NewPCG(1, 1)))
 			assert.Equal(t, d.Kind, c.kind)
 			assert.Equal(t, d.Name, c.name)
