--- a/process/daemon/hosted.go
+++ b/process/daemon/hosted.go
@@ -90,15 +90,6 @@
 // Listing implements peer.Lister and vetchtrail.Following.
 func (d *Daemon) Listing() *vetchtrail.Listing { return d.listing.Load() }
 
-// Reads implements vetchtrail.Following.
-func (d *Daemon) Reads() bool { return d.reads() }
-
-// WatchesConfiguration implements vetchtrail.Following.
-func (d *Daemon) WatchesConfiguration() bool { return d.watchesConfiguration() }
-
-// Pace implements vetchtrail.Following.
-func (d *Daemon) Pace() time.Duration { return d.pace() }
-
 // placeOn places the endpoints again now and then.
 func (d *Daemon) placeOn(ctx context.Context) {
 	for ctx.Err() == nil {
