Quotas: a pure core that keeps a workspace within its quota over all hosts

Cause: nothing bounds what the hosts together run for a workspace. A host that counts alone lets through as many times the quota as there are hosts; equal parts refuse at each region's peak what the others leave idle.

--- /dev/null
+++ b/request/quota/equal.go
@@ -0,0 +1,38 @@
+package quota
+
+import (
+	"time"
+
+	"vetchtrail"
+)
+
+// Equal is a host's equal part of a workspace's quota: safe without a word to anyone, but
+// it refuses where callers are while other hosts' parts lie idle.
+type Equal struct {
+	bucket bucket
+	begun  bool
+}
+
+// Take takes units if the part of one of so many hosts has any. A request may take more
+// than is there: it is owed.
+func (e *Equal) Take(units float64, q vetchtrail.Quota, t Tolerance, hosts int, now time.Time) (ok bool, back time.Time) {
+	n := float64(max(1, hosts))
+	capacity := t.capacity(q) / n
+	if !e.begun {
+		e.begun = true
+		e.bucket = bucket{level: startPart * capacity, at: now}
+	}
+	e.bucket.fill(q.Rate/n, capacity, now)
+	if e.bucket.level <= 0 {
+		return false, now.Add(e.bucket.wait(1, q.Rate/n))
+	}
+	e.bucket.level -= units
+	return true, time.Time{}
+}
+
+// Spend counts units that the host used by a keeper's grant: they are not there for it a
+// second time when it reaches no keeper.
+func (e *Equal) Spend(units float64) { e.bucket.level = max(0, e.bucket.level-units) }
+
+// Return gives back units that were not used.
+func (e *Equal) Return(units float64) { e.bucket.level += units }
--- /dev/null
+++ b/request/quota/sim_test.go
@@ -0,0 +1,410 @@
+package quota
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"vetchtrail"
+)
+
+// The simulation plays hosts of three regions on virtual time: messages that are late, lost
+// or told twice, regions and hosts that are cut off, hosts that start again without memory,
+// and callers' demand that moves between regions.
+
+var simStart = time.Unix(1_800_000_000, 0)
+
+// way is a way to keep a quota as the simulation plays it.
+type way string
+
+const (
+	wayLeased way = "leased"
+	wayEqual  way = "equal"
+	wayTold   way = "told"
+)
+
+// event is something that happens at a moment.
+type event struct {
+	at     time.Time
+	number int
+	do     func()
+}
+
+type events []event
+
+func (e events) Len() int { return len(e) }
+func (e events) Less(i, j int) bool {
+	if !e[i].at.Equal(e[j].at) {
+		return e[i].at.Before(e[j].at)
+	}
+	return e[i].number < e[j].number
+}
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	last := (*e)[len(*e)-1]
+	*e = (*e)[:len(*e)-1]
+	return last
+}
+
+// simHost is a host of the simulation, with what it remembers.
+type simHost struct {
+	name   string
+	region int
+	life   int // which start of it this is
+	down   bool
+	cut    bool // it reaches nobody
+	cutAt  time.Time
+	holder Holder
+	equal  Equal
+	told   Told
+	asking bool
+	alone  time.Time
+	keeper *Keeper
+	sharer *Sharer
+	begun  time.Time
+}
+
+// sim is a run.
+type sim struct {
+	way       way
+	quota     vetchtrail.Quota
+	tolerance Tolerance
+	rnd       *rand.Rand
+	now       time.Time
+	queue     events
+	count     int
+	hosts     []*simHost
+	cut       [3]bool // regions that reach no other
+	lossShare float64
+	messages  int
+	sequence  uint64
+	broken    string // a mechanism that is taken out
+
+	used    []use
+	asked   int // requests
+	within  int // of them, by one bucket for all hosts
+	refused int // of those
+	ideal   bucket
+}
+
+type use struct {
+	at    time.Time
+	units float64
+}
+
+func newSim(w way, q vetchtrail.Quota, seed uint64, hosts int) *sim {
+	s := &sim{
+		way: w, quota: q, rnd: rand.New(rand.NewPCG(seed, 7)), now: simStart,
+		tolerance: Tolerance{Window: 8 * time.Second, Overage: 0.1, Slack: 140_000},
+		ideal:     bucket{level: q.Burst, at: simStart},
+	}
+	for i := range hosts {
+		h := &simHost{name: fmt.Sprint("h", i), region: i % 3}
+		s.hosts = append(s.hosts, h)
+		s.start(h)
+	}
+	for range 40 { // claims are swapped from the start
+		s.tick()
+	}
+	return s
+}
+
+// start makes a host as new.
+func (s *sim) start(h *simHost) {
+	life := h.life + 1
+	*h = simHost{name: h.name, region: h.region, life: life, begun: s.now}
+	since := s.now
+	if s.broken == "a keeper begins with a full bucket" {
+		since = since.Add(-time.Hour)
+	}
+	h.keeper, h.sharer = NewKeeper(3, since), NewSharer(3)
+}
+
+func (s *sim) after(d time.Duration, do func()) {
+	s.count++
+	heap.Push(&s.queue, event{s.now.Add(d), s.count, do})
+}
+
+// advance plays what happens until a moment.
+func (s *sim) advance(to time.Time) {
+	for len(s.queue) > 0 && !s.queue[0].at.After(to) {
+		e := heap.Pop(&s.queue).(event)
+		s.now = e.at
+		e.do()
+	}
+	s.now = to
+}
+
+// keeperOf is the first live host of a region.
+func (s *sim) keeperOf(region int) *simHost {
+	for _, h := range s.hosts {
+		if h.region == region && !h.down && !h.cut {
+			return h
+		}
+	}
+	return nil
+}
+
+// heard is the part of a region's hosts that its keeper hears of: one that is cut off is
+// missed after two seconds.
+func (s *sim) heard(region int) float64 {
+	all, heard := 0, 0
+	for _, h := range s.hosts {
+		if h.region != region {
+			continue
+		}
+		all++
+		if !h.cut || s.now.Sub(h.cutAt) < 2*time.Second {
+			heard++
+		}
+	}
+	return float64(heard) / float64(all)
+}
+
+// send delivers a message unless it is lost.
+func (s *sim) send(from, to *simHost, do func()) {
+	s.messages++
+	delay := time.Duration(1+s.rnd.IntN(8)) * time.Millisecond
+	if from.region != to.region {
+		delay += 55 * time.Millisecond
+	}
+	if s.rnd.Float64() < s.lossShare {
+		return
+	}
+	lives := [2]int{from.life, to.life}
+	s.after(delay, func() {
+		apart := from.region != to.region && (s.cut[from.region] || s.cut[to.region])
+		if !to.down && to.life == lives[1] && !apart && !from.cut && !to.cut {
+			do()
+		}
+	})
+}
+
+// ask is a host's question to its keeper.
+func (s *sim) ask(h *simHost, least float64) {
+	k := s.keeperOf(h.region)
+	if h.asking || k == nil {
+		return
+	}
+	h.asking = true
+	a := h.holder.Ask("w", least, least, s.now)
+	life, answered := h.life, false
+	s.after(150*time.Millisecond, func() {
+		if h.life == life && !answered {
+			h.asking = false
+			h.holder.Unasked(a)
+			h.alone = s.now.Add(500 * time.Millisecond)
+		}
+	})
+	s.send(h, k, func() {
+		if s.way == wayTold {
+			share := k.sharer.Share(h.name, a.Asked, s.quota, s.now)
+			s.send(k, h, func() {
+				answered, h.asking = true, false
+				h.told.Answer(share, s.now)
+			})
+			return
+		}
+		g := k.keeper.Grant(a, s.quota, s.tolerance, s.heard(h.region), s.now)
+		if s.broken == "grants are not taken from the bucket" {
+			k.keeper.bucket.level += g.Units
+		}
+		s.send(k, h, func() {
+			if answered {
+				return
+			}
+			if s.now.After(g.Until) && g.Units > 0 {
+				return
+			}
+			answered, h.asking = true, false
+			h.holder.Answer(a, g, s.now)
+		})
+	})
+}
+
+// request is one caller's request at a host. It is tried again when its host has asked.
+func (s *sim) request(h *simHost, units float64) {
+	s.asked++
+	s.ideal.fill(s.quota.Rate, s.quota.Burst, s.now)
+	owed := s.ideal.level >= units
+	if owed {
+		s.ideal.level -= units
+		s.within++
+	}
+	h.holder.Arrive(units, s.now)
+	s.try(h, units, owed, 3)
+}
+
+func (s *sim) try(h *simHost, units float64, owed bool, left int) {
+	ok, wait := s.take(h, units)
+	switch {
+	case ok:
+		s.used = append(s.used, use{s.now, units})
+	case wait && left > 0:
+		life := h.life
+		s.after(20*time.Millisecond, func() {
+			if h.life == life && !h.down {
+				s.try(h, units, owed, left-1)
+			}
+		})
+	case owed:
+		s.refused++
+	}
+}
+
+func (s *sim) take(h *simHost, units float64) (ok, wait bool) {
+	switch s.way {
+	case wayEqual:
+		ok, _ = h.equal.Take(units, s.quota, s.tolerance, len(s.hosts), s.now)
+		return ok, false
+	case wayTold:
+		if h.told.Due(s.now) {
+			s.ask(h, 0)
+		}
+		ok, _ = h.told.Take(units, s.quota, s.tolerance, len(s.hosts), s.now)
+		return ok, false
+	}
+	if h.holder.Spend(units, s.now) {
+		if s.broken != "units used alone are not told" {
+			h.equal.Spend(units)
+		}
+		if h.holder.RunsLow(s.now) {
+			s.ask(h, 0)
+		}
+		return true, false
+	}
+	if s.now.Before(h.alone) {
+		if ok, _ = h.equal.Take(units, s.quota, s.tolerance, len(s.hosts), s.now); ok && s.broken != "units used alone are not told" {
+			h.holder.SpendAlone(units)
+		}
+		return ok, false
+	}
+	if _, shut := h.holder.Shut(s.now); shut {
+		return false, false
+	}
+	s.ask(h, units)
+	return false, true
+}
+
+// tick swaps claims between the regions, 200 ms apart.
+func (s *sim) tick() {
+	for from := range 3 {
+		k := s.keeperOf(from)
+		for to := range 3 {
+			if other := s.keeperOf(to); k != nil && other != nil && from != to {
+				s.swap(k, other)
+			}
+		}
+	}
+	s.advance(s.now.Add(200 * time.Millisecond))
+}
+
+func (s *sim) book(h *simHost) (*Book, float64) {
+	if s.way == wayTold {
+		return h.sharer.Book, h.sharer.Demand(s.now)
+	}
+	return h.keeper.Book, h.keeper.Demand(s.now)
+}
+
+func (s *sim) swap(from, to *simHost) {
+	book, rate := s.book(from)
+	s.sequence++
+	sequence := s.sequence
+	book.Telling(fmt.Sprint(to.region), rate)
+	if s.broken == "a claim counts before it is confirmed" {
+		book.Told(fmt.Sprint(to.region), rate)
+	}
+	s.send(from, to, func() {
+		other, theirs := s.book(to)
+		other.Hear(fmt.Sprint(from.region), from.name, sequence, rate, s.now)
+		s.sequence++
+		back := s.sequence
+		other.Telling(fmt.Sprint(from.region), theirs)
+		s.send(to, from, func() {
+			book.Told(fmt.Sprint(to.region), rate)
+			book.Hear(fmt.Sprint(to.region), to.name, back, theirs, s.now)
+		})
+	})
+}
+
+// excess is by how much the units used in the worst window exceed the bound.
+func (s *sim) excess(bound func(from time.Time) float64) (float64, time.Time) {
+	worst, at := -1.0, simStart
+	sum, first := 0.0, 0
+	for _, u := range s.used {
+		sum += u.units
+		for s.used[first].at.Before(u.at.Add(-s.tolerance.Window)) {
+			sum -= s.used[first].units
+			first++
+		}
+		if over := sum/bound(u.at.Add(-s.tolerance.Window)) - 1; over > worst {
+			worst, at = over, u.at
+		}
+	}
+	return worst, at
+}
+
+// bound is what all hosts together may run in a window.
+func (t Tolerance) bound(q vetchtrail.Quota) float64 {
+	return (q.Rate*t.Window.Seconds()+q.Burst)*(1+t.Overage) + t.Slack
+}
+
+// play makes demand for some seconds: units a second by region at a moment, in requests of
+// the sizes that quotes and questions have.
+func (s *sim) play(seconds float64, demand func(at float64, region int) float64, trouble func(at float64)) {
+	const step = 10 * time.Millisecond
+	end := s.now.Add(time.Duration(seconds * float64(time.Second)))
+	begun, next := s.now, s.now
+	for s.now.Before(end) {
+		at := s.now.Sub(begun).Seconds()
+		trouble(at)
+		if !s.now.Before(next) {
+			next = s.now.Add(200 * time.Millisecond)
+			for from := range 3 {
+				for to := range 3 {
+					if k, other := s.keeperOf(from), s.keeperOf(to); k != nil && other != nil && from != to {
+						s.swap(k, other)
+					}
+				}
+			}
+		}
+		for region := range 3 {
+			s.arrive(region, demand(at, region)*step.Seconds())
+		}
+		s.advance(s.now.Add(step))
+	}
+}
+
+// arrive makes requests of so many units in the mean at hosts of a region.
+func (s *sim) arrive(region int, units float64) {
+	const meanSize = 4600 // of one quote in five and questions
+	for left := units / meanSize; left > 0; left-- {
+		if left < 1 && s.rnd.Float64() >= left {
+			return
+		}
+		size := 2500 * (0.5 + s.rnd.Float64())
+		if s.rnd.IntN(5) == 0 {
+			size = 13_000 * (0.5 + s.rnd.Float64())
+		}
+		if h := s.hosts[s.rnd.IntN(len(s.hosts))]; h.region == region && !h.down {
+			s.request(h, size)
+		} else if k := s.anyOf(region); k != nil {
+			s.request(k, size)
+		}
+	}
+}
+
+func (s *sim) anyOf(region int) *simHost {
+	var live []*simHost
+	for _, h := range s.hosts {
+		if h.region == region && !h.down {
+			live = append(live, h)
+		}
+	}
+	if len(live) == 0 {
+		return nil
+	}
+	return live[s.rnd.IntN(len(live))]
+}
