--- a/cmd/vetchtrail/route.go
+++ b/cmd/vetchtrail/route.go
@@ -31,6 +31,7 @@
 	Homes     []string      `help:"Regions that may process its requests; none: all."`
 	Sticky    bool          `help:"Requests name the parts of their prompts."`
 	Resumable bool          `help:"A stream may go on at another endpoint."`
+	Keyed     bool          `help:"Its callers must show the key of a workspace."`
 }
 
 // Run implements the subcommand.
@@ -42,7 +43,7 @@
 	}
 	return g.propose(&c.changeFlags, []vetchtrail.Edit{vetchtrail.PutRoute{Route: vetchtrail.Route{
 		Name: c.Name, Host: c.Hostname, PathPrefix: c.Prefix, Kind: kind, Targets: targets, Attempts: c.Attempts,
-		AnswerWithin: c.Within, Goal: c.Goal, Rank: c.Rank, Homes: c.Homes, Sticky: c.Sticky, Resumable: c.Resumable,
+		AnswerWithin: c.Within, Goal: c.Goal, Rank: c.Rank, Homes: c.Homes, Sticky: c.Sticky, Resumable: c.Resumable, Keyed: c.Keyed,
 	}}})
 }
 
--- a/connection/caller/caller.go
+++ b/connection/caller/caller.go
@@ -35,6 +35,8 @@
 type Runner interface {
 	Run(ctx context.Context, r *vetchtrail.Request, a vetchtrail.Answer) vetchtrail.Outcome
 	Starting(r *vetchtrail.Request) vetchtrail.Outcome
+	// Rejected notes a request whose caller did not show a workspace.
+	Rejected(r *vetchtrail.Request, o vetchtrail.Outcome)
 }
 
 // Config is what a Server needs.
@@ -48,6 +50,9 @@
 	Region     string             // of this host
 	Dialect    vetchtrail.Dialect // of routed requests; nil: the project's own
 	RoutesOnly bool               // the project's own interface is not served
+	// Refresh looks for a configuration that is newer than the one held, takes it, and says
+	// whether the one that is held then is the newest as far as the host can know.
+	Refresh func(ctx context.Context) (current bool)
 }
 
 // Server is the callers' side of a daemon.
--- a/connection/caller/caller_test.go
+++ b/connection/caller/caller_test.go
@@ -34,6 +34,8 @@
 	return vetchtrail.Outcome{Kind: vetchtrail.NotRun, Status: 503, Reason: vetchtrail.ReasonStarting}
 }
 
+func (f fakeRunner) Rejected(*vetchtrail.Request, vetchtrail.Outcome) {}
+
 func serve(t *testing.T, run fakeRunner) netip.AddrPort {
 	t.Helper()
 	held, err := rules.Empty().Apply(vetchtrail.Change{Edits: []vetchtrail.Edit{
--- a/connection/caller/parse.go
+++ b/connection/caller/parse.go
@@ -17,7 +17,7 @@
 
 // Header fields of callers.
 const (
-	headerWorkspace = "X-Workspace"
+	headerWorkspace = dialect.HeaderWorkspace
 	headerKey       = "Idempotency-Key"
 	headerLastEvent = "Last-Event-Id"
 )
@@ -62,6 +62,9 @@
 	if err != nil {
 		return s.bad(c, err)
 	}
+	if o, ok := s.identifyUnrouted(c, r); !ok {
+		return s.problem(c, o)
+	}
 	r.Path = c.Path()
 	r.Stream = p.Stream
 	text := p.text()
@@ -81,6 +84,9 @@
 	if err != nil {
 		return s.bad(c, err)
 	}
+	if o, ok := s.identifyUnrouted(c, r); !ok {
+		return s.problem(c, o)
+	}
 	uri := string(c.Request().URI().RequestURI())
 	r.Path = "/" + strings.TrimPrefix(strings.TrimPrefix(uri, "/services/"+c.Params("service")), "/")
 	r.Repeats = r.Key == "" && repeatable(r.Method)
@@ -126,7 +132,7 @@
 	var out []vetchtrail.HeaderField
 	for name, value := range c.Request().Header.All() {
 		n := string(name)
-		if endpoint.HopByHop(n) || n == "Host" || n == headerKey || n == headerLastEvent {
+		if endpoint.HopByHop(n) || n == "Host" || n == headerKey || n == headerLastEvent || n == headerWorkspace {
 			continue
 		}
 		out = append(out, vetchtrail.HeaderField{Name: n, Value: string(value)})
--- a/connection/caller/routed.go
+++ b/connection/caller/routed.go
@@ -10,6 +10,7 @@
 	"github.com/gofiber/fiber/v3"
 
 	"vetchtrail"
+	"vetchtrail/connection/dialect"
 	"vetchtrail/connection/endpoint"
 	"vetchtrail/version/rules"
 )
@@ -57,6 +58,11 @@
 			Kind: vetchtrail.NotRun, Status: fiber.StatusNotFound, Step: vetchtrail.StepParse, Reason: vetchtrail.ReasonNoRoute,
 		})
 	}
+	if m.Keyed {
+		if o, ok := s.identify(c, r); !ok {
+			return s.refuse(c, r, o)
+		}
+	}
 	s.tally.count(m.Name)
 	s.fill(c, r, &m, now)
 	r.Revision = held.Revision()
@@ -100,18 +106,18 @@
 	r.Fresh = r.Deadline.Sub(now) >= m.AnswerWithin*freshTenths/10
 	r.Goal = now.Add(m.Goal)
 	r.Patience = now.Add(m.Goal / patienceShare)
-	r.Header = s.routedHeader(c)
+	r.Header = s.routedHeader(c, m.Keyed)
 	r.Body = append([]byte(nil), c.Body()...)
 }
 
 // routedHeader copies the fields that go on to an endpoint: not those that
-// concern the connection, nor those that are the system's to set.
-func (s *Server) routedHeader(c fiber.Ctx) []vetchtrail.HeaderField {
+// concern the connection, nor those that are the system's to set, nor the caller's key.
+func (s *Server) routedHeader(c fiber.Ctx, keyed bool) []vetchtrail.HeaderField {
 	listed := strings.ToLower(c.Get(fiber.HeaderConnection))
 	var out []vetchtrail.HeaderField
 	for name, value := range c.Request().Header.All() {
 		n := string(name)
-		if endpoint.HopByHop(n) || s.cfg.Dialect.Own(n) || (listed != "" && namedIn(listed, n)) {
+		if endpoint.HopByHop(n) || s.cfg.Dialect.Own(n) || (keyed && n == dialect.HeaderKey) || (listed != "" && namedIn(listed, n)) {
 			continue
 		}
 		out = append(out, vetchtrail.HeaderField{Name: n, Value: string(value)})
--- a/connection/dialect/dialect.go
+++ b/connection/dialect/dialect.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/google/uuid"
@@ -20,6 +21,12 @@
 	// request before starting it. Status 429 says so by itself (RFC 6585).
 	HeaderNotStarted = "X-Not-Started"
 	headerLastEvent  = "Last-Event-Id"
+	// HeaderWorkspace names the workspace to endpoints. Callers may name one that has no
+	// keys, outside of routes.
+	HeaderWorkspace = "X-Workspace"
+	// HeaderKey holds a caller's key.
+	HeaderKey = "Authorization"
+	keyScheme = "Bearer"
 )
 
 const (
@@ -62,12 +69,30 @@
 	return time.Duration(n * float64(time.Second)), nil
 }
 
+// Key implements vetchtrail.Dialect: the token of RFC 6750.
+func (Plain) Key(get vetchtrail.Fields) (string, error) {
+	text := get(HeaderKey)
+	scheme, key, _ := strings.Cut(text, " ")
+	if text == "" {
+		return "", vetchtrail.ErrNoKey
+	}
+	if !strings.EqualFold(scheme, keyScheme) {
+		return "", vetchtrail.ErrOddKey
+	}
+	return key, vetchtrail.CheckKey(key)
+}
+
 // Own implements vetchtrail.Dialect.
-func (Plain) Own(name string) bool { return name == HeaderID || name == headerLastEvent }
+func (Plain) Own(name string) bool {
+	return name == HeaderID || name == headerLastEvent || name == HeaderWorkspace
+}
 
 // Tell implements vetchtrail.Dialect.
 func (Plain) Tell(set func(name, value string), _ vetchtrail.Endpoint, r *vetchtrail.Request, _ time.Time) {
 	set(HeaderID, r.ID)
+	if r.Workspace != "" {
+		set(HeaderWorkspace, r.Workspace)
+	}
 	if r.LastEvent != "" {
 		set(headerLastEvent, r.LastEvent)
 	}
--- a/connection/peer/client.go
+++ b/connection/peer/client.go
@@ -154,6 +154,18 @@
 	return reply, fault("list", addr, err)
 }
 
+// Grant asks a host for a part of a workspace's quota.
+func (c *Client) Grant(ctx context.Context, addr netip.AddrPort, m *schema.GrantRequest) (*schema.GrantReply, error) {
+	reply, err := c.peers(ctx, addr).Grant(ctx, m)
+	return reply, fault("grant", addr, err)
+}
+
+// Claim swaps claims on quotas with a host of another region.
+func (c *Client) Claim(ctx context.Context, addr netip.AddrPort, m *schema.Claims) (*schema.Claims, error) {
+	reply, err := c.peers(ctx, addr).Claim(ctx, m)
+	return reply, fault("claim", addr, err)
+}
+
 func fault(step vetchtrail.Step, addr netip.AddrPort, err error) error {
 	if err == nil {
 		return nil
--- a/connection/peer/server.go
+++ b/connection/peer/server.go
@@ -37,12 +37,19 @@
 	Run(ctx context.Context, r *vetchtrail.Request, a vetchtrail.Answer) vetchtrail.Outcome
 }
 
+// Quotas keeps this region's parts of the workspaces' quotas.
+type Quotas interface {
+	Granted(m *schema.GrantRequest) *schema.GrantReply
+	Claimed(m *schema.Claims) *schema.Claims
+}
+
 // ServerConfig is what a Server needs.
 type ServerConfig struct {
 	Membership Membership
 	Changes    Changes
 	Lister     Lister
 	Runner     Runner
+	Quotas     Quotas
 	Operators  schema.DRPCOperatorsServer
 }
 
@@ -106,6 +113,16 @@
 	return m, nil
 }
 
+// Grant implements schema.DRPCPeersServer.
+func (s *Server) Grant(_ context.Context, m *schema.GrantRequest) (*schema.GrantReply, error) {
+	return s.cfg.Quotas.Granted(m), nil
+}
+
+// Claim implements schema.DRPCPeersServer.
+func (s *Server) Claim(_ context.Context, m *schema.Claims) (*schema.Claims, error) {
+	return s.cfg.Quotas.Claimed(m), nil
+}
+
 // Forward implements schema.DRPCPeersServer.
 func (s *Server) Forward(m *schema.ForwardRequest, stream schema.DRPCPeers_ForwardStream) error {
 	r, err := schema.ToRequest(m, time.Now())
--- a/dialect.go
+++ b/dialect.go
@@ -12,6 +12,8 @@
 	// Parse reads what a caller says of its request: its id, the time it has,
 	// the parts of its prompt, the event it has seen last.
 	Parse(get Fields, r *Request, now time.Time) error
+	// Key reads the key by which a caller shows its workspace, checked by CheckKey.
+	Key(get Fields) (string, error)
 	// Own says whether a field is for the system to set: what a caller writes
 	// there is not passed on.
 	Own(name string) bool
--- a/outcome.go
+++ b/outcome.go
@@ -127,4 +127,10 @@
 	ReasonSilent       Reason = "endpoint-silent"
 	ReasonNoRoute      Reason = "no-route"
 	ReasonSlow         Reason = "slow"
+	ReasonNoWorkspace  Reason = "unknown-workspace"
+	ReasonNoKey        Reason = "no-key"         // the route asks for one
+	ReasonBadKey       Reason = "bad-key"        // its text can't be a key
+	ReasonUnknownKey   Reason = "unknown-key"    // no workspace has it, or no longer
+	ReasonNoHome       Reason = "no-common-home" // route and workspace have homes, but no region is both's
+	ReasonQuota        Reason = "over-quota"
 )
--- a/process/daemon/daemon.go
+++ b/process/daemon/daemon.go
@@ -25,11 +25,13 @@
 	"vetchtrail/process/load"
 	"vetchtrail/process/membership"
 	"vetchtrail/process/poll"
+	"vetchtrail/process/quotas"
 	"vetchtrail/process/settings"
 	"vetchtrail/request/budget"
 	"vetchtrail/request/dispatch"
 	"vetchtrail/request/once"
 	"vetchtrail/request/policy"
+	"vetchtrail/request/quota"
 	"vetchtrail/version/changelog"
 )
 
@@ -80,6 +82,8 @@
 	membership *membership.Membership
 	journal    *journal.Journal
 	dispatcher *dispatch.Dispatcher
+	quotas     *quotas.Quotas
+	newest     newest
 	peers      *peer.Client
 	callers    *caller.Server
 	poller     *poll.Poller
@@ -129,7 +133,7 @@
 	})
 	var err error
 	d.server, err = peer.NewServer(peer.ServerConfig{
-		Membership: d.membership, Changes: d.changes, Lister: d, Runner: d.dispatcher, Operators: &operators{d: d},
+		Membership: d.membership, Changes: d.changes, Lister: d, Runner: d.dispatcher, Quotas: d.quotas, Operators: &operators{d: d},
 	})
 	return d, err
 }
@@ -151,6 +155,10 @@
 			return held.HomesOf(name, d.callers.Asked), held.Revision() > 0
 		})
 	}
+	d.quotas = quotas.New(quotas.Config{
+		Self: d.self, Rules: d.changes.Rules, Hosts: d.membership, Peers: d.peers, Way: d.set.Quotas.Way, Log: d.log,
+		Tolerance: quota.Tolerance{Window: d.set.Quotas.Window, Overage: d.set.Quotas.Overage, Slack: d.set.Quotas.Slack},
+	})
 	d.endpoints = endpoint.New(endpoint.Config{
 		Dialect: dialect, Observer: d.table,
 		Guard: func(e vetchtrail.Endpoint, r *vetchtrail.Request) vetchtrail.Reason { return d.dispatcher.Guard(e, r) },
@@ -158,12 +166,12 @@
 	d.dispatcher = dispatch.New(dispatch.Config{
 		Self: d.self, Policy: p, Rules: d.changes.Rules, Table: d.table, Membership: d.membership,
 		Endpoints: d.endpoints, Peers: d.peers, Keeper: keeper, Journal: d.journal, Seed: d.seed(),
-		Budget: d.budget(d.set.Retries), Off: vetchtrail.MechanismsOf(d.set.SwitchedOff...),
+		Budget: d.budget(d.set.Retries), Quotas: d.quotas, Off: vetchtrail.MechanismsOf(d.set.SwitchedOff...),
 	})
 	d.callers = caller.New(caller.Config{
 		Runner: d.dispatcher, Rules: d.changes.Rules, Membership: d.membership, Keeper: keeper,
 		BodyLimit: d.set.Limits.Body, Explain: d.set.Explain, Region: d.set.Region,
-		Dialect: dialect, RoutesOnly: d.hosted != nil,
+		Dialect: dialect, RoutesOnly: d.hosted != nil, Refresh: d.refresh,
 	})
 	return nil
 }
@@ -222,6 +230,7 @@
 	duties.Go(func() { d.membership.Beat(ctx, d.peers) })
 	duties.Go(func() { d.membership.SwapDigests(ctx, d.peers) })
 	duties.Go(func() { d.pull(ctx) })
+	duties.Go(func() { d.quotas.Run(ctx) })
 	if d.set.Listen.Metrics.IsValid() {
 		figures, err := listen(ctx, d.set.Listen.Metrics)
 		if err != nil {
--- a/process/journal/journal.go
+++ b/process/journal/journal.go
@@ -96,7 +96,7 @@
 
 func (j *Journal) write(r *vetchtrail.Record) {
 	if r.Ended {
-		j.log.Info(MsgOutcome, "request", r.Request, "service", r.Service, "route", r.Route, "outcome", r.Outcome.Kind.String(),
+		j.log.Info(MsgOutcome, "request", r.Request, "service", r.Service, "route", r.Route, "workspace", r.Workspace, "outcome", r.Outcome.Kind.String(),
 			"step", string(r.Outcome.Step), "peer", r.Outcome.Peer, "reason", string(r.Outcome.Reason),
 			"hops", r.Hops, "events", r.Outcome.Events, "took", r.Took, "first", first(r), "status", r.Outcome.Status, "begun", r.Outcome.Begun, "host_lost", r.Outcome.HostLost, "error", cause(r.Outcome.Err))
 		return
@@ -107,7 +107,8 @@
 		"backlog", r.Decision.Backlog, "holds", r.Decision.Holds, "gap", r.Decision.Gap, "report_age", r.Decision.Age,
 		"running", r.Decision.Running, "queued", r.Decision.Queued, "own", r.Decision.Own, "looked", r.Decision.Looked,
 		"candidates", candidates(&r.Decision), "revision", r.Revision, "hops", r.Hops, "attempt", r.Attempt,
-		"goal", until(r.Goal, r.At), "left", until(r.Deadline, r.At), "fresh", r.Fresh)
+		"goal", until(r.Goal, r.At), "left", until(r.Deadline, r.At), "fresh", r.Fresh,
+		"charge", r.Charge, "quota_here", r.Quota.Left, "quota_region", r.Quota.Region, "quota_age", r.Quota.Age)
 }
 
 // cause is the text of an error; empty for none.
--- a/process/journal/lines.go
+++ b/process/journal/lines.go
@@ -22,16 +22,18 @@
 
 // Line is a line of a host's log, as far as it serves to explain a request.
 type Line struct {
-	Time     time.Time `json:"time"`
-	Level    string    `json:"level"`
-	Msg      string    `json:"msg"`
-	Host     string    `json:"host"`
-	Request  string    `json:"request,omitempty"`
-	Service  string    `json:"service,omitempty"`
-	Route    string    `json:"route,omitempty"`
-	Hops     int       `json:"hops"`
-	Reason   string    `json:"reason,omitempty"`
-	Revision uint64    `json:"revision,omitempty"`
+	Time    time.Time `json:"time"`
+	Level   string    `json:"level"`
+	Msg     string    `json:"msg"`
+	Host    string    `json:"host"`
+	Request string    `json:"request,omitempty"`
+	Service string    `json:"service,omitempty"`
+	Route   string    `json:"route,omitempty"`
+	// Workspace is whose caller it was.
+	Workspace string `json:"workspace,omitempty"`
+	Hops      int    `json:"hops"`
+	Reason    string `json:"reason,omitempty"`
+	Revision  uint64 `json:"revision,omitempty"`
 
 	// Of a decision.
 	Decision   string        `json:"decision,omitempty"`
@@ -52,6 +54,13 @@
 	Left       time.Duration `json:"left,omitempty"`  // from the line to its deadline
 	Fresh      bool          `json:"fresh,omitempty"` // its caller's first try
 
+	// What one run takes of its workspace's quota, and what was left of it at this host
+	// and in its region, as it knew then.
+	Charge      float64       `json:"charge,omitempty"`
+	QuotaHere   float64       `json:"quota_here,omitempty"`
+	QuotaRegion float64       `json:"quota_region,omitempty"`
+	QuotaAge    time.Duration `json:"quota_age,omitempty"`
+
 	// Of an outcome.
 	Outcome string        `json:"outcome,omitempty"`
 	Step    string        `json:"step,omitempty"`
--- /dev/null
+++ b/process/quotas/ask.go
@@ -0,0 +1,133 @@
+package quotas
+
+import (
+	"context"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"vetchtrail"
+	"vetchtrail/request/quota"
+	"vetchtrail/schema"
+)
+
+const (
+	// shards is among how many hosts of a region the workspaces are divided, so that none
+	// of the narrow ones is asked for all.
+	shards = 4
+	// keepersAsked is how many hosts are asked in turn: the first may just have been lost.
+	keepersAsked = 2
+	// askTime bounds a question: hosts of a region are some milliseconds apart, and a
+	// narrow one takes some tens of milliseconds at a peak.
+	askTime = 150 * time.Millisecond
+	// lostTime is for how long a keeper that did not answer is asked nothing: by then the
+	// others know whether it lives.
+	lostTime = 2 * time.Second
+	// aloneTime is for how long a host uses its equal part after it reached no keeper.
+	aloneTime = 500 * time.Millisecond
+)
+
+// duty names the duty to keep the quotas of a shard of the workspaces.
+func duty(shard int) string { return "keep quotas " + strconv.Itoa(shard) }
+
+func shardOf(workspace string) int { return int(xxhash.Sum64String(workspace) % shards) }
+
+// granted asks the region's keepers in turn until one answers.
+func (q *Quotas) granted(a quota.Ask) (quota.Grant, bool) {
+	now := time.Now()
+	for _, h := range q.cfg.Hosts.RankedIn(q.cfg.Self.Region, duty(shardOf(a.Workspace)), keepersAsked, now) {
+		if h.Name == q.cfg.Self.Name {
+			return q.grant(q.cfg.Self.Name, a, now), true
+		}
+		if q.isLost(h.Name, now) {
+			continue
+		}
+		g, err := q.askHost(h, a)
+		if err == nil {
+			return g, true
+		}
+		q.setLost(h.Name, time.Now().Add(lostTime))
+		q.cfg.Log.Info("keeper of quotas not reached", "peer", h.Name, "workspace", a.Workspace, "error", err)
+	}
+	return quota.Grant{}, false
+}
+
+func (q *Quotas) askHost(h vetchtrail.Host, a quota.Ask) (quota.Grant, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), askTime)
+	defer cancel()
+	m, err := q.cfg.Peers.Grant(ctx, h.Peers, &schema.GrantRequest{
+		From: q.cfg.Self.Name, Workspace: a.Workspace, Least: a.Least, Want: a.Want, Asked: a.Asked, Spent: a.Spent,
+	})
+	if err != nil {
+		return quota.Grant{}, err
+	}
+	now := time.Now()
+	return quota.Grant{
+		Units: m.GetGranted(), Until: now.Add(time.Duration(m.GetFor())), Back: now.Add(time.Duration(m.GetBack())),
+		Left: m.GetLeft(), Age: time.Duration(m.GetAge()), Share: m.GetShare(),
+	}, nil
+}
+
+func (q *Quotas) isLost(host string, now time.Time) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return now.Before(q.lost[host])
+}
+
+func (q *Quotas) setLost(host string, until time.Time) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.lost[host] = until
+}
+
+// Granted answers another host.
+func (q *Quotas) Granted(m *schema.GrantRequest) *schema.GrantReply {
+	now := time.Now()
+	g := q.grant(m.GetFrom(), quota.Ask{Workspace: m.GetWorkspace(), Least: m.GetLeast(), Want: m.GetWant(), Asked: m.GetAsked(), Spent: m.GetSpent()}, now)
+	out := &schema.GrantReply{Granted: g.Units, Left: g.Left, Age: int64(g.Age), Share: g.Share}
+	if g.Units > 0 {
+		out.For = int64(g.Until.Sub(now))
+	} else {
+		out.Back = int64(g.Back.Sub(now))
+	}
+	return out
+}
+
+// grant answers as the keeper of the workspace's quota, by the configuration held here: a
+// workspace that it does not bound, or no longer, has nothing to grant.
+func (q *Quotas) grant(from string, a quota.Ask, now time.Time) quota.Grant {
+	bound := q.cfg.Rules().Quota(a.Workspace)
+	if !bound.Bounded() {
+		return quota.Grant{Back: now.Add(aloneTime)}
+	}
+	heard := q.cfg.Hosts.HeardPart(now)
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	k := q.keeper(a.Workspace)
+	k.used = now
+	if q.cfg.Way == WayTold {
+		return quota.Grant{Share: k.sharer.Share(from, a.Asked, bound, now), Age: k.Book.Age(now)}
+	}
+	return k.Grant(a, bound, q.cfg.Tolerance, heard, now)
+}
+
+// keeper returns what is kept for a workspace. The caller holds the lock.
+func (q *Quotas) keeper(workspace string) *kept {
+	k, ok := q.keepers[workspace]
+	if !ok {
+		keeper := quota.NewKeeper(q.cfg.Rules().RegionCount(), q.keeperSince(shardOf(workspace), time.Now()))
+		k = &kept{Keeper: *keeper, sharer: quota.NewSharer(keeper.Book)}
+		q.keepers[workspace] = k
+	}
+	return k
+}
+
+// keeperSince is since when this host has been the first of its region for a shard; now, if
+// it is not. The caller holds the lock.
+func (q *Quotas) keeperSince(shard int, now time.Time) time.Time {
+	if since := q.since[shard]; !since.IsZero() {
+		return since
+	}
+	return now
+}
--- a/process/settings/settings.go
+++ b/process/settings/settings.go
@@ -8,6 +8,8 @@
 	"fmt"
 	"net/netip"
 	"os"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -15,6 +17,7 @@
 
 	"vetchtrail"
 	"vetchtrail/connection/peer"
+	"vetchtrail/process/quotas"
 	"vetchtrail/request/policy"
 	"vetchtrail/version/document"
 )
@@ -38,6 +41,7 @@
 	Log         Log                    `yaml:"log"`
 	TLS         TLS                    `yaml:"tls"`
 	Retries     Retries                `yaml:"retries"`
+	Quotas      Quotas                 `yaml:"quotas"`
 }
 
 // Listen holds the daemon's own addresses.
@@ -86,6 +90,15 @@
 	Base   float64       `yaml:"base"`   // beside the share
 }
 
+// Quotas say how the workspaces' quotas are kept, and by how much the hosts together may
+// exceed one: in any window, (rate x window + burst) x (1 + overage) + slack.
+type Quotas struct {
+	Way     string        `yaml:"way"` // leased, told or equal
+	Window  time.Duration `yaml:"window"`
+	Overage float64       `yaml:"overage"`
+	Slack   float64       `yaml:"slack"` // units
+}
+
 // Translation maps a network's addresses to those it is reached under.
 type Translation struct {
 	From netip.Prefix `yaml:"from"`
@@ -170,6 +183,8 @@
 		// A host's own bound where none is set for all: a tenth, and a few that a
 		// quiet service starts with.
 		Retries: Retries{Window: 10 * time.Second, Share: 0.1, Base: 5},
+		// Without an operator's word nothing beyond a quota is allowed.
+		Quotas: Quotas{Way: quotas.WayLeased, Window: 10 * time.Second},
 		Platform: Platform{Kind: PlatformOwn, KnownWithin: defaultKnown, Weights: Weights{
 			Model: document.Weights{Tail: tailWeight, Away: awayWeight, Cost: costWeight, Read: readWeight},
 			Plain: document.Weights{Tail: tailWeight, Away: awayWeight},
@@ -234,6 +249,9 @@
 		{s.Limits.Memory < 0, "limits.memory", "is below 0 MB"},
 		{s.Retries.Window < time.Second, "retries.window", "must be 1s or more"},
 		{s.Retries.Share < 0 || s.Retries.Base < 0, "retries", "must not be below 0"},
+		{!slices.Contains(quotas.Ways, s.Quotas.Way), "quotas.way", "is not one of " + strings.Join(quotas.Ways, ", ")},
+		{s.Quotas.Window < time.Second, "quotas.window", "must be 1s or more"},
+		{!(s.Quotas.Overage >= 0) || !(s.Quotas.Slack >= 0), "quotas", "must not be below 0"},
 		{s.TLS.On() && s.TLS.PrivateNetwork, "tls.private_network", "can't stand beside keys"},
 		{!s.TLS.On() && !s.TLS.PrivateNetwork && s.Listen.Peers.IsValid() && !s.Listen.Peers.Addr().IsLoopback(), "listen.peers",
 			"must be a loopback address while tls is not set and tls.private_network is false: peers and operators would be unprotected"},
--- a/record.go
+++ b/record.go
@@ -16,7 +16,9 @@
 	Hops      int
 	Goal      time.Time // until when an answer is worth all it can be; zero: not said
 	Deadline  time.Time
-	Fresh     bool // a first try
+	Fresh     bool    // a first try
+	Charge    float64 // of its workspace's quota; 0: none
+	Quota     QuotaVerdict
 	Revision  uint64
 	Ended     bool // it tells how the request ended
 	Outcome   Outcome
--- a/request.go
+++ b/request.go
@@ -13,14 +13,17 @@
 	ID        string
 	Service   string
 	Kind      ServiceKind
-	Workspace string
-	Home      RegionID
-	Entry     RegionID  // region where the caller handed it in
-	Allowed   RegionSet // regions that may process it, as narrowed so far
-	Priority  int8
-	Deadline  time.Time // after it, nothing is started for the request
-	Hops      int       // times it was passed from host to host
-	Revision  uint64    // newest configuration that a host judged it by
+	Workspace string // whose caller it is
+	// Credential is the hash of the key that the caller showed, at the host where it
+	// came in; zero: none. Other hosts trust that host's word for the workspace.
+	Credential KeyHash
+	Home       RegionID
+	Entry      RegionID  // region where the caller handed it in
+	Allowed    RegionSet // regions that may process it, as narrowed so far
+	Priority   int8
+	Deadline   time.Time // after it, nothing is started for the request
+	Hops       int       // times it was passed from host to host
+	Revision   uint64    // newest configuration that a host judged it by
 
 	Method  string
 	Path    string // with the query
@@ -32,6 +35,11 @@
 	Repeats bool   // it may run twice without harm
 	Resume  StreamPosition
 
+	// Charge is what one run of it takes of its workspace's quota, where there is one, and
+	// Quota the answer to it.
+	Charge float64
+	Quota  QuotaVerdict
+
 	// The rest is set for requests that belong to a route.
 	Route        string
 	Attempts     int          // endpoints it may be sent to
--- a/request/dispatch/dispatch.go
+++ b/request/dispatch/dispatch.go
@@ -30,12 +30,14 @@
 
 // Statuses of answers that are the system's own.
 const (
-	statusBadRequest  = 400
-	statusForbidden   = 403
-	statusNotFound    = 404
-	statusConflict    = 409
-	statusBadGateway  = 502
-	statusUnavailable = 503
+	statusBadRequest   = 400
+	statusUnauthorized = 401
+	statusForbidden    = 403
+	statusNotFound     = 404
+	statusConflict     = 409
+	statusTooMany      = 429
+	statusBadGateway   = 502
+	statusUnavailable  = 503
 )
 
 // Config is what a Dispatcher needs.
@@ -51,6 +53,7 @@
 	Journal    vetchtrail.Recorder
 	Seed       uint64 // of the random choices
 	Budget     budget.Config
+	Quotas     vetchtrail.Quotas     // nil: workspaces have none
 	Off        vetchtrail.Mechanisms // that are not used
 }
 
@@ -93,6 +96,13 @@
 	return o
 }
 
+// Rejected notes a request whose caller did not show a workspace: nothing is done for it.
+func (d *Dispatcher) Rejected(r *vetchtrail.Request, o vetchtrail.Outcome) {
+	o.Peer = d.cfg.Self.Name
+	d.cfg.Journal.Note(vetchtrail.Record{At: time.Now(), Request: r.ID, Route: r.Route, Ended: true, Outcome: o})
+	count(r, o, 0)
+}
+
 func (d *Dispatcher) run(ctx context.Context, r *vetchtrail.Request, a vetchtrail.Answer) vetchtrail.Outcome {
 	if r.Hops > 0 && r.Route != "" && d.cfg.Membership.Self().State == vetchtrail.HostLeaving {
 		// Its stream could outlast this host; who sent it hears late of the stop.
@@ -114,9 +124,14 @@
 // what the host that sent it allowed.
 func (d *Dispatcher) judge(r *vetchtrail.Request) (vetchtrail.Outcome, bool) {
 	now := d.cfg.Rules()
-	j, ok := judgement(now, r)
-	if !ok {
-		return d.refusal(vetchtrail.StepDecide, unknownTo(r), time.Time{}), false
+	if r.Credential != (vetchtrail.KeyHash{}) {
+		if holder, ok := now.Holder(r.Credential); !ok || holder != r.Workspace {
+			return d.refusal(vetchtrail.StepDecide, vetchtrail.ReasonUnknownKey, time.Time{}), false
+		}
+	}
+	j, why := judgement(now, r)
+	if why != "" {
+		return d.refusal(vetchtrail.StepDecide, why, time.Time{}), false
 	}
 	r.Home, r.Priority = j.Home, j.Priority
 	if r.Hops == 0 {
@@ -130,20 +145,17 @@
 	return vetchtrail.Outcome{}, true
 }
 
-// judgement is what rules say of a request, by its route or its service.
-func judgement(held *rules.Rules, r *vetchtrail.Request) (rules.Judgement, bool) {
+// judgement is what rules say of a request, by its route or its service, or why it may
+// not run.
+func judgement(held *rules.Rules, r *vetchtrail.Request) (rules.Judgement, vetchtrail.Reason) {
 	if r.Route != "" {
-		return held.JudgeRoute(r.Route, r.Service, r.Entry)
+		return held.JudgeRoute(r.Route, r.Service, r.Workspace, r.Entry)
 	}
-	return held.Judge(r.Service, r.Workspace, r.Entry)
-}
-
-// unknownTo says what the rules lack of a request.
-func unknownTo(r *vetchtrail.Request) vetchtrail.Reason {
-	if r.Route != "" {
-		return vetchtrail.ReasonNoRoute
+	j, ok := held.Judge(r.Service, r.Workspace, r.Entry)
+	if !ok {
+		return j, vetchtrail.ReasonNoService
 	}
-	return vetchtrail.ReasonNoService
+	return j, ""
 }
 
 // Guard is asked just before the first byte of a request leaves for an
@@ -154,9 +166,9 @@
 		return vetchtrail.ReasonDeadline
 	}
 	newest := d.cfg.Rules()
-	j, ok := judgement(newest, r)
+	j, why := judgement(newest, r)
 	g, known := newest.Region(e.Region)
-	if !ok || !known || !(j.Allowed & r.Allowed).Has(g.ID) {
+	if why != "" || !known || !(j.Allowed & r.Allowed).Has(g.ID) {
 		return vetchtrail.ReasonResidency
 	}
 	if _, usable := d.cfg.Table.Endpoint(e.Name, now); !usable && r.Resume.Endpoint == "" {
@@ -196,12 +208,18 @@
 	if r.Hops == 0 {
 		d.budget(r.Service).Earn(time.Now())
 	}
+	c := d.charge(r)
+	defer c.settle()
 	for n := 1; ; n++ {
+		if o, ok := c.pay(ctx, n); !ok {
+			return d.end(t.total(o), a)
+		}
 		p, o, ok := d.place(ctx, r, t, n)
 		if !ok {
 			return d.end(t.total(o), a)
 		}
 		o = d.try(ctx, r, p, a)
+		c.used(o)
 		r.Fresh = false // it has used its time: a stream that began goes on, late or not
 		o.Begun = o.Begun || r.Begun
 		if o.Kind == vetchtrail.Answered {
@@ -314,7 +332,7 @@
 // asSeenHere words the refusal of a host whose configuration is another one:
 // by the one held here the request is proper.
 func asSeenHere(o vetchtrail.Outcome) vetchtrail.Outcome {
-	if o.Kind == vetchtrail.NotRun && (o.Status == statusNotFound || o.Status == statusForbidden) {
+	if o.Kind == vetchtrail.NotRun && (o.Status == statusNotFound || o.Status == statusForbidden || o.Status == statusUnauthorized) {
 		o.Status, o.RetryAt = statusUnavailable, time.Now().Add(minBack)
 	}
 	return o
@@ -328,6 +346,14 @@
 		o.Status = statusNotFound
 	case vetchtrail.ReasonResidency:
 		o.Status = statusForbidden
+	case vetchtrail.ReasonUnknownKey, vetchtrail.ReasonNoWorkspace:
+		o.Status = statusUnauthorized
+	case vetchtrail.ReasonNoHome:
+		// The operators' configuration contradicts itself: no region may run what its
+		// caller rightly asks for, until they mend it.
+		o.Status = statusUnavailable
+	case vetchtrail.ReasonQuota:
+		o.Status = statusTooMany
 	case vetchtrail.ReasonDeadline:
 		o.Status = statusUnavailable // as 504 would leave open whether it ran
 	default:
--- a/request/dispatch/place.go
+++ b/request/dispatch/place.go
@@ -175,6 +175,6 @@
 	d.cfg.Journal.Note(vetchtrail.Record{
 		At: time.Now(), Request: r.ID, Service: r.Service, Route: r.Route, Prompt: r.PromptTokens(), Workspace: r.Workspace,
 		Home: d.cfg.Rules().RegionName(r.Home), Decision: dec, Attempt: attempt, Hops: r.Hops, Revision: r.Revision,
-		Goal: r.Goal, Deadline: r.Deadline, Fresh: r.Fresh,
+		Goal: r.Goal, Deadline: r.Deadline, Fresh: r.Fresh, Charge: r.Charge, Quota: r.Quota,
 	})
 }
--- a/request/quota/keeper.go
+++ b/request/quota/keeper.go
@@ -22,6 +22,7 @@
 	Back  time.Time     // without units: when there is room
 	Left  float64       // in the region
 	Age   time.Duration // of what the region knows of the others; negative: nothing
+	Share float64       // units a second, where hosts are told shares (Told)
 }
 
 // grantTime is how long granted units may be used. What a host that is lost held is lost
--- a/request/quota/sim_test.go
+++ b/request/quota/sim_test.go
@@ -119,7 +119,7 @@
 	if s.broken == "a keeper begins with a full bucket" {
 		since = since.Add(-time.Hour)
 	}
-	h.keeper, h.sharer = NewKeeper(3, since), NewSharer(3)
+	h.keeper, h.sharer = NewKeeper(3, since), NewSharer(NewBook(3))
 }
 
 func (s *sim) after(d time.Duration, do func()) {
--- a/request/quota/told.go
+++ b/request/quota/told.go
@@ -15,10 +15,8 @@
 	total Demand
 }
 
-// NewSharer returns a sharer that knows nothing.
-func NewSharer(regions int) *Sharer {
-	return &Sharer{Book: NewBook(regions), hosts: map[string]*Demand{}}
-}
+// NewSharer returns a sharer that knows no host.
+func NewSharer(b *Book) *Sharer { return &Sharer{Book: b, hosts: map[string]*Demand{}} }
 
 // Demand returns the units a second that the region's callers ask for.
 func (s *Sharer) Demand(now time.Time) float64 { return s.total.Rate(now) }
@@ -36,11 +34,11 @@
 	for _, other := range s.hosts {
 		sum += other.Rate(now)
 	}
-	if own := d.Rate(now); sum <= part {
-		return own + (part-sum)/float64(len(s.hosts))
-	} else {
+	own := d.Rate(now)
+	if sum > part {
 		return part * own / sum
 	}
+	return own + (part-sum)/float64(len(s.hosts))
 }
 
 const (
--- a/route.go
+++ b/route.go
@@ -22,6 +22,7 @@
 	Homes     []string // regions that may process its requests; empty: all
 	Sticky    bool     // requests name the parts of their prompts
 	Resumable bool     // a stream may go on at another endpoint
+	Keyed     bool     // its callers must show the key of a workspace
 }
 
 // Repeats says whether a request of the route may run more than once.
--- a/scenario/commands_test.go
+++ b/scenario/commands_test.go
@@ -115,6 +115,10 @@
 	}
 	cmd := exec.Command(filepath.Join(binaries, "vetchtrail"), append([]string{"--daemon", h.Listen.Peers.String()}, args...)...)
 	cmd.Dir = ts.MkAbs(".")
+	if in, err := os.Open(ts.MkAbs("in")); err == nil { // a key for the tool to read
+		defer func() { _ = in.Close() }()
+		cmd.Stdin = in
+	}
 	out, err := cmd.CombinedOutput()
 	return string(out), err
 }
@@ -155,6 +159,7 @@
 	a := client.Ask{
 		Host: h.Listen.Callers, Service: s.d.Spec.Model.Name, Workspace: o["workspace"], Prompt: o["prompt"], Tokens: o.number("tokens", 8),
 		Stream: o["stream"] == "true", Key: o["key"], Timeout: timeout, Window: o.number("window", 0), StopAfter: o.number("stop", 0),
+		Credential: o["credential"],
 	}
 	if v, ok := o["service"]; ok {
 		a.Service = v
--- a/schema/convert.go
+++ b/schema/convert.go
@@ -72,10 +72,7 @@
 	case vetchtrail.PutEndpoint:
 		return &Edit{Edit: &Edit_PutEndpoint{PutEndpoint: fromEndpoint(e.Endpoint)}}
 	case vetchtrail.PutWorkspace:
-		return &Edit{Edit: &Edit_PutWorkspace{PutWorkspace: &Workspace{
-			Name: e.Workspace.Name, Home: e.Workspace.Home, Allowed: e.Workspace.Allowed,
-			Priority: int32(e.Workspace.Priority),
-		}}}
+		return &Edit{Edit: &Edit_PutWorkspace{PutWorkspace: fromWorkspace(e.Workspace)}}
 	case vetchtrail.PutRoute:
 		return &Edit{Edit: &Edit_PutRoute{PutRoute: fromRoute(e.Route)}}
 	case vetchtrail.DrainEndpoint:
@@ -102,10 +99,8 @@
 		end, err := toEndpoint(e.PutEndpoint)
 		return vetchtrail.PutEndpoint{Endpoint: end}, err
 	case *Edit_PutWorkspace:
-		w := e.PutWorkspace
-		return vetchtrail.PutWorkspace{Workspace: vetchtrail.Workspace{
-			Name: w.GetName(), Home: w.GetHome(), Allowed: w.GetAllowed(), Priority: int8(w.GetPriority()),
-		}}, nil
+		w, err := toWorkspace(e.PutWorkspace)
+		return vetchtrail.PutWorkspace{Workspace: w}, err
 	case *Edit_PutRoute:
 		return vetchtrail.PutRoute{Route: toRoute(e.PutRoute)}, nil
 	case *Edit_DrainEndpoint:
@@ -120,7 +115,7 @@
 	m := &Route{
 		Name: r.Name, Host: r.Host, PathPrefix: r.PathPrefix, Kind: uint32(r.Kind), Attempts: int32(r.Attempts),
 		AnswerWithin: int64(r.AnswerWithin), Goal: int64(r.Goal), Rank: int32(r.Rank), Homes: r.Homes,
-		Sticky: r.Sticky, Resumable: r.Resumable,
+		Sticky: r.Sticky, Resumable: r.Resumable, Keyed: r.Keyed,
 	}
 	for _, t := range r.Targets {
 		m.Targets = append(m.Targets, &Target{Service: t.Service, Weight: int32(t.Weight)})
@@ -132,7 +127,7 @@
 	r := vetchtrail.Route{
 		Name: m.GetName(), Host: m.GetHost(), PathPrefix: m.GetPathPrefix(), Kind: vetchtrail.RouteKind(m.GetKind()),
 		Attempts: int(m.GetAttempts()), AnswerWithin: time.Duration(m.GetAnswerWithin()), Goal: time.Duration(m.GetGoal()),
-		Rank: int8(m.GetRank()), Homes: m.GetHomes(), Sticky: m.GetSticky(), Resumable: m.GetResumable(),
+		Rank: int8(m.GetRank()), Homes: m.GetHomes(), Sticky: m.GetSticky(), Resumable: m.GetResumable(), Keyed: m.GetKeyed(),
 	}
 	for _, t := range m.GetTargets() {
 		r.Targets = append(r.Targets, vetchtrail.Target{Service: t.GetService(), Weight: int(t.GetWeight())})
@@ -140,6 +135,33 @@
 	return r
 }
 
+func fromWorkspace(w vetchtrail.Workspace) *Workspace {
+	m := &Workspace{Name: w.Name, Home: w.Home, Allowed: w.Allowed, Priority: int32(w.Priority), Locked: w.Locked}
+	for _, k := range w.Keys {
+		m.KeyHashes = append(m.KeyHashes, k[:])
+	}
+	if w.Quota != (vetchtrail.Quota{}) {
+		m.Quota = &Quota{Rate: w.Quota.Rate, Burst: w.Quota.Burst, Unit: uint32(w.Quota.Unit), Plain: w.Quota.Plain}
+	}
+	return m
+}
+
+func toWorkspace(m *Workspace) (vetchtrail.Workspace, error) {
+	w := vetchtrail.Workspace{
+		Name: m.GetName(), Home: m.GetHome(), Allowed: m.GetAllowed(), Priority: int8(m.GetPriority()), Locked: m.GetLocked(),
+	}
+	for _, k := range m.GetKeyHashes() {
+		if len(k) != len(vetchtrail.KeyHash{}) {
+			return w, errors.Errorf("workspace %s: the hash of a key has %d bytes", m.GetName(), len(k))
+		}
+		w.Keys = append(w.Keys, vetchtrail.KeyHash(k))
+	}
+	if q := m.GetQuota(); q != nil {
+		w.Quota = vetchtrail.Quota{Rate: q.GetRate(), Burst: q.GetBurst(), Unit: vetchtrail.QuotaUnit(q.GetUnit()), Plain: q.GetPlain()}
+	}
+	return w, nil
+}
+
 func fromService(s vetchtrail.Service) *Service {
 	return &Service{
 		Name: s.Name, Kind: uint32(s.Kind), Allowed: s.Allowed,
--- a/service.go
+++ b/service.go
@@ -47,11 +47,3 @@
 	Cost float64 // on the seconds of engine time used
 	Read float64 // on the seconds of reading prompts that an endpoint doesn't hold
 }
-
-// Workspace is a caller's account: a workshop, a notary's office.
-type Workspace struct {
-	Name     string
-	Home     string   // region it belongs to; empty: where its request enters
-	Allowed  []string // narrows the service's regions; empty: does not
-	Priority int8     // higher goes first
-}
--- a/standin/client/client.go
+++ b/standin/client/client.go
@@ -60,6 +60,8 @@
 	LastID    string // resume after this event
 	Window    int    // seconds that the stream may be resumed
 	StopAfter int    // events after which to leave; 0: never
+	// Credential is the key of a workspace; empty: none is shown.
+	Credential string
 }
 
 // raw is the prompt as the engine sees it: the JSON of the message's content.
@@ -98,6 +100,9 @@
 	h := http.Header{}
 	h.Set("Content-Type", "application/json")
 	set(h, "X-Workspace", a.Workspace)
+	if a.Credential != "" {
+		h.Set("Authorization", "Bearer "+a.Credential)
+	}
 	set(h, "Idempotency-Key", a.Key)
 	set(h, "Last-Event-Id", a.LastID)
 	if a.Window > 0 {
--- a/version/document/document.go
+++ b/version/document/document.go
@@ -75,6 +75,7 @@
 	Homes        []string      `yaml:"homes,omitempty"`
 	Sticky       bool          `yaml:"sticky,omitempty"`
 	Resumable    bool          `yaml:"resumable,omitempty"`
+	Keyed        bool          `yaml:"keyed,omitempty"` // its callers must show a workspace's key
 }
 
 // Target is a service that takes a share of a route's requests.
@@ -83,14 +84,6 @@
 	Weight  int    `yaml:"weight"`
 }
 
-// Workspace is a workspace.
-type Workspace struct {
-	Name     string   `yaml:"name"`
-	Home     string   `yaml:"home,omitempty"`
-	Allowed  []string `yaml:"allowed,omitempty"`
-	Priority int8     `yaml:"priority,omitempty"`
-}
-
 // Parse reads a document. Unknown keys are errors that name the line.
 func Parse(text []byte) (Document, error) {
 	var d Document
@@ -107,6 +100,11 @@
 			return d, errors.Errorf("document.Parse: route %s: kind %q is not unsafe, safe or stream", d.Routes[i].Name, d.Routes[i].Kind)
 		}
 	}
+	for i := range d.Workspaces {
+		if err := d.Workspaces[i].check(); err != nil {
+			return d, err
+		}
+	}
 	return d, nil
 }
 
@@ -138,7 +136,7 @@
 		out = append(out, vetchtrail.PutRoute{Route: d.Routes[i].route()})
 	}
 	for _, w := range d.Workspaces {
-		out = append(out, vetchtrail.PutWorkspace{Workspace: vetchtrail.Workspace(w)})
+		out = append(out, vetchtrail.PutWorkspace{Workspace: w.workspace()})
 	}
 	return out
 }
@@ -162,7 +160,7 @@
 		case vetchtrail.PutRoute:
 			d.Routes = append(d.Routes, routeOf(e.Route))
 		case vetchtrail.PutWorkspace:
-			d.Workspaces = append(d.Workspaces, Workspace(e.Workspace))
+			d.Workspaces = append(d.Workspaces, OfWorkspace(e.Workspace))
 		}
 	}
 	return d
@@ -186,7 +184,7 @@
 	kind, _ := vetchtrail.ParseRouteKind(r.Kind)
 	out := vetchtrail.Route{
 		Name: r.Name, Host: r.Host, PathPrefix: r.PathPrefix, Kind: kind, Attempts: r.Attempts, AnswerWithin: r.AnswerWithin,
-		Goal: r.Goal, Rank: r.Rank, Homes: r.Homes, Sticky: r.Sticky, Resumable: r.Resumable,
+		Goal: r.Goal, Rank: r.Rank, Homes: r.Homes, Sticky: r.Sticky, Resumable: r.Resumable, Keyed: r.Keyed,
 	}
 	for _, t := range r.Targets {
 		out.Targets = append(out.Targets, vetchtrail.Target(t))
@@ -197,7 +195,7 @@
 func routeOf(r vetchtrail.Route) Route {
 	out := Route{
 		Name: r.Name, Host: r.Host, PathPrefix: r.PathPrefix, Kind: r.Kind.String(), Attempts: r.Attempts,
-		AnswerWithin: r.AnswerWithin, Goal: r.Goal, Rank: r.Rank, Homes: r.Homes, Sticky: r.Sticky, Resumable: r.Resumable,
+		AnswerWithin: r.AnswerWithin, Goal: r.Goal, Rank: r.Rank, Homes: r.Homes, Sticky: r.Sticky, Resumable: r.Resumable, Keyed: r.Keyed,
 	}
 	for _, t := range r.Targets {
 		out.Targets = append(out.Targets, Target(t))
--- a/version/rules/apply.go
+++ b/version/rules/apply.go
@@ -58,10 +58,11 @@
 	return &next
 }
 
-// builder makes the next rules; it copies each shard of workspaces once.
+// builder makes the next rules; it copies each shard of workspaces and keys once.
 type builder struct {
 	next   *Rules
 	copied [workspaceShards]bool
+	shown  [workspaceShards]bool // shards of keys that were copied
 }
 
 // edit applies one edit. It returns the item and what is wrong with it.
@@ -173,39 +174,6 @@
 	return ""
 }
 
-func (b *builder) putWorkspace(w vetchtrail.Workspace) string {
-	if p := nameProblem(w.Name); p != "" {
-		return p
-	}
-	set, unknown := b.set(w.Allowed)
-	if unknown != "" {
-		return "names the unknown region " + unknown
-	}
-	kept := workspace{allowed: set, home: noHome, priority: w.Priority}
-	if w.Home != "" {
-		g, ok := b.next.regions[w.Home]
-		if !ok {
-			return "names the unknown region " + w.Home
-		}
-		kept.home = uint8(g.ID)
-	}
-	b.shard(w.Name)[w.Name] = kept
-	return ""
-}
-
-// shard returns the map for a workspace, safe to write.
-func (b *builder) shard(name string) map[string]workspace {
-	i := shardOf(name)
-	if !b.copied[i] {
-		b.copied[i] = true
-		b.next.workspaces[i] = maps.Clone(b.next.workspaces[i])
-		if b.next.workspaces[i] == nil {
-			b.next.workspaces[i] = map[string]workspace{}
-		}
-	}
-	return b.next.workspaces[i]
-}
-
 func (b *builder) drain(e vetchtrail.DrainEndpoint) string {
 	end, ok := b.next.endpoints[e.Endpoint]
 	if !ok {
@@ -236,11 +204,7 @@
 		}
 		delete(b.next.routes, e.Name)
 	case vetchtrail.ItemWorkspace:
-		shard := b.shard(e.Name)
-		if _, ok := shard[e.Name]; !ok {
-			return "is unknown"
-		}
-		delete(shard, e.Name)
+		return b.removeWorkspace(e.Name)
 	default:
 		return "is of an unknown kind"
 	}
--- a/version/rules/route.go
+++ b/version/rules/route.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"maps"
+	"math"
 	"slices"
 	"strings"
 
@@ -49,14 +50,45 @@
 	return m.Targets[len(m.Targets)-1].Service
 }
 
-// JudgeRoute says where a request of a route may be processed by these rules.
-// Its service may have been taken from the route meanwhile: then it may not.
-func (r *Rules) JudgeRoute(name, service string, entry vetchtrail.RegionID) (Judgement, bool) {
+// JudgeRoute says where a request of a route may be processed by these rules, or why it
+// may not at all: its service may have been taken from the route meanwhile, and its
+// workspace from the configuration. The homes of route and workspace both bind. The
+// workspace's priority goes before the route's rank.
+func (r *Rules) JudgeRoute(name, service, workspaceName string, entry vetchtrail.RegionID) (Judgement, vetchtrail.Reason) {
 	t, ok := r.routes[name]
 	if !ok || !slices.ContainsFunc(t.Targets, func(x vetchtrail.Target) bool { return x.Service == service }) {
-		return Judgement{}, false
+		return Judgement{}, vetchtrail.ReasonNoRoute
 	}
-	return Judgement{Home: entry, Allowed: r.homesOf(&t), Priority: -t.Rank}, true
+	j := Judgement{Home: entry, Allowed: r.homesOf(&t), Priority: -t.Rank}
+	if workspaceName == "" && !t.Keyed {
+		return j, ""
+	}
+	w, ok := r.workspaces[shardOf(workspaceName)][workspaceName]
+	if !ok {
+		return Judgement{}, vetchtrail.ReasonNoWorkspace
+	}
+	if w.home != noHome {
+		j.Home = vetchtrail.RegionID(w.home)
+	}
+	if w.allowed != 0 && j.Allowed&w.allowed == 0 {
+		return Judgement{}, vetchtrail.ReasonNoHome
+	}
+	if w.allowed != 0 {
+		j.Allowed &= w.allowed
+	}
+	j.Priority = priorityOf(w.priority, t.Rank)
+	return j, ""
+}
+
+// ranks is how many ranks of routes are told apart within a workspace's priority. Routes
+// of lower ranks share the last: endpoints know ten urgencies for both together.
+const ranks = 3
+
+// priorityOf orders requests by their workspace's priority, and those of the same by their
+// route's rank.
+func priorityOf(workspace, rank int8) int8 {
+	p := int(workspace)*ranks - min(int(rank), ranks-1)
+	return int8(max(math.MinInt8, min(math.MaxInt8, p)))
 }
 
 // homesOf returns the regions that may process a route's requests. A home that
--- a/version/rules/rules.go
+++ b/version/rules/rules.go
@@ -6,18 +6,9 @@
 	"maps"
 	"slices"
 
-	"github.com/cespare/xxhash/v2"
-
 	"vetchtrail"
 )
 
-// workspaceShards is how many maps hold the workspaces, so that a change
-// copies one small map and not all of them.
-const workspaceShards = 256
-
-// noHome stands for a workspace without a home of its own.
-const noHome = vetchtrail.MaxRegions
-
 // Rules is the configuration at one revision. It never changes; Apply makes
 // the next.
 type Rules struct {
@@ -29,6 +20,8 @@
 	routes     map[string]vetchtrail.Route
 	paths      map[string][]path // by host name, longest prefix first
 	workspaces [workspaceShards]map[string]workspace
+	holders    [workspaceShards]map[vetchtrail.KeyHash]string // of keys
+	locked     int                                            // workspaces that need keys
 }
 
 // service is a service with its regions looked up.
@@ -37,13 +30,6 @@
 	allowed vetchtrail.RegionSet
 }
 
-// workspace is kept small: there are tens of thousands.
-type workspace struct {
-	allowed  vetchtrail.RegionSet // 0: does not narrow
-	home     uint8
-	priority int8
-}
-
 // Judgement is what the rules say of a request.
 type Judgement struct {
 	Home     vetchtrail.RegionID
@@ -73,6 +59,12 @@
 // RegionName returns the name of a region; empty if there is none.
 func (r *Rules) RegionName(id vetchtrail.RegionID) string { return r.names[id%vetchtrail.MaxRegions] }
 
+// RegionCount returns how many regions there are.
+func (r *Rules) RegionCount() int { return len(r.regions) }
+
+// RegionNames returns the names of the regions in their order.
+func (r *Rules) RegionNames() []string { return slices.Sorted(maps.Keys(r.regions)) }
+
 // RegionOf returns the region of a data centre.
 func (r *Rules) RegionOf(dataCentre string) (vetchtrail.Region, bool) {
 	for _, g := range r.regions {
@@ -140,8 +132,6 @@
 	return j, true
 }
 
-func shardOf(name string) int { return int(xxhash.Sum64String(name) % workspaceShards) }
-
 // Edits returns edits that make these rules from empty ones.
 func (r *Rules) Edits() []vetchtrail.Edit {
 	var out []vetchtrail.Edit
@@ -162,33 +152,3 @@
 	}
 	return out
 }
-
-// Workspaces returns all workspaces in the order of their names.
-func (r *Rules) Workspaces() []vetchtrail.Workspace {
-	var out []vetchtrail.Workspace
-	for _, shard := range r.workspaces {
-		for name, w := range shard {
-			out = append(out, r.expand(name, w))
-		}
-	}
-	slices.SortFunc(out, func(a, b vetchtrail.Workspace) int {
-		if a.Name < b.Name {
-			return -1
-		}
-		return 1
-	})
-	return out
-}
-
-func (r *Rules) expand(name string, w workspace) vetchtrail.Workspace {
-	out := vetchtrail.Workspace{Name: name, Priority: w.priority}
-	if w.home != noHome {
-		out.Home = r.names[w.home]
-	}
-	for id, region := range r.names {
-		if region != "" && w.allowed.Has(vetchtrail.RegionID(id)) {
-			out.Allowed = append(out.Allowed, region)
-		}
-	}
-	return out
-}
