Lists: a host that the platform turns away says so; a starting host asks all seeds at once

Cause, of two things.

The region's reader was turned away by the store, and the others took over by the age of the lists, one second after the other: over the bound with two such hosts before. 2.

Change: following, borrowing and being listed are a package of their own (process/lists) with its own lock. A host whose platform call fails, or waits for over 0.6 s, says so to who asks it; the next six read at once, and borrowers go on to the next host in the same round. Starting hosts ask all seeds at once each 60 ms, 400 ms each, for lists and configuration together.

TestKnownWithin (virtual time, 24 hosts, 40 runs of each; worst time until all hosts know): a third turned away 4.1 to 2.7 s, the first three silent 4.5 to 2.8 s, the first four refused 5.4 to 2.4 s, the first ends and a third is away 4.3 to 2.8 s. It fails with the rule before.

TestLending went with the type that it tested; the order of lenders is tested by TestKnownWithin and the cases of TestReads.

--- a/connection/peer/server.go
+++ b/connection/peer/server.go
@@ -29,7 +29,8 @@
 // Lister gives the platform's lists as they were last read; nil: never.
 type Lister interface {
 	Listing() *vetchtrail.Listing
-	Revision() uint64 // of the configuration held
+	Cut(now time.Time) bool // the platform does not answer this host
+	Revision() uint64       // of the configuration held
 }
 
 // Runner runs a forwarded request.
@@ -109,7 +110,7 @@
 	default:
 		m = schema.FromListing(l, time.Now())
 	}
-	m.Configuration = s.cfg.Lister.Revision()
+	m.Configuration, m.Cut = s.cfg.Lister.Revision(), s.cfg.Lister.Cut(time.Now())
 	return m, nil
 }
 
--- a/feed.go
+++ b/feed.go
@@ -27,6 +27,10 @@
 	Pace() time.Duration
 	// WatchesConfiguration says whether configurations are to be waited for beside it.
 	WatchesConfiguration() bool
+	// Asking tells that a call of the platform begins, and Answered whether it was answered:
+	// other hosts read the lists for one that the platform turns away.
+	Asking(now time.Time)
+	Answered(ok bool)
 	// Listing returns the lists that the host holds, its own or a peer's; nil: none.
 	Listing() *Listing
 }
--- a/process/daemon/daemon.go
+++ b/process/daemon/daemon.go
@@ -22,6 +22,7 @@
 	"vetchtrail/connection/peer"
 	"vetchtrail/connection/store"
 	"vetchtrail/process/journal"
+	"vetchtrail/process/lists"
 	"vetchtrail/process/load"
 	"vetchtrail/process/membership"
 	"vetchtrail/process/poll"
@@ -83,7 +84,7 @@
 	journal    *journal.Journal
 	dispatcher *dispatch.Dispatcher
 	quotas     *quotas.Quotas
-	newest     newest
+	lists      *lists.Lists
 	peers      *peer.Client
 	callers    *caller.Server
 	poller     *poll.Poller
@@ -92,10 +93,6 @@
 	hosted     *Hosted     // nil: the project's own log and list
 	directory  Directory
 	endpoints  *endpoint.Caller
-	listing    atomic.Pointer[vetchtrail.Listing]
-	listed     sync.Mutex                // guards steps of listing
-	tookOver   atomic.Pointer[time.Time] // when this host began to read the lists for another; nil: never
-	born       time.Time
 	timing     atomic.Pointer[settings.Timing]
 	inForce    atomic.Uint64 // revision that all parts of the host hold; what others are told
 
@@ -105,7 +102,7 @@
 
 // New puts a daemon together. It does not listen yet.
 func New(c Config) (*Daemon, error) {
-	d := &Daemon{set: c.Settings, log: c.Log, table: load.New(), hosted: c.Hosted, born: time.Now(), leave: make(chan struct{})}
+	d := &Daemon{set: c.Settings, log: c.Log, table: load.New(), hosted: c.Hosted, leave: make(chan struct{})}
 	d.table.SwitchOff(vetchtrail.MechanismsOf(d.set.SwitchedOff...))
 	d.timing.Store(&d.set.Timing)
 	d.log = c.Log.With("host", c.Settings.Host)
@@ -125,6 +122,10 @@
 	if err := d.newTLS(); err != nil {
 		return nil, err
 	}
+	d.lists = lists.New(lists.Config{
+		Self: d.self, Seeds: d.set.Seeds, KnownWithin: d.set.Platform.KnownWithin, Hosts: d.membership, Peers: d.peers,
+		Configuration: configuration{d}, Taken: d.taken, Log: d.log,
+	})
 	if err := d.newRequests(); err != nil {
 		return nil, err
 	}
@@ -133,7 +134,7 @@
 	})
 	var err error
 	d.server, err = peer.NewServer(peer.ServerConfig{
-		Membership: d.membership, Changes: d.changes, Lister: d, Runner: d.dispatcher, Quotas: d.quotas, Operators: &operators{d: d},
+		Membership: d.membership, Changes: d.changes, Lister: lister{d.lists, d.changes}, Runner: d.dispatcher, Quotas: d.quotas, Operators: &operators{d: d},
 	})
 	return d, err
 }
--- a/process/daemon/hosted.go
+++ b/process/daemon/hosted.go
@@ -8,8 +8,10 @@
 	"github.com/sourcegraph/conc"
 
 	"vetchtrail"
+	"vetchtrail/process/lists"
 	"vetchtrail/process/load"
 	"vetchtrail/schema"
+	"vetchtrail/version/changelog"
 )
 
 // coldHosts is how many hosts of a region share what a cold endpoint bears,
@@ -39,10 +41,10 @@
 			}
 		}()
 	}
-	duties.Go(func() { d.hosted.Feed(d).Run(ctx, hostedSink{d}) })
-	duties.Go(func() { d.hosted.Registry.Register(ctx, d.membership.Self(), d.registers) })
+	duties.Go(func() { d.hosted.Feed(d.lists).Run(ctx, hostedSink{d}) })
+	duties.Go(func() { d.hosted.Registry.Register(ctx, d.membership.Self(), d.lists.Registers) })
 	duties.Go(func() { d.placeOn(ctx) })
-	duties.Go(func() { d.borrow(ctx) })
+	duties.Go(func() { d.lists.Run(ctx) })
 	return nil
 }
 
@@ -67,28 +69,48 @@
 }
 
 // Listed implements vetchtrail.Sink.
-func (s hostedSink) Listed(l vetchtrail.Listing) { s.d.take(l) }
-
-// take takes lists of the platform unless newer ones are held: those of a peer
-// may be newer than what this host's feed read before the platform turned it
-// away.
-func (d *Daemon) take(l vetchtrail.Listing) {
-	d.listed.Lock()
-	held := d.listing.Load()
-	newer := held == nil || l.Seen >= held.Seen
-	if newer {
-		d.listing.Store(&l)
-		d.membership.SetListed(l.Hosts)
-	}
-	d.listed.Unlock()
-	if newer {
-		d.place(time.Now())
-	}
+func (s hostedSink) Listed(l vetchtrail.Listing) { s.d.lists.Take(l) }
+
+// configuration is the configuration held, as the lists take newer ones from other hosts.
+type configuration struct{ d *Daemon }
+
+// Revision implements lists.Configuration.
+func (c configuration) Revision() uint64 { return c.d.changes.Revision() }
+
+// Learned implements lists.Configuration.
+func (c configuration) Learned(reply *schema.ChangesReply) error { return c.d.learn(reply) }
+
+// lister answers other hosts that ask for what the platform lists.
+type lister struct {
+	*lists.Lists
+	changes *changelog.Log
+}
+
+// Revision implements peer.Lister.
+func (l lister) Revision() uint64 { return l.changes.Revision() }
+
+// taken places the endpoints of lists that were taken.
+func (d *Daemon) taken() {
+	d.place(time.Now())
 	d.readyWhenHeld()
 }
 
-// Listing implements peer.Lister and vetchtrail.Following.
-func (d *Daemon) Listing() *vetchtrail.Listing { return d.listing.Load() }
+// refresh looks for a newer configuration, and says whether the one held is the newest as
+// far as this host can know.
+func (d *Daemon) refresh(ctx context.Context) bool {
+	if d.hosted != nil {
+		return d.lists.Refresh(ctx)
+	}
+	h, ahead := d.membership.Ahead(time.Now())
+	if !ahead {
+		return true
+	}
+	if err := d.pullFrom(ctx, h); err != nil {
+		d.log.Info("newer configuration not pulled", "peer", h.Name, "error", err)
+		return false
+	}
+	return true
+}
 
 // placeOn places the endpoints again now and then.
 func (d *Daemon) placeOn(ctx context.Context) {
@@ -102,7 +124,7 @@
 // place gives the endpoints that this host may call to the table: those of its
 // region.
 func (d *Daemon) place(now time.Time) {
-	l := d.listing.Load()
+	l := d.lists.Listing()
 	if l == nil {
 		d.inForce.Store(d.changes.Revision())
 		return
@@ -141,9 +163,9 @@
 // readyWhenHeld makes a starting host ready once it holds a configuration and
 // knows endpoints.
 func (d *Daemon) readyWhenHeld() {
-	if d.membership.Self().State != vetchtrail.HostStarting || d.changes.Revision() == 0 || d.listing.Load() == nil {
+	if d.membership.Self().State != vetchtrail.HostStarting || d.changes.Revision() == 0 || d.lists.Listing() == nil {
 		return
 	}
 	d.membership.SetState(vetchtrail.HostReady)
-	d.log.Info("ready", "revision", d.changes.Revision(), "listing", d.listing.Load().Revision)
+	d.log.Info("ready", "revision", d.changes.Revision(), "listing", d.lists.Listing().Revision)
 }
--- a/process/daemon/follow.go
+++ b/process/lists/follow.go
@@ -1,10 +1,6 @@
-package daemon
+package lists
 
-import (
-	"time"
-
-	"github.com/cespare/xxhash/v2"
-)
+import "time"
 
 // followDuty names the duty to follow the platform: the calls of all hosts together are
 // limited and priced, so one host of a region reads the lists, and the others ask it.
@@ -20,6 +16,9 @@
 	takeoverStep = time.Second
 	// takeoverHeld is how long a host that took over goes on reading.
 	takeoverHeld = 5 * time.Second
+	// cutFan is how many hosts read for each one before them that is known to be turned
+	// away: where a third of the hosts is, one in 500 times all six are.
+	cutFan = 6
 	// pacePart is the part of the time within which an endpoint that leaves has to be
 	// known everywhere that passes between two readings; the rest is for the way to the
 	// other hosts and for a takeover. With 0.24, which is 1.2 s instead of 2 s, 0.2 in 100
@@ -29,6 +28,9 @@
 	// itself for the first of its region: heartbeats reach some hundred hosts in four
 	// rounds, of which those that are introduced take two more.
 	settleTime = 4 * time.Second
+	// youngSteps is over how many steps hosts in their first seconds are spread that take
+	// over: they can't rank themselves.
+	youngSteps = 3
 	// unlentAfter is how long a starting host asks its seeds for lists before it reads the
 	// platform's itself, and unlentSpread the time over which such hosts are spread, so
 	// that the first can lend to the others.
@@ -46,6 +48,7 @@
 	pace       time.Duration // between two readings of one host
 	region     int           // hosts of its region that go before it
 	dataCentre int           // and of its data centre
+	cut        int           // of those of its region, that are known to be turned away by the platform
 	took       time.Duration // since it took over; negative: it has not
 }
 
@@ -57,9 +60,9 @@
 	case f.took >= 0 && f.took < takeoverHeld:
 		return true
 	case f.since < settleTime:
-		return f.seed || f.overdue(1+f.spread*lenders)
-	case f.region == 0:
-		return true
+		return f.seed || f.overdue(1+f.spread*youngSteps)
+	case f.region <= f.cut*cutFan:
+		return true // the first, or one of the next after those that are turned away
 	}
 	return f.overdue(float64(f.dataCentre))
 }
@@ -70,61 +73,64 @@
 }
 
 // following returns what decides on this host's part now.
-func (d *Daemon) following(now time.Time) following {
+func (l *Lists) following(now time.Time) following {
 	f := following{
-		seed: d.isSeed(), since: now.Sub(d.born), spread: d.spread(), pace: d.Pace(), took: -1,
+		seed: l.isSeed(), since: now.Sub(l.born), spread: l.spread(), pace: l.Pace(), took: -1,
 	}
-	if held := d.listing.Load(); held != nil {
+	if held := l.held.Load(); held != nil {
 		f.held, f.age = true, now.Sub(held.At)
 	}
-	f.region, f.dataCentre = d.membership.Rank(followDuty, now)
-	if at := d.tookOver.Load(); at != nil {
+	f.region, f.dataCentre = l.cfg.Hosts.Rank(followDuty, now)
+	f.cut = l.cutBefore(f.region, now)
+	if at := l.tookOver.Load(); at != nil {
 		f.took = now.Sub(*at)
 	}
 	return f
 }
 
+// cutBefore returns how many of the first hosts of the region, as many as go before this
+// one, are known to be turned away by the platform.
+func (l *Lists) cutBefore(before int, now time.Time) int {
+	n := 0
+	for _, h := range l.cfg.Hosts.Ranked(followDuty, min(before, lenders), now) {
+		if l.isCut(h.Name, now) {
+			n++
+		}
+	}
+	return n
+}
+
+func (l *Lists) isCut(host string, now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return now.Before(l.cut[host])
+}
+
 // Reads implements vetchtrail.Following. A host that is not first in its region and begins
 // to read takes over for a while, which it notes.
-func (d *Daemon) Reads() bool {
+func (l *Lists) Reads() bool {
 	now := time.Now()
-	f := d.following(now)
+	f := l.following(now)
 	if !f.reads() {
 		return false
 	}
 	if f.region > 0 && f.since >= settleTime && (f.took < 0 || f.took >= takeoverHeld) {
-		d.tookOver.Store(&now)
-		d.log.Info("reading the platform's lists for another host", "age", f.age, "before_in_region", f.region, "before_in_data_centre", f.dataCentre)
+		l.tookOver.Store(&now)
+		l.cfg.Log.Info("reading the platform's lists for another host", "age", f.age, "before_in_region", f.region, "before_in_data_centre", f.dataCentre, "turned_away", f.cut)
 	}
 	return true
 }
 
 // WatchesConfiguration implements vetchtrail.Following: a second host of the region waits
 // for configurations, so that the loss of the one that reads all delays none.
-func (d *Daemon) WatchesConfiguration() bool {
+func (l *Lists) WatchesConfiguration() bool {
 	now := time.Now()
-	before, _ := d.membership.Rank(followDuty, now)
-	return before == 1 && now.Sub(d.born) >= settleTime
-}
-
-// isSeed says whether this host is one that settings of hosts name as a seed.
-func (d *Daemon) isSeed() bool {
-	for _, s := range d.set.Seeds {
-		if s == d.set.Listen.Peers {
-			return true
-		}
-	}
-	return len(d.set.Seeds) == 0
-}
-
-// spread is this host's own part of a time over which hosts are spread, 0 to 1.
-func (d *Daemon) spread() float64 {
-	const steps = 1 << 16
-	return float64(xxhash.Sum64String("spread "+d.set.Host)%steps) / steps
+	before, _ := l.cfg.Hosts.Rank(followDuty, now)
+	return before == 1 && now.Sub(l.born) >= settleTime
 }
 
 // Pace implements vetchtrail.Following: a part of the time within which an endpoint that
 // leaves has to be known everywhere.
-func (d *Daemon) Pace() time.Duration {
-	return time.Duration(pacePart * float64(d.set.Platform.KnownWithin))
+func (l *Lists) Pace() time.Duration {
+	return time.Duration(pacePart * float64(l.cfg.KnownWithin))
 }
--- /dev/null
+++ b/process/lists/lists.go
@@ -0,0 +1,134 @@
+// Package lists holds what a hosted platform lists, endpoints and hosts, and decides which
+// hosts ask the platform for it. The others ask those. It lives for the process.
+package lists
+
+import (
+	"context"
+	"log/slog"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"vetchtrail"
+	"vetchtrail/schema"
+)
+
+// Hosts is what the lists need to know of the other hosts.
+type Hosts interface {
+	// Rank returns how many live hosts of the region, and of the data centre, go before
+	// this one for a duty.
+	Rank(duty string, now time.Time) (region, dataCentre int)
+	// Ranked returns the first n of the other live hosts of the region for a duty.
+	Ranked(duty string, n int, now time.Time) []vetchtrail.Host
+	// Ahead returns a host that said to hold a newer configuration.
+	Ahead(now time.Time) (vetchtrail.Host, bool)
+	SetListed(hosts []vetchtrail.Host)
+}
+
+// Peers is how other hosts are asked.
+type Peers interface {
+	List(ctx context.Context, addr netip.AddrPort, revision uint64) (*schema.Listing, error)
+	Changes(ctx context.Context, addr netip.AddrPort, from uint64) (*schema.ChangesReply, error)
+}
+
+// Configuration is what is held of the configuration.
+type Configuration interface {
+	Revision() uint64
+	// Learned takes what another host told.
+	Learned(reply *schema.ChangesReply) error
+}
+
+// Config is what Lists need.
+type Config struct {
+	Self  vetchtrail.Host
+	Seeds []netip.AddrPort // peers of some hosts
+	// KnownWithin is the time in which all hosts must know of an endpoint that leaves.
+	KnownWithin   time.Duration
+	Hosts         Hosts
+	Peers         Peers
+	Configuration Configuration
+	Taken         func() // lists or a configuration were taken; it may be called by many
+	Log           *slog.Logger
+}
+
+// Lists is what the platform lists, as this host holds it. It is a vetchtrail.Following.
+type Lists struct {
+	cfg      Config
+	born     time.Time
+	held     atomic.Pointer[vetchtrail.Listing]
+	tookOver atomic.Pointer[time.Time] // when this host began to read for another; nil: never
+	platform contact
+	newest   newest
+	asking   atomic.Int64 // questions of a starting host that are under way
+
+	mu    sync.Mutex           // guards steps of held and what follows
+	cut   map[string]time.Time // until when a host is taken to be turned away by the platform, by name
+	unmet map[string]time.Time // until when a host that did not answer is not asked
+}
+
+// New returns lists that hold nothing.
+func New(c Config) *Lists {
+	return &Lists{cfg: c, born: time.Now(), cut: map[string]time.Time{}, unmet: map[string]time.Time{}}
+}
+
+// Listing returns the lists held; nil: none.
+func (l *Lists) Listing() *vetchtrail.Listing { return l.held.Load() }
+
+// Take takes lists unless newer ones are held: those of a peer may be newer than what this
+// host's feed read before the platform turned it away.
+func (l *Lists) Take(in vetchtrail.Listing) {
+	l.mu.Lock()
+	held := l.held.Load()
+	newer := held == nil || in.Seen >= held.Seen
+	if newer {
+		l.held.Store(&in)
+		l.cfg.Hosts.SetListed(in.Hosts)
+	}
+	l.mu.Unlock()
+	l.cfg.Taken()
+}
+
+// contact is whether the platform answers this host.
+type contact struct {
+	asking atomic.Int64 // since when a call waits, Unix nanoseconds; 0: none does
+	failed atomic.Bool  // the last call was not answered
+}
+
+// lateAnswer is how long a call of the platform may wait before this host is taken to be
+// turned away by it: with a dozen endpoints that write each second some change is there in
+// a tenth of a second, and others can be asked meanwhile.
+const lateAnswer = 600 * time.Millisecond
+
+// Asking implements vetchtrail.Following.
+func (l *Lists) Asking(now time.Time) { l.platform.asking.Store(now.UnixNano()) }
+
+// Answered implements vetchtrail.Following.
+func (l *Lists) Answered(ok bool) {
+	l.platform.asking.Store(0)
+	l.platform.failed.Store(!ok)
+}
+
+// Cut says whether the platform does not answer this host.
+func (l *Lists) Cut(now time.Time) bool {
+	since := l.platform.asking.Load()
+	return l.platform.failed.Load() || (since != 0 && now.Sub(time.Unix(0, since)) > lateAnswer)
+}
+
+// spread is this host's own part of a time over which hosts are spread, 0 to 1.
+func (l *Lists) spread() float64 {
+	const steps = 1 << 16
+	return float64(xxhash.Sum64String("spread "+l.cfg.Self.Name)%steps) / steps
+}
+
+// isSeed says whether this host is one that settings of hosts name as a seed.
+func (l *Lists) isSeed() bool {
+	for _, s := range l.cfg.Seeds {
+		if s == l.cfg.Self.Peers {
+			return true
+		}
+	}
+	return len(l.cfg.Seeds) == 0
+}
--- a/process/daemon/newest.go
+++ b/process/lists/newest.go
@@ -1,4 +1,4 @@
-package daemon
+package lists
 
 import (
 	"context"
@@ -26,37 +26,34 @@
 	current bool
 }
 
-// refresh looks for a configuration that is newer than the one held, and says whether the
+// Refresh looks for a configuration that is newer than the one held, and says whether the
 // one held then is the newest as far as the host can know. Many may ask at once: one look
 // serves all.
-func (d *Daemon) refresh(ctx context.Context) bool {
-	d.newest.mu.Lock()
-	defer d.newest.mu.Unlock()
-	if time.Since(d.newest.looked) < newestEvery {
-		return d.newest.current
+func (l *Lists) Refresh(ctx context.Context) bool {
+	l.newest.mu.Lock()
+	defer l.newest.mu.Unlock()
+	if time.Since(l.newest.looked) < newestEvery {
+		return l.newest.current
 	}
-	d.newest.current = d.lookForNewest(ctx)
-	d.newest.looked = time.Now()
-	return d.newest.current
+	l.newest.current = l.lookForNewest(ctx)
+	l.newest.looked = time.Now()
+	return l.newest.current
 }
 
 // lookForNewest asks the hosts that hear of configurations first. Without an answer, a
 // host knows whether it is behind only if it is such a host itself and hears the platform.
-func (d *Daemon) lookForNewest(ctx context.Context) bool {
+func (l *Lists) lookForNewest(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, newestTime)
 	defer cancel()
 	now := time.Now()
-	if h, ok := d.membership.Ahead(now); ok {
-		return d.pullFrom(ctx, h) == nil
+	if h, ok := l.cfg.Hosts.Ahead(now); ok {
+		return l.pull(ctx, h) == nil
 	}
-	if d.hosted == nil {
-		return true
-	}
-	answered := d.hearsPlatform(now)
-	for _, h := range d.membership.Ranked(followDuty, newestAsked, now) {
-		ok, err := d.askNewest(ctx, h)
+	answered := l.hearsPlatform(now)
+	for _, h := range l.cfg.Hosts.Ranked(followDuty, newestAsked, now) {
+		ok, err := l.askNewest(ctx, h)
 		if err != nil {
-			d.log.Info("newest configuration not asked", "peer", h.Name, "error", err)
+			l.cfg.Log.Info("newest configuration not asked", "peer", h.Name, "error", err)
 		}
 		answered = answered || ok
 	}
@@ -64,26 +61,26 @@
 }
 
 // hearsPlatform says whether this host itself reads the platform's lists, and lately did.
-func (d *Daemon) hearsPlatform(now time.Time) bool {
-	l := d.listing.Load()
-	return l != nil && now.Sub(l.At) < d.Pace()+takeoverSlack && d.Reads()
+func (l *Lists) hearsPlatform(now time.Time) bool {
+	held := l.held.Load()
+	return held != nil && now.Sub(held.At) < l.Pace()+takeoverSlack && l.Reads()
 }
 
 // askNewest asks a host for its configuration's revision and takes a newer one. It returns
 // whether that host hears the platform.
-func (d *Daemon) askNewest(ctx context.Context, h vetchtrail.Host) (bool, error) {
+func (l *Lists) askNewest(ctx context.Context, h vetchtrail.Host) (bool, error) {
 	var revision uint64
-	if held := d.listing.Load(); held != nil {
+	if held := l.held.Load(); held != nil {
 		revision = held.Revision
 	}
-	reply, err := d.peers.List(ctx, h.Peers, revision)
+	reply, err := l.cfg.Peers.List(ctx, h.Peers, revision)
 	if err != nil {
 		return false, err
 	}
-	if reply.GetConfiguration() > d.changes.Revision() {
-		if err := d.pullFrom(ctx, h); err != nil {
+	if reply.GetConfiguration() > l.cfg.Configuration.Revision() {
+		if err := l.pull(ctx, h); err != nil {
 			return false, err
 		}
 	}
-	return reply.GetSeen() > 0 && time.Duration(reply.GetAge()) < d.Pace()+takeoverSlack, nil
+	return reply.GetSeen() > 0 && time.Duration(reply.GetAge()) < l.Pace()+takeoverSlack, nil
 }
--- a/process/daemon/registered.go
+++ b/process/lists/registered.go
@@ -1,4 +1,4 @@
-package daemon
+package lists
 
 import "time"
 
@@ -10,12 +10,12 @@
 	registered = 3
 )
 
-// registers says whether this host is to be listed by the platform.
-func (d *Daemon) registers() bool {
+// Registers says whether this host is to be listed by the platform.
+func (l *Lists) Registers() bool {
 	now := time.Now()
-	if now.Sub(d.born) < settleTime {
+	if now.Sub(l.born) < settleTime {
 		return false
 	}
-	_, before := d.membership.Rank(registerDuty, now)
+	_, before := l.cfg.Hosts.Rank(registerDuty, now)
 	return before < registered
 }
--- a/process/quotas/ask.go
+++ b/process/quotas/ask.go
@@ -18,14 +18,14 @@
 	shards = 4
 	// keepersAsked is how many hosts are asked in turn: the first may just have been lost.
 	keepersAsked = 2
-	// askTime bounds a question: hosts of a region are some milliseconds apart, and a
-	// narrow one takes some tens of milliseconds at a peak.
-	askTime = 150 * time.Millisecond
+	// askTime bounds a question: hosts of a region are some milliseconds apart, but after a
+	// power cut of all hosts, when callers press, one with a narrow link takes some hundreds.
+	askTime = 300 * time.Millisecond
 	// lostTime is for how long a keeper that did not answer is asked nothing: by then the
 	// others know whether it lives.
 	lostTime = 2 * time.Second
 	// aloneTime is for how long a host uses its equal part after it reached no keeper.
-	aloneTime = 500 * time.Millisecond
+	aloneTime = 200 * time.Millisecond
 )
 
 // duty names the duty to keep the quotas of a shard of the workspaces.
