Hosts: callers, forwards and duties go to hosts by their capacities

Cause: 12 of the shifted deployment's 68 hosts have links of 200 Mbit/s, 56 of 10. The directory named all alike.

Change: a host's capacity follows from its link and processor, as its settings tell them, and goes with its heartbeats. Requests that are passed on, and duties by rendezvous, go by capacity too.

Quotas forget what nobody asks for; a part is never rounded above its rate, which failed TestClaims once; these tests run on virtual time now.

--- a/host.go
+++ b/host.go
@@ -16,6 +16,9 @@
 	Revision    uint64         // newest configuration the host holds
 	State       HostState
 	Heard       time.Time // when its heartbeat counter last grew here
+	// Capacity is the requests a second that the host can take, by its link and processor,
+	// to weigh it against others; 0: not told.
+	Capacity uint32
 }
 
 // HostState is what a host says, or others believe, of itself.
--- a/process/daemon/daemon.go
+++ b/process/daemon/daemon.go
@@ -112,6 +112,7 @@
 		// Later starts of the same host have higher incarnations.
 		Incarnation: uint64(time.Now().UnixNano()),
 		State:       vetchtrail.HostStarting,
+		Capacity:    d.set.Limits.Capacity(),
 	}
 	d.changes = changelog.New(changelog.Config{Store: store.New(store.Config{Addr: d.set.Platform.Store}), Log: d.log})
 	d.membership = membership.New(membership.Config{
--- a/process/lists/follow_test.go
+++ b/process/lists/follow_test.go
@@ -87,6 +87,7 @@
 		fmt.Sprintf("none lent within %s to %s", unlentAfter, unlentAfter+unlentSpread),
 		fmt.Sprintf("its seeds, all at once, every %s", askEvery),
 		fmt.Sprintf("the next %d read at once", cutFan),
+		fmt.Sprintf("waits for an answer for %s", lateAnswer),
 		fmt.Sprintf("took over reads for %s", takeoverHeld),
 		fmt.Sprintf("In a host's first %s", settleTime),
 		fmt.Sprintf("heartbeats (%s) and digests (%s)", membership.Tick, membership.SwapTick),
--- a/process/lists/lists.go
+++ b/process/lists/lists.go
@@ -98,9 +98,10 @@
 }
 
 // lateAnswer is how long a call of the platform may wait before this host is taken to be
-// turned away by it: with a dozen endpoints that write each second some change is there in
-// a tenth of a second, and others can be asked meanwhile.
-const lateAnswer = 600 * time.Millisecond
+// turned away by it: a watch that hears of nothing takes a second. With 0.6 s the other hosts
+// read as well whenever nothing changed for so long, which was three times as many calls on a
+// day on which the platform forgot its history.
+const lateAnswer = 1300 * time.Millisecond
 
 // Asking implements vetchtrail.Following.
 func (l *Lists) Asking(now time.Time) { l.platform.asking.Store(now.UnixNano()) }
--- a/process/lists/spread_test.go
+++ b/process/lists/spread_test.go
@@ -182,7 +182,7 @@
 // TestKnownWithin: an endpoint that leaves is known at every live host of a region in time,
 // whichever hosts the platform turns away, in whatever way, and whichever ends meanwhile:
 // the bound of 5 s less half a second in which a request is on its way. The worst of 40 runs
-// of each was 2.3, 2.7, 2.8, 2.4 and 2.8 s; with takeover by the age of the lists alone 2.3,
+// of each was 2.3, 3.2, 3.8, 2.4 and 2.8 s; with takeover by the age of the lists alone 2.3,
 // 4.1, 4.5, 5.4 and 4.3 s.
 func TestKnownWithin(t *testing.T) {
 	cases := map[string]struct {
@@ -251,8 +251,10 @@
 				defer stop()
 				r := newRegion(4, 1)
 				first := time.Hour
-				for i, up := range c.up {
+				for i := range c.up {
 					r.down[i] = true
+				}
+				for i, up := range c.up {
 					if up >= 0 {
 						r.hosts[i].Take(vetchtrail.Listing{Revision: 1, Seen: 1, At: time.Now()})
 						time.AfterFunc(up, func() {
--- a/process/membership/exchange.go
+++ b/process/membership/exchange.go
@@ -154,7 +154,7 @@
 func lineOf(h vetchtrail.Host, counter uint64) *schema.Member {
 	return &schema.Member{
 		Name: h.Name, Incarnation: h.Incarnation, Counter: counter, State: uint32(h.State),
-		Revision: h.Revision, Callers: h.Callers.String(), Peers: h.Peers.String(),
+		Revision: h.Revision, Callers: h.Callers.String(), Peers: h.Peers.String(), Capacity: h.Capacity,
 	}
 }
 
--- a/process/membership/membership.go
+++ b/process/membership/membership.go
@@ -218,7 +218,7 @@
 	peers, _ := netip.ParseAddrPort(line.GetPeers())
 	return vetchtrail.Host{
 		Name: line.GetName(), Callers: callers, Peers: peers, Incarnation: line.GetIncarnation(),
-		Revision: line.GetRevision(), State: vetchtrail.HostState(line.GetState()),
+		Revision: line.GetRevision(), State: vetchtrail.HostState(line.GetState()), Capacity: line.GetCapacity(),
 	}
 }
 
--- a/process/membership/rank.go
+++ b/process/membership/rank.go
@@ -1,7 +1,6 @@
 package membership
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
@@ -14,9 +13,9 @@
 func (m *Membership) Rank(duty string, now time.Time) (region, dataCentre int) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	mine := weigh(duty, m.self.Name)
+	mine := lateness(duty, m.self)
 	for _, h := range m.regionHosts(now) {
-		if weigh(duty, h.Name) <= mine {
+		if lateness(duty, h) >= mine {
 			continue
 		}
 		region++
@@ -32,7 +31,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	live := m.regionHosts(now)
-	slices.SortFunc(live, func(a, b vetchtrail.Host) int { return cmp.Compare(weigh(duty, b.Name), weigh(duty, a.Name)) })
+	slices.SortFunc(live, func(a, b vetchtrail.Host) int { return before(duty, a, b) })
 	return live[:min(n, len(live))]
 }
 
@@ -47,7 +46,7 @@
 	} else {
 		live = m.remoteHosts(region, now)
 	}
-	slices.SortFunc(live, func(a, b vetchtrail.Host) int { return cmp.Compare(weigh(duty, b.Name), weigh(duty, a.Name)) })
+	slices.SortFunc(live, func(a, b vetchtrail.Host) int { return before(duty, a, b) })
 	return live[:min(n, len(live))]
 }
 
--- a/process/membership/remote.go
+++ b/process/membership/remote.go
@@ -76,7 +76,8 @@
 	return nil
 }
 
-// Pick returns a ready host of another data centre and counts a forward to it.
+// Pick returns a ready host of another data centre, each as often as its capacity is of all,
+// and counts a forward to it.
 func (m *Membership) Pick(dataCentre, service string, now time.Time) (vetchtrail.Host, bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -89,7 +90,7 @@
 		return vetchtrail.Host{}, false
 	}
 	d.own[service]++
-	return d.host(ready[m.rnd.IntN(len(ready))]), true
+	return d.host(drawMember(ready, m.rnd.Float64())), true
 }
 
 // takers returns the hosts of a data centre that may be passed requests: the ready
--- a/process/quotas/claim.go
+++ b/process/quotas/claim.go
@@ -17,8 +17,10 @@
 	claimTime = time.Second
 	// idleTime is how long after its last question a workspace is no longer told of.
 	idleTime = 10 * time.Second
-	// forgetTime is for how long the state of a workspace that nobody asks for is kept.
-	forgetTime = 5 * time.Minute
+	// forgetTime is for how long a keeper's state of a workspace that nobody asks for is
+	// kept, and forgetEvery how often a host looks for what it holds for such.
+	forgetTime  = 5 * time.Minute
+	forgetEvery = 10 * time.Second
 )
 
 // Run swaps claims with the other regions until ctx ends, for the shards that this host
@@ -26,13 +28,38 @@
 func (q *Quotas) Run(ctx context.Context) {
 	t := time.NewTicker(claimEvery)
 	defer t.Stop()
+	var forget time.Time
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-t.C:
 		}
-		q.swap(ctx, time.Now())
+		now := time.Now()
+		q.swap(ctx, now)
+		if !now.Before(forget) {
+			q.forget(now)
+			forget = now.Add(forgetEvery)
+		}
+	}
+}
+
+// forget drops what is held for workspaces that nobody asks for.
+func (q *Quotas) forget(now time.Time) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	for name, h := range q.held {
+		h.mu.Lock()
+		idle := h.holder.Idle(now)
+		h.mu.Unlock()
+		if idle {
+			delete(q.held, name)
+		}
+	}
+	for name, until := range q.lost {
+		if !now.Before(until) {
+			delete(q.lost, name)
+		}
 	}
 }
 
--- a/process/quotas/quotas_test.go
+++ b/process/quotas/quotas_test.go
@@ -8,6 +8,7 @@
 	"net/netip"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -76,6 +77,11 @@
 func (p port) Count() int                  { return len(p.net.hosts) }
 func (p port) HeardPart(time.Time) float64 { return 1 }
 
+// virtual runs a test on virtual time: demand fades with time, however slow the machine is.
+func virtual(t *testing.T, name string, test func(t *testing.T)) {
+	t.Run(name, func(t *testing.T) { synctest.Test(t, test) })
+}
+
 // join makes hosts of three regions that hold one workspace with a quota.
 func join(t *testing.T, way string, q vetchtrail.Quota, each int) (*network, []*Quotas) {
 	t.Helper()
@@ -118,7 +124,7 @@
 		"all are cut":        {WayLeased, []string{"a0", "b1", "c2", "a3", "b4", "c5"}, 5, 150, true},
 	}
 	for name, c := range cases {
-		t.Run(name, func(t *testing.T) {
+		virtual(t, name, func(t *testing.T) {
 			n, hosts := join(t, c.way, bound, 2)
 			for _, h := range c.cut {
 				n.cut[h] = true
@@ -137,10 +143,26 @@
 	}
 }
 
+// TestAlone: a host that reaches no keeper lets through its equal part, and no more.
+func TestAlone(t *testing.T) { virtual(t, "cut", testAlone) }
+
+func testAlone(t *testing.T) {
+	n, hosts := join(t, WayLeased, vetchtrail.Quota{Rate: 900, Burst: 900}, 3)
+	alone := hosts[6] // the third of its region, which keeps no quota
+	n.cut[alone.cfg.Self.Name] = true
+	through := 0
+	for range 1000 {
+		if alone.Take(context.Background(), "w", 1).Granted {
+			through++
+		}
+	}
+	assert.Assert(t, through > 20 && through < 150, "%d of 1000", through)
+}
+
 // TestReturn: what did not run is there for others.
 func TestReturn(t *testing.T) {
 	for _, way := range Ways {
-		t.Run(way, func(t *testing.T) {
+		virtual(t, way, func(t *testing.T) {
 			_, hosts := join(t, way, vetchtrail.Quota{Rate: 0.001, Burst: 100}, 1)
 			through := 0
 			for range 400 {
@@ -174,7 +196,7 @@
 		"one was never heard": {true, [2]float64{0.3, 0.45}},
 	}
 	for name, c := range cases {
-		t.Run(name, func(t *testing.T) {
+		virtual(t, name, func(t *testing.T) {
 			n, hosts := join(t, WayLeased, vetchtrail.Quota{Rate: 1000, Burst: 1000}, 1)
 			n.cut["c2"] = c.cut
 			for range 3 {
@@ -190,3 +212,15 @@
 		})
 	}
 }
+
+// TestForget: what is held for a workspace that nobody asks for any more is dropped.
+func TestForget(t *testing.T) {
+	virtual(t, "a minute later", func(t *testing.T) {
+		_, hosts := join(t, WayLeased, vetchtrail.Quota{Rate: 100, Burst: 100}, 1)
+		hosts[0].Take(context.Background(), "w", 1)
+		hosts[0].forget(time.Now())
+		assert.Equal(t, len(hosts[0].held), 1)
+		hosts[0].forget(time.Now().Add(2 * time.Minute))
+		assert.Equal(t, len(hosts[0].held), 0)
+	})
+}
--- /dev/null
+++ b/process/settings/capacity.go
@@ -0,0 +1,28 @@
+package settings
+
+import "math"
+
+const (
+	// requestBits is what a request and its answer take of a host's link in the mean: 11 KB
+	// each way with prompts of 3,300 tokens (bytes between regions by requests passed on).
+	requestBits = 11 * 1024 * 8
+	// requestTime is what a request takes of a host's processor, in seconds: 0.2 ms, as 68
+	// hosts used 0.0045 of a core for 21 requests a second each.
+	requestTime = 0.0002
+)
+
+// Capacity returns the requests a second that the host can take by its link and its
+// processor; 0: the settings tell neither.
+func (l Limits) Capacity() uint32 {
+	least := math.Inf(1)
+	if l.Link > 0 {
+		least = min(least, l.Link*1e6/requestBits)
+	}
+	if l.Processor > 0 {
+		least = min(least, l.Processor/requestTime)
+	}
+	if math.IsInf(least, 1) {
+		return 0
+	}
+	return uint32(max(1, min(least, math.MaxUint32)))
+}
--- a/process/settings/settings.go
+++ b/process/settings/settings.go
@@ -110,6 +110,9 @@
 	Body    int `yaml:"body"`    // bytes of a caller's request
 	Records int `yaml:"records"` // bytes of answers kept for repeats
 	Memory  int `yaml:"memory"`  // MB that the process may take; 0: not bounded
+	// Link and Processor are the host's, to weigh it against others; 0: not told.
+	Link      float64 `yaml:"link"`      // Mbit/s
+	Processor float64 `yaml:"processor"` // cores
 }
 
 // Timing holds the daemon's intervals.
@@ -247,6 +250,7 @@
 		{badWeights(s.Platform.Weights.Model), "platform.weights.model", weightsText},
 		{badWeights(s.Platform.Weights.Plain), "platform.weights.plain", weightsText},
 		{s.Limits.Memory < 0, "limits.memory", "is below 0 MB"},
+		{!(s.Limits.Link >= 0) || !(s.Limits.Processor >= 0), "limits", "must not be below 0"},
 		{s.Retries.Window < time.Second, "retries.window", "must be 1s or more"},
 		{s.Retries.Share < 0 || s.Retries.Base < 0, "retries", "must not be below 0"},
 		{!slices.Contains(quotas.Ways, s.Quotas.Way), "quotas.way", "is not one of " + strings.Join(quotas.Ways, ", ")},
--- a/request/quota/book.go
+++ b/request/quota/book.go
@@ -99,7 +99,7 @@
 		if own+sum == 0 {
 			return 0
 		}
-		return rate * own / (own + sum)
+		return min(rate, rate*own/(own+sum)) // rounded, it may lie above the rate
 	}
 	return own + (rate-own-sum)/float64(b.regions)
 }
