Tools: losses by workspace; the demo shows keys and a quota and ends with a table

Cause: the losses that an operator looks at could not be told by workspace, and the demo, a newcomer's first look, showed raw decision lines and nothing of keys.

Change: `vetchtrail losses` has the workspaces that lost the largest part, a column in its CSV and the cause "over its workspace's quota".

No daemon code changed.

--- a/cmd/standin/demo.go
+++ b/cmd/standin/demo.go
@@ -8,6 +8,8 @@
 	"net/http"
 	"net/netip"
 	"os"
+	"slices"
+	"text/tabwriter"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -25,7 +27,7 @@
 // demoCommand runs Wycena WO's deployment of today in one process. It ends by
 // itself, with an error if any answer was wrong.
 type demoCommand struct {
-	Verbose bool `help:"Show all log lines, not only the decisions."`
+	Verbose bool `help:"Show the hosts' log lines too."`
 }
 
 const (
@@ -37,12 +39,40 @@
 
 // demo is one run.
 type demo struct {
-	w      *world.World
-	d      deployment.Deployment
-	asked  int
-	wrong  int
-	away   int
-	denied int
+	w     *world.World
+	d     deployment.Deployment
+	steps []stepResult
+}
+
+// stepResult is what became of the requests of one step.
+type stepResult struct {
+	name                       string
+	asked, wrong, away, denied int
+}
+
+// now is the step under way.
+func (m *demo) now() *stepResult { return &m.steps[len(m.steps)-1] }
+
+// total sums up the steps.
+func (m *demo) total() stepResult {
+	all := stepResult{name: "all"}
+	for _, s := range m.steps {
+		all.asked += s.asked
+		all.wrong += s.wrong
+		all.away += s.away
+		all.denied += s.denied
+	}
+	return all
+}
+
+// table prints the steps.
+func (m *demo) table(to io.Writer) error {
+	w := tabwriter.NewWriter(to, 0, 0, 2, ' ', 0)
+	_, _ = fmt.Fprintln(w, "\nSTEP\tREQUESTS\tRIGHT\tIN ANOTHER REGION\tREFUSED AS THEY HAD TO BE")
+	for _, s := range append(slices.Clone(m.steps), m.total()) {
+		_, _ = fmt.Fprintf(w, "%s\t%d\t%d\t%d\t%d\n", s.name, s.asked, s.asked-s.wrong, s.away, s.denied)
+	}
+	return w.Flush()
 }
 
 // Run implements the subcommand.
@@ -67,46 +97,28 @@
 	if err := m.run(ctx); err != nil {
 		return err
 	}
+	if err := m.table(os.Stdout); err != nil {
+		return err
+	}
+	all := m.total()
 	fmt.Printf("\n%d requests: %d right, %d wrong; %d ran in another region, %d were refused as they had to be.\n",
-		m.asked, m.asked-m.wrong, m.wrong, m.away, m.denied)
-	if m.wrong > 0 {
-		return errors.Errorf("demo: %d answers were wrong", m.wrong)
+		all.asked, all.asked-all.wrong, all.wrong, all.away, all.denied)
+	if all.wrong > 0 {
+		return errors.Errorf("demo: %d answers were wrong", all.wrong)
 	}
 	return ctx.Err()
 }
 
-// logger shows decisions only, unless told otherwise.
+// logger shows the hosts' lines if they are asked for.
 func (c *demoCommand) logger(out io.Writer) *slog.Logger {
-	h := slog.NewTextHandler(out, &slog.HandlerOptions{ReplaceAttr: func(_ []string, a slog.Attr) slog.Attr {
-		if a.Key == slog.TimeKey || a.Key == slog.LevelKey {
-			return slog.Attr{}
-		}
-		return a
-	}})
-	if c.Verbose {
-		return slog.New(h)
-	}
-	return slog.New(decisionsOnly{h})
-}
-
-// decisionsOnly passes decision lines on.
-type decisionsOnly struct{ slog.Handler }
-
-// Handle implements slog.Handler.
-func (d decisionsOnly) Handle(ctx context.Context, r slog.Record) error {
-	if r.Message != "decision" {
-		return nil
+	if !c.Verbose {
+		return slog.New(slog.DiscardHandler)
 	}
-	return d.Handler.Handle(ctx, r)
-}
-
-// WithAttrs implements slog.Handler.
-func (d decisionsOnly) WithAttrs(a []slog.Attr) slog.Handler {
-	return decisionsOnly{d.Handler.WithAttrs(a)}
+	return slog.New(slog.NewTextHandler(out, nil))
 }
 
 func (m *demo) run(ctx context.Context) error {
-	step("The operators apply a configuration by one typed call.")
+	m.step("configuration", "The operators apply a configuration by one typed call.")
 	revision, err := m.configure(ctx)
 	if err != nil {
 		return err
@@ -119,42 +131,53 @@
 	}
 	fmt.Printf("   revision %d is in force on all %d hosts\n", revision, len(m.d.Hosts))
 
-	step("Each region streams model answers and serves its portal.")
+	m.step("calm", "Each region streams model answers and serves its portal.")
 	m.askAll(ctx, nil)
 
 	lost := m.d.Spec.Regions[1]
-	step("Region " + lost.Name + " loses its engines. Its callers are served elsewhere; the bound ones are refused.")
+	m.step("a region lost", "Region "+lost.Name+" loses its engines. Its callers are served elsewhere; the bound ones are refused.")
 	m.engines(lost, engine.Faults{Refuse: true})
 	m.askAll(ctx, map[string]bool{lost.Name: true})
 
-	step("The engines of " + lost.Name + " come back.")
+	m.step("back again", "The engines of "+lost.Name+" come back.")
 	m.engines(lost, engine.Faults{})
 	if err := m.until(ctx, lost); err != nil {
 		return err
 	}
 	m.askAll(ctx, nil)
+
+	if err := m.keys(ctx); err != nil {
+		return err
+	}
 	return ctx.Err()
 }
 
-func step(text string) { fmt.Printf("\n== %s\n", text) }
+func (m *demo) step(name, text string) {
+	fmt.Printf("\n== %s\n", text)
+	m.steps = append(m.steps, stepResult{name: name})
+}
 
 func (m *demo) configure(ctx context.Context) (uint64, error) {
-	op, err := operator.Dial(ctx, operator.Config{Addr: m.d.Hosts[0].Listen.Peers})
+	wanted, err := m.d.Document.Rules()
 	if err != nil {
 		return 0, err
 	}
-	defer func() { _ = op.Close() }()
-	wanted, err := m.d.Document.Rules()
+	return m.propose(ctx, "first configuration", rules.Empty().Difference(wanted))
+}
+
+// propose makes one change of the configuration.
+func (m *demo) propose(ctx context.Context, reason string, edits []vetchtrail.Edit) (uint64, error) {
+	op, err := operator.Dial(ctx, operator.Config{Addr: m.d.Hosts[0].Listen.Peers})
 	if err != nil {
 		return 0, err
 	}
-	change := operator.NewChange("demo", "first configuration", 0, rules.Empty().Difference(wanted))
-	reply, err := op.Propose(ctx, &schema.ProposeRequest{Change: schema.FromChange(change)})
+	defer func() { _ = op.Close() }()
+	reply, err := op.Propose(ctx, &schema.ProposeRequest{Change: schema.FromChange(operator.NewChange("demo", reason, 0, edits))})
 	if err != nil {
 		return 0, err
 	}
 	if reply.GetResult() != schema.ProposeReply_ACCEPTED {
-		return 0, errors.Errorf("demo: the configuration was not accepted: %s: %s", reply.GetResult(), reply.GetText())
+		return 0, errors.Errorf("demo: the change was not accepted: %s: %s", reply.GetResult(), reply.GetText())
 	}
 	return reply.GetRevision(), nil
 }
@@ -192,13 +215,13 @@
 		Host: entry, Service: m.d.Spec.Model.Name, Workspace: workspace, Prompt: prompt, Tokens: demoTokens, Stream: stream,
 	}
 	res := m.w.Client.Do(ctx, a)
-	m.asked++
+	m.now().asked++
 	if !a.Right(res) {
 		m.fail(r, res)
 		return
 	}
 	if region := m.regionOf(res.Where); region != r.Name {
-		m.away++
+		m.now().away++
 		fmt.Printf("   %s: answered by %s in region %s\n", r.Name, res.Where, region)
 	}
 }
@@ -212,12 +235,12 @@
 	res := m.w.Client.Do(ctx, client.Ask{
 		Host: entry, Service: m.d.Spec.Model.Name, Workspace: r.Name + "-bound", Prompt: "bound", Tokens: demoTokens,
 	})
-	m.asked++
+	m.now().asked++
 	if res.Outcome != vetchtrail.NotRun.String() {
 		m.fail(r, res)
 		return
 	}
-	m.denied++
+	m.now().denied++
 	fmt.Printf("   %s: bound request refused: %s\n", r.Name, res.Detail)
 }
 
@@ -231,7 +254,7 @@
 	var texts [2]string
 	for i := range texts {
 		res := m.w.Client.Plain(ctx, entry, http.MethodPost, m.d.Spec.Plain.Name, "/bookings", hosts.Key, "", "mill 4, Tuesday")
-		m.asked++
+		m.now().asked++
 		if res.Status != http.StatusOK || !res.Whole {
 			m.fail(r, res)
 			return
@@ -244,7 +267,7 @@
 }
 
 func (m *demo) fail(r deployment.RegionSpec, res client.Result) {
-	m.wrong++
+	m.now().wrong++
 	fmt.Printf("   %s: WRONG: status %d outcome %q whole %t text %q detail %q error %v\n",
 		r.Name, res.Status, res.Outcome, res.Whole, res.Text, res.Detail, res.Err)
 }
--- a/cmd/vetchtrail/losses.go
+++ b/cmd/vetchtrail/losses.go
@@ -24,7 +24,7 @@
 type lossesCommand struct {
 	Log  []string `arg:"" help:"Logs of all hosts, in any order; - for standard input."`
 	Plot string   `help:"Also draw how the requests of each second ended: a file that ends in .svg, .png or .pdf."`
-	CSV  bool     `help:"One line for each second, route, region and cause, with a count."`
+	CSV  bool     `help:"One line for each second, route, region, workspace and cause, with a count."`
 }
 
 // Run implements the subcommand.
@@ -54,9 +54,9 @@
 
 func writeLosses(to io.Writer, l *journal.Losses) error {
 	w := csv.NewWriter(to)
-	rows := [][]string{{"second", "service", "route", "region", "cause", "count"}}
+	rows := [][]string{{"second", "service", "route", "region", "workspace", "cause", "count"}}
 	for _, r := range l.Rows {
-		rows = append(rows, []string{strconv.Itoa(r.Second), r.Service, r.Route, r.Home, string(r.Cause), strconv.Itoa(r.Count)})
+		rows = append(rows, []string{strconv.Itoa(r.Second), r.Service, r.Route, r.Home, r.Workspace, string(r.Cause), strconv.Itoa(r.Count)})
 	}
 	if err := w.WriteAll(rows); err != nil {
 		return errors.Wrap(err, "losses")
@@ -90,11 +90,42 @@
 	for _, s := range worst(l) {
 		_, _ = fmt.Fprintf(w, "%d\t%d\t%d\t%s\t%s\n", s.second, s.all, s.all-s.lost, most(s.regions), most(s.causes))
 	}
+	printWorkspaces(w, l)
 	if l.Unread > 0 {
 		_, _ = fmt.Fprintf(w, "%d lines could not be read\n", l.Unread)
 	}
 }
 
+// worstWorkspaces is how many of the workspaces that lost most are told.
+const worstWorkspaces = 16
+
+// printWorkspaces writes the workspaces that lost the largest part of their requests.
+func printWorkspaces(w io.Writer, l *journal.Losses) {
+	all, lost, causes := map[string]int{}, map[string]int{}, map[string]map[string]int{}
+	for _, r := range l.Rows {
+		all[r.Workspace] += r.Count
+		if r.Cause == journal.CauseNone {
+			continue
+		}
+		lost[r.Workspace] += r.Count
+		if causes[r.Workspace] == nil {
+			causes[r.Workspace] = map[string]int{}
+		}
+		causes[r.Workspace][string(r.Cause)] += r.Count
+	}
+	if len(all) == 1 && all[""] > 0 {
+		return // nobody shows whose callers they are
+	}
+	part := func(name string) float64 { return float64(lost[name]) / float64(all[name]) }
+	names := slices.SortedFunc(maps.Keys(all), func(a, b string) int {
+		return cmp.Or(cmp.Compare(part(b), part(a)), strings.Compare(a, b))
+	})
+	_, _ = fmt.Fprintf(w, "\nWORKSPACE\tREQUESTS\tIN TIME\tMOST OFTEN\n")
+	for _, name := range names[:min(len(names), worstWorkspaces)] {
+		_, _ = fmt.Fprintf(w, "%s\t%d\t%d\t%s\n", cmp.Or(name, "(none)"), all[name], all[name]-lost[name], most(causes[name]))
+	}
+}
+
 // second is what became of the requests of one second.
 type second struct {
 	second, all, lost int
--- a/cmd/vetchtrail/losses_test.go
+++ b/cmd/vetchtrail/losses_test.go
@@ -17,7 +17,7 @@
 	return &journal.Losses{From: time.Unix(1_800_000_000, 0), Rows: []journal.Loss{
 		{Second: 0, Service: "s", Route: "r", Home: "north", Cause: journal.CauseNone, Count: 8},
 		{Second: 0, Service: "s", Route: "r", Home: "south", Cause: journal.CauseRefusedFirst, Count: 1},
-		{Second: 2, Service: "s", Route: "r", Home: "south", Cause: journal.CauseCut, Count: 5},
+		{Second: 2, Service: "s", Route: "r", Home: "south", Workspace: "w", Cause: journal.CauseCut, Count: 5},
 		{Second: 2, Service: "s", Route: "q", Home: "south", Cause: journal.CauseNone, Count: 1},
 	}}
 }
@@ -29,6 +29,7 @@
 	printLosses(&b, losses())
 	for _, want := range []string{
 		"CAUSE\tALL\tr\tq\nin time\t9\t8\t1\ncut with its endpoint\t5\t5\t0\nrefused at its first try\t1\t1\t0\n",
+		"WORKSPACE\tREQUESTS\tIN TIME\tMOST OFTEN\nw\t5\t0\tcut with its endpoint (5)\n(none)\t10\t9\trefused at its first try (1)\n",
 		"0\t9\t8\tsouth (1)\trefused at its first try (1)\n2\t6\t1\tsouth (5)\tcut with its endpoint (5)\n",
 	} {
 		assert.Assert(t, strings.Contains(b.String(), want), b.String())
@@ -40,8 +41,8 @@
 	var b bytes.Buffer
 	assert.NilError(t, writeLosses(&b, losses()))
 	lines := strings.Split(strings.TrimSpace(b.String()), "\n")
-	assert.Equal(t, lines[0], "second,service,route,region,cause,count")
-	assert.Equal(t, lines[3], "2,s,r,south,cut with its endpoint,5")
+	assert.Equal(t, lines[0], "second,service,route,region,workspace,cause,count")
+	assert.Equal(t, lines[3], "2,s,r,south,w,cut with its endpoint,5")
 	assert.Equal(t, len(lines), 5)
 }
 
--- a/process/journal/losses.go
+++ b/process/journal/losses.go
@@ -17,6 +17,7 @@
 	CauseNone          Cause = "in time"
 	CauseRefusedFirst  Cause = "refused at its first try"
 	CauseRefusedBack   Cause = "refused when its caller came back"
+	CauseOverQuota     Cause = "over its workspace's quota"
 	CauseLateForeseen  Cause = "late as foreseen"
 	CauseLateAtQueue   Cause = "late at the endpoint, foreseen in time"
 	CauseLateAgain     Cause = "late after another attempt"
@@ -37,8 +38,10 @@
 	Service string `json:"service"`
 	Route   string `json:"route"`
 	Home    string `json:"home"` // region in which they were handed in
-	Cause   Cause  `json:"cause"`
-	Count   int    `json:"count"`
+	// Workspace is whose callers asked; empty: nobody's.
+	Workspace string `json:"workspace"`
+	Cause     Cause  `json:"cause"`
+	Count     int    `json:"count"`
 }
 
 // Losses is what became of the requests that some logs tell of.
@@ -73,7 +76,7 @@
 		}
 		counts[Loss{
 			Second: int(s.first.Time.Sub(out.From).Seconds()), Service: s.first.Service, Route: s.first.Route,
-			Home: s.first.Home, Cause: s.cause(),
+			Home: s.first.Home, Workspace: s.first.Workspace, Cause: s.cause(),
 		}]++
 	}
 	for row, n := range counts {
@@ -82,7 +85,7 @@
 	}
 	slices.SortFunc(out.Rows, func(a, b Loss) int {
 		return cmp.Or(cmp.Compare(a.Second, b.Second), cmp.Compare(a.Route, b.Route), cmp.Compare(a.Home, b.Home),
-			cmp.Compare(a.Service, b.Service), cmp.Compare(a.Cause, b.Cause))
+			cmp.Compare(a.Service, b.Service), cmp.Compare(a.Workspace, b.Workspace), cmp.Compare(a.Cause, b.Cause))
 	})
 	return out, nil
 }
@@ -151,6 +154,8 @@
 		return s.late()
 	case e.Reason == "caller-gone":
 		return CauseCallerGone
+	case e.Outcome == "not-run" && e.Reason == "over-quota":
+		return CauseOverQuota
 	case e.Outcome == "not-run" && s.first.Fresh:
 		return CauseRefusedFirst
 	case e.Outcome == "not-run":
--- a/process/journal/losses_test.go
+++ b/process/journal/losses_test.go
@@ -11,7 +11,7 @@
 // TestLosses: why a request was late or lost, by the lines that its hosts wrote.
 func TestLosses(t *testing.T) {
 	const (
-		asks   = `{"time":"2026-06-01T10:00:01.000Z","msg":"decision","host":"a","request":"x1","service":"s","route":"r","home":"h","decision":"run-here","target":"e1","wait":100000000,"goal":400000000,"fresh":true}`
+		asks   = `{"time":"2026-06-01T10:00:01.000Z","msg":"decision","host":"a","request":"x1","service":"s","route":"r","home":"h","workspace":"w","decision":"run-here","target":"e1","wait":100000000,"goal":400000000,"fresh":true}`
 		crowd  = `{"time":"2026-06-01T10:00:01.000Z","msg":"decision","host":"a","request":"x1","route":"r","home":"h","decision":"run-here","target":"e1","wait":600000000,"goal":400000000,"fresh":true}`
 		again  = `{"time":"2026-06-01T10:00:01.300Z","msg":"decision","host":"a","request":"x1","route":"r","home":"h","decision":"run-here","target":"e2","wait":10000000,"goal":100000000,"attempt":2}`
 		no     = `{"time":"2026-06-01T10:00:01.000Z","msg":"decision","host":"a","request":"x1","route":"r","home":"h","decision":"refuse","reason":"over-capacity","goal":400000000,"fresh":true}`
@@ -38,6 +38,7 @@
 		"late elsewhere":            {[][]string{{there, thus}, {elsew, done}}, CauseLateAtQueue},
 		"refused at first":          {[][]string{{no, ends(`"outcome":"not-run"`)}}, CauseRefusedFirst},
 		"refused when back":         {[][]string{{noBack, ends(`"outcome":"not-run"`)}}, CauseRefusedBack},
+		"beyond a quota":            {[][]string{{no, ends(`"outcome":"not-run","reason":"over-quota"`)}}, CauseOverQuota},
 		"cut":                       {[][]string{{asks, ends(`"outcome":"unknown","reason":"answer-broken","begun":true`)}}, CauseCut},
 		"lost":                      {[][]string{{asks, ends(`"outcome":"unknown","reason":"answer-lost"`)}}, CauseLost},
 		"lost with a host":          {[][]string{{elsew, ends(`"outcome":"unknown","reason":"answer-lost","begun":true,"host_lost":true`)}}, CauseHostLost},
@@ -68,3 +69,18 @@
 		})
 	}
 }
+
+// TestLossesByWorkspace: whose requests were lost.
+func TestLossesByWorkspace(t *testing.T) {
+	line := func(request, workspace string) string {
+		return `{"time":"2026-06-01T10:00:01.000Z","msg":"decision","host":"a","request":"` + request + `","route":"r","home":"h","workspace":"` + workspace +
+			`","decision":"run-here","goal":400000000,"fresh":true}` + "\n"
+	}
+	l, err := ReadLosses(strings.NewReader(line("x1", "w") + line("x2", "w") + line("x3", "") + line("x4", "v")))
+	assert.NilError(t, err)
+	got := map[string]int{}
+	for _, r := range l.Rows {
+		got[r.Workspace] += r.Count
+	}
+	assert.DeepEqual(t, got, map[string]int{"w": 2, "": 1, "v": 1})
+}
