--- a/connection/caller/caller_test.go
+++ b/connection/caller/caller_test.go
@@ -46,12 +46,18 @@
 		vetchtrail.PutEndpoint{Endpoint: vetchtrail.Endpoint{Name: "p", Service: "app", Region: "r", DataCentre: "d", Addr: netip.MustParseAddrPort("127.0.0.1:1"), Slots: 1}},
 	}})
 	assert.NilError(t, err)
+	return serveRules(t, run, func() *rules.Rules { return held }, nil)
+}
+
+// serveRules serves callers by the rules that a function gives; refresh looks for newer ones.
+func serveRules(t *testing.T, run fakeRunner, held func() *rules.Rules, refresh func(context.Context) bool) netip.AddrPort {
+	t.Helper()
 	m := membership.New(membership.Config{
-		Self: vetchtrail.Host{Name: "h", State: vetchtrail.HostReady}, Load: load.New(), Revision: held.Revision,
+		Self: vetchtrail.Host{Name: "h", State: vetchtrail.HostReady}, Load: load.New(), Revision: func() uint64 { return held().Revision() },
 		Log: slog.New(slog.NewTextHandler(io.Discard, nil)),
 	})
 	s := New(Config{
-		Runner: run, Rules: func() *rules.Rules { return held }, Membership: m, Region: "r", BodyLimit: 4096,
+		Runner: run, Rules: held, Membership: m, Region: "r", BodyLimit: 4096, Refresh: refresh,
 		Keeper: once.New(once.Config{Host: "h", KeyTime: time.Minute}),
 	})
 	l, err := net.Listen("tcp", "127.0.0.1:0")
--- a/connection/caller/identity_test.go
+++ b/connection/caller/identity_test.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"io"
-	"log/slog"
-	"net"
 	"net/http"
 	"net/netip"
 	"strings"
@@ -15,30 +13,10 @@
 	"gotest.tools/v3/assert"
 
 	"vetchtrail"
-	"vetchtrail/process/load"
-	"vetchtrail/process/membership"
-	"vetchtrail/request/once"
 	"vetchtrail/version/rules"
 )
 
-// serveKeyed serves a route that asks for keys and one that doesn't.
-func serveKeyed(t *testing.T, run fakeRunner, held func() *rules.Rules, refresh func(context.Context) bool) netip.AddrPort {
-	t.Helper()
-	m := membership.New(membership.Config{
-		Self: vetchtrail.Host{Name: "h", State: vetchtrail.HostReady}, Load: load.New(), Revision: func() uint64 { return 1 },
-		Log: slog.New(slog.NewTextHandler(io.Discard, nil)),
-	})
-	s := New(Config{
-		Runner: run, Rules: held, Membership: m, Region: "r", BodyLimit: 4096, Refresh: refresh,
-		Keeper: once.New(once.Config{Host: "h", KeyTime: time.Minute}),
-	})
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	go func() { _ = s.Serve(l) }()
-	t.Cleanup(func() { _ = s.Shutdown(context.Background()) })
-	return netip.MustParseAddrPort(l.Addr().String())
-}
-
+// keyedRules has a route that asks for keys and one that does not.
 func keyedRules(t *testing.T, workspaces ...vetchtrail.Workspace) *rules.Rules {
 	t.Helper()
 	route := func(name string, keyed bool) vetchtrail.Edit {
@@ -78,7 +56,7 @@
 func TestIdentity(t *testing.T) {
 	held := keyedRules(t, vetchtrail.Workspace{Name: "w", Keys: []vetchtrail.KeyHash{vetchtrail.HashKey("secret")}}, vetchtrail.Workspace{Name: "free"},
 		vetchtrail.Workspace{Name: "lost", Locked: true})
-	addr := serveKeyed(t, echoWorkspace, func() *rules.Rules { return held }, func(context.Context) bool { return true })
+	addr := serveRules(t, echoWorkspace, func() *rules.Rules { return held }, func(context.Context) bool { return true })
 	cases := map[string]struct {
 		path   string
 		header [][2]string
@@ -147,7 +125,7 @@
 		t.Run(name, func(t *testing.T) {
 			var held atomic.Pointer[rules.Rules]
 			held.Store(old)
-			addr := serveKeyed(t, echoWorkspace, held.Load, func(context.Context) bool {
+			addr := serveRules(t, echoWorkspace, held.Load, func(context.Context) bool {
 				if c.newer {
 					held.Store(added)
 				}
