--- a/process/lists/spread_test.go
+++ b/process/lists/spread_test.go
@@ -223,7 +223,9 @@
 					r.mu.Unlock()
 					time.Sleep(10 * time.Second)
 					worst = max(worst, r.worst(since))
+					r.mu.Lock()
 					calls += r.calls
+					r.mu.Unlock()
 					stop()
 					time.Sleep(5 * time.Second)
 				})
--- a/process/quotas/quotas_test.go
+++ b/process/quotas/quotas_test.go
@@ -206,8 +206,9 @@
 				}
 				time.Sleep(20 * time.Millisecond)
 			}
-			k := hosts[0].keepers["w"]
-			part := k.Book.Part(1000, 5000) / 1000
+			hosts[0].mu.Lock()
+			part := hosts[0].keepers["w"].Book.Part(1000, 5000) / 1000
+			hosts[0].mu.Unlock()
 			assert.Assert(t, part >= c.part[0] && part <= c.part[1], "%.2f", part)
 		})
 	}
