Lists: a look for a newer configuration lends no lists; its failures are logged

Change: the look uses the same probe as a starting host. Both failures have a log line. Whether a platform call waits too long is told by the steady clock. `vetchtrail config show` and `workspace show` read the configuration in one way.

--- a/cmd/vetchtrail/config.go
+++ b/cmd/vetchtrail/config.go
@@ -88,12 +88,7 @@
 
 // Run implements the subcommand.
 func (c *configShow) Run(g *globals) error {
-	ctx, client, done, err := g.dial()
-	if err != nil {
-		return err
-	}
-	defer done()
-	held, err := client.Rules(ctx)
+	held, err := g.rules()
 	if err != nil {
 		return err
 	}
--- a/cmd/vetchtrail/globals.go
+++ b/cmd/vetchtrail/globals.go
@@ -57,6 +57,16 @@
 	return ctx, c, func() { _ = c.Close(); cancel() }, nil
 }
 
+// rules returns the configuration that the daemon holds.
+func (g *globals) rules() (*rules.Rules, error) {
+	ctx, client, done, err := g.dial()
+	if err != nil {
+		return nil, err
+	}
+	defer done()
+	return client.Rules(ctx)
+}
+
 func (g *globals) tls() (*tls.Config, error) {
 	if g.Certificate == "" && g.Key == "" && g.Authority == "" {
 		return nil, nil
--- a/cmd/vetchtrail/workspace.go
+++ b/cmd/vetchtrail/workspace.go
@@ -85,12 +85,7 @@
 
 // Run implements the subcommand.
 func (c *workspaceShow) Run(g *globals) error {
-	ctx, client, done, err := g.dial()
-	if err != nil {
-		return err
-	}
-	defer done()
-	held, err := client.Rules(ctx)
+	held, err := g.rules()
 	if err != nil {
 		return err
 	}
--- a/process/lists/borrow.go
+++ b/process/lists/borrow.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"net/netip"
 	"time"
 
@@ -148,6 +149,12 @@
 	return time.Duration(reply.GetAge()), reply.GetCut(), l.takeLent(reply, h, held)
 }
 
+// probe asks a host how new its lists and its configuration are. The answer is some bytes, as
+// no lists are newer than what the question says to hold.
+func (l *Lists) probe(ctx context.Context, h vetchtrail.Host) (*schema.Listing, error) {
+	return l.cfg.Peers.List(ctx, h.Peers, math.MaxUint64)
+}
+
 // pull takes the configuration of another host.
 func (l *Lists) pull(ctx context.Context, h vetchtrail.Host) error {
 	reply, err := l.cfg.Peers.Changes(ctx, h.Peers, l.cfg.Configuration.Revision())
--- a/process/lists/lists.go
+++ b/process/lists/lists.go
@@ -94,8 +94,8 @@
 
 // contact is whether the platform answers this host.
 type contact struct {
-	asking atomic.Int64 // since when a call waits, Unix nanoseconds; 0: none does
-	failed atomic.Bool  // the last call was not answered
+	asking atomic.Pointer[time.Time] // since when a call waits; nil: none does
+	failed atomic.Bool               // the last call was not answered
 }
 
 // lateAnswer is how long a call of the platform may wait before this host is taken to be
@@ -105,18 +105,18 @@
 const lateAnswer = 1300 * time.Millisecond
 
 // Asking implements vetchtrail.Following.
-func (l *Lists) Asking(now time.Time) { l.platform.asking.Store(now.UnixNano()) }
+func (l *Lists) Asking(now time.Time) { l.platform.asking.Store(&now) }
 
 // Answered implements vetchtrail.Following.
 func (l *Lists) Answered(ok bool) {
-	l.platform.asking.Store(0)
+	l.platform.asking.Store(nil)
 	l.platform.failed.Store(!ok)
 }
 
 // Cut says whether the platform does not answer this host.
 func (l *Lists) Cut(now time.Time) bool {
 	since := l.platform.asking.Load()
-	return l.platform.failed.Load() || (since != 0 && now.Sub(time.Unix(0, since)) > lateAnswer)
+	return l.platform.failed.Load() || (since != nil && now.Sub(*since) > lateAnswer)
 }
 
 // spread is this host's own part of a time over which hosts are spread, 0 to 1.
--- a/process/lists/newest.go
+++ b/process/lists/newest.go
@@ -47,7 +47,11 @@
 	defer cancel()
 	now := time.Now()
 	if h, ok := l.cfg.Hosts.Ahead(now); ok {
-		return l.pull(ctx, h) == nil
+		if err := l.pull(ctx, h); err != nil {
+			l.cfg.Log.Info("newer configuration not pulled", "peer", h.Name, "revision", h.Revision, "error", err)
+			return false
+		}
+		return true
 	}
 	answered := l.hearsPlatform(now)
 	for _, h := range l.cfg.Hosts.Ranked(followDuty, newestAsked, now) {
@@ -69,11 +73,7 @@
 // askNewest asks a host for its configuration's revision and takes a newer one. It returns
 // whether that host hears the platform.
 func (l *Lists) askNewest(ctx context.Context, h vetchtrail.Host) (bool, error) {
-	var revision uint64
-	if held := l.held.Load(); held != nil {
-		revision = held.Revision
-	}
-	reply, err := l.cfg.Peers.List(ctx, h.Peers, revision)
+	reply, err := l.probe(ctx, h)
 	if err != nil {
 		return false, err
 	}
--- a/process/lists/spread_test.go
+++ b/process/lists/spread_test.go
@@ -296,3 +296,36 @@
 		})
 	}
 }
+
+// TestRefresh: whether the configuration held is the newest, by who can be asked; no lists
+// are lent for it, however new the other host's are.
+func TestRefresh(t *testing.T) {
+	cases := map[string]struct {
+		down    bool // the others answer nothing
+		old     bool // the others hear nothing of the platform
+		current bool
+	}{
+		"the others hear the platform": {false, false, true},
+		"they don't":                   {false, true, false},
+		"nobody answers":               {true, false, false},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				r := newRegion(4, 1)
+				at := time.Now()
+				if c.old {
+					at = at.Add(-time.Minute)
+				}
+				for _, h := range r.hosts[:3] {
+					r.down[h.rank] = c.down
+					h.Take(vetchtrail.Listing{Revision: 9, Seen: 9, At: at})
+				}
+				last := r.hosts[3]
+				last.Take(vetchtrail.Listing{Revision: 1, Seen: 1, At: at})
+				assert.Equal(t, last.Refresh(t.Context()), c.current)
+				assert.Equal(t, r.wholes, 0, "lists were lent for a question about the configuration")
+			})
+		})
+	}
+}
--- a/process/lists/start.go
+++ b/process/lists/start.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math"
 	"time"
 
 	"vetchtrail"
@@ -43,12 +42,11 @@
 	}
 }
 
-// lends says whether a host can lend lists: an answer of some bytes, as it is taken to hold
-// none that are newer.
+// lends says whether a host can lend lists.
 func (l *Lists) lends(ctx context.Context, h vetchtrail.Host) bool {
 	ctx, cancel := context.WithTimeout(ctx, askTime)
 	defer cancel()
-	reply, err := l.cfg.Peers.List(ctx, h.Peers, math.MaxUint64)
+	reply, err := l.probe(ctx, h)
 	if err != nil {
 		l.cfg.Log.Debug("lists not asked for", "peer", h.Name, "error", err)
 		return false
