Logs: a line for each attempt that was lost, with the request's digest

Cause: the lines couldn't tell whether requests lost at several endpoints were one that came again, nor how attempts before the last ended.

--- a/process/journal/journal.go
+++ b/process/journal/journal.go
@@ -42,10 +42,9 @@
 // Note takes a record without waiting. A line that finds the ring full is not
 // written; it stays among the recent ones.
 func (j *Journal) Note(r vetchtrail.Record) {
-	j.mu.Lock()
-	j.recent[j.count%kept] = r
-	j.count++
-	j.mu.Unlock()
+	if !r.Lost {
+		j.remember(r)
+	}
 	select {
 	case j.ring <- r:
 		return
@@ -54,6 +53,13 @@
 	j.dropped.Add(1)
 }
 
+func (j *Journal) remember(r vetchtrail.Record) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.recent[j.count%kept] = r
+	j.count++
+}
+
 // Dropped returns how many lines were not written.
 func (j *Journal) Dropped() uint64 { return j.dropped.Load() }
 
@@ -95,6 +101,12 @@
 }
 
 func (j *Journal) write(r *vetchtrail.Record) {
+	if r.Lost {
+		j.log.Info(MsgLost, "request", r.Request, "service", r.Service, "route", r.Route, "workspace", r.Workspace, "peer", r.Outcome.Peer,
+			"step", string(r.Outcome.Step), "reason", string(r.Outcome.Reason), "attempt", r.Attempt, "hops", r.Hops, "prompt", r.Prompt,
+			"events", r.Outcome.Events, "took", r.Took, "first", first(r), "digest", r.Digest.String(), "error", cause(r.Outcome.Err))
+		return
+	}
 	if r.Ended {
 		j.log.Info(MsgOutcome, "request", r.Request, "service", r.Service, "route", r.Route, "workspace", r.Workspace, "outcome", r.Outcome.Kind.String(),
 			"step", string(r.Outcome.Step), "peer", r.Outcome.Peer, "reason", string(r.Outcome.Reason),
--- a/process/journal/lines.go
+++ b/process/journal/lines.go
@@ -18,6 +18,9 @@
 const (
 	MsgDecision = "decision"
 	MsgOutcome  = "outcome"
+	// MsgLost is of each attempt that may have run and has no whole answer: an outcome tells
+	// of the last only.
+	MsgLost = "attempt lost"
 )
 
 // Line is a line of a host's log, as far as it serves to explain a request.
@@ -74,6 +77,9 @@
 	HostLost bool   `json:"host_lost,omitempty"`
 	Error    string `json:"error,omitempty"`
 
+	// Of a lost attempt. Digest tells whether requests are one that came again.
+	Digest string `json:"digest,omitempty"`
+
 	// Of what a host came to believe.
 	Endpoint      string `json:"endpoint,omitempty"`
 	DataCentre    string `json:"data_centre,omitempty"`
--- a/record.go
+++ b/record.go
@@ -2,7 +2,8 @@
 
 import "time"
 
-// Record is one decision on a request, and with Ended set what came of it.
+// Record is one decision on a request, or with Ended set what came of it, or with Lost set
+// an attempt whose answer was lost.
 type Record struct {
 	At        time.Time
 	Request   string // id
@@ -21,6 +22,8 @@
 	Quota     QuotaVerdict
 	Revision  uint64
 	Ended     bool // it tells how the request ended
+	Lost      bool // it tells of an attempt at an endpoint whose end is not known
+	Digest    Digest
 	Outcome   Outcome
 	Took      time.Duration
 }
--- a/request.go
+++ b/request.go
@@ -59,6 +59,8 @@
 	// Patience is until when it may wait for room: a caller that is refused
 	// early can still be served in time elsewhere. Zero: until its deadline.
 	Patience time.Time
+
+	digest Digest // see Digest; zero: not taken yet
 }
 
 // WaitUntil is until when the request may wait for room.
--- a/request/dispatch/dispatch.go
+++ b/request/dispatch/dispatch.go
@@ -218,7 +218,7 @@
 		if !ok {
 			return d.end(t.total(o), a)
 		}
-		o = d.try(ctx, r, p, a)
+		o = d.try(ctx, r, p, n, a)
 		c.used(o)
 		// One that ran has used its time: a stream that began goes on, late or not. One that a
 		// host of another data centre had no room for can still be told to come back.
@@ -315,8 +315,8 @@
 	return p.endpoint.Name
 }
 
-// try makes one attempt.
-func (d *Dispatcher) try(ctx context.Context, r *vetchtrail.Request, p placement, a vetchtrail.Answer) vetchtrail.Outcome {
+// try makes one attempt, the nth.
+func (d *Dispatcher) try(ctx context.Context, r *vetchtrail.Request, p placement, n int, a vetchtrail.Answer) vetchtrail.Outcome {
 	if p.dataCentre != "" {
 		o := d.cfg.Peers.Forward(ctx, p.host, r, a)
 		d.cfg.Membership.Returned(p.dataCentre, r.Service, o, time.Now())
@@ -328,9 +328,21 @@
 		Request: r.ID, Route: r.Route, Outcome: o, Timing: timing, Tokens: r.PromptTokens(), Cancel: ctx.Err() != nil,
 		Predicted: p.predicted,
 	}, time.Now())
+	if o.Kind == vetchtrail.Unknown && ctx.Err() == nil {
+		d.noteLost(r, o, timing.Sent, n)
+	}
 	return o
 }
 
+// noteLost writes a line of an attempt that may have run: which of an endpoint's requests
+// ended with it, and whether they came again, can only be told from all of them.
+func (d *Dispatcher) noteLost(r *vetchtrail.Request, o vetchtrail.Outcome, sent time.Time, n int) {
+	d.cfg.Journal.Note(vetchtrail.Record{
+		At: sent, Request: r.ID, Service: r.Service, Route: r.Route, Workspace: r.Workspace, Prompt: r.PromptTokens(),
+		Hops: r.Hops, Attempt: n, Lost: true, Outcome: o, Took: time.Since(sent), Digest: r.Digest(),
+	})
+}
+
 // asSeenHere words the refusal of a host whose configuration is another one:
 // by the one held here the request is proper.
 func asSeenHere(o vetchtrail.Outcome) vetchtrail.Outcome {
