--- a/cmd/standin/serve.go
+++ b/cmd/standin/serve.go
@@ -49,6 +49,9 @@
 	Drag    float64        `default:"1" help:"Share by which a full batch lengthens a step."`
 	Cache   int            `default:"8192" help:"Prompt tokens cached."`
 	Lag     time.Duration  `default:"200ms" help:"Of load reports."`
+	Deadly  string         `help:"Text of a prompt under which the engine ends."`
+	After   time.Duration  `default:"50ms" help:"How long after it was begun."`
+	Back    time.Duration  `default:"1s" help:"Until an engine that ended listens again."`
 }
 
 // Run implements the subcommand.
@@ -57,6 +60,7 @@
 	defer stop()
 	return serve(ctx, c.Addr, engine.New(engine.Config{
 		Slots: c.Slots, Queue: c.Queue, Prefill: c.Prefill, Step: c.Step, Drag: c.Drag, Cache: c.Cache, Lag: c.Lag,
+		Mortality: engine.Mortality{Prompt: c.Deadly, After: c.After, Back: c.Back},
 	}))
 }
 
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -28,6 +28,8 @@
 	Drag    float64       // share by which a full batch lengthens a step
 	Cache   int           // prompt tokens cached
 	Lag     time.Duration // of load reports
+	// Mortality is how it ends under a request.
+	Mortality Mortality
 }
 
 // Faults are what can go wrong.
@@ -57,6 +59,8 @@
 	streams map[string]*stream
 	reports []report
 	stats   Stats
+	life    Life
+	die     func() // ends this life; nil: it is over
 }
 
 // Stats are an engine's totals.
@@ -76,6 +80,9 @@
 // Serve answers on the listener until ctx ends.
 func (s *Server) Serve(ctx context.Context, l net.Listener) error {
 	go s.report(ctx)
+	if s.cfg.Mortality.Prompt != "" {
+		return s.serveLives(ctx, l)
+	}
 	return listen.Serve(ctx, l, s.handle)
 }
 
@@ -112,6 +119,8 @@
 		s.handleLoad(ctx)
 	case path == "/executions":
 		s.runs.Answer(ctx)
+	case path == "/life":
+		writeJSON(ctx, s.Life())
 	case path == "/stats":
 		writeJSON(ctx, s.Stats())
 	case strings.HasPrefix(path, "/v1/streams/"):
--- a/standin/engine/serve.go
+++ b/standin/engine/serve.go
@@ -131,6 +131,7 @@
 	s.keep(name, st)
 	st.attach()
 	prompt := q.text()
+	s.deadly(prompt)
 	go s.generate(run, st, prompt, q.tokens())
 	if q.Stream {
 		s.sendEvents(ctx, st, 0, f)
