--- a/cmd/vetchtrail/main.go
+++ b/cmd/vetchtrail/main.go
@@ -28,19 +28,20 @@
 type arguments struct {
 	globals
 
-	Config    configCommand    `cmd:"" help:"The configuration as a whole."`
-	Service   serviceCommand   `cmd:"" help:"Services."`
-	Region    regionCommand    `cmd:"" help:"Regions."`
-	Route     routeCommand     `cmd:"" help:"Routes by host name and path."`
-	Endpoint  endpointCommand  `cmd:"" help:"Endpoints."`
-	Workspace workspaceCommand `cmd:"" help:"Workspaces and their residency."`
-	Host      hostCommand      `cmd:"" help:"Entry hosts."`
-	Status    statusCommand    `cmd:"" help:"Show hosts, endpoints and data centres."`
-	Decisions decisionsCommand `cmd:"" help:"Show a host's recent decisions."`
-	Explain   explainCommand   `cmd:"" help:"Tell why a request ran where it did."`
-	Trace     traceCommand     `cmd:"" help:"Tell a request's history from the logs of several hosts."`
-	Losses    lossesCommand    `cmd:"" help:"Tell from the logs of all hosts where requests were lost, and why."`
-	Settings  settingsCommand  `cmd:"" help:"Daemons' settings files."`
+	Config     configCommand     `cmd:"" help:"The configuration as a whole."`
+	Service    serviceCommand    `cmd:"" help:"Services."`
+	Region     regionCommand     `cmd:"" help:"Regions."`
+	Route      routeCommand      `cmd:"" help:"Routes by host name and path."`
+	Endpoint   endpointCommand   `cmd:"" help:"Endpoints."`
+	Workspace  workspaceCommand  `cmd:"" help:"Workspaces and their residency."`
+	Host       hostCommand       `cmd:"" help:"Entry hosts."`
+	Status     statusCommand     `cmd:"" help:"Show hosts, endpoints and data centres."`
+	Quarantine quarantineCommand `cmd:"" help:"The requests that are held back because endpoints ended under them."`
+	Decisions  decisionsCommand  `cmd:"" help:"Show a host's recent decisions."`
+	Explain    explainCommand    `cmd:"" help:"Tell why a request ran where it did."`
+	Trace      traceCommand      `cmd:"" help:"Tell a request's history from the logs of several hosts."`
+	Losses     lossesCommand     `cmd:"" help:"Tell from the logs of all hosts where requests were lost, and why."`
+	Settings   settingsCommand   `cmd:"" help:"Daemons' settings files."`
 }
 
 const description = `Operate vetchtrail through any of its daemons.
--- a/cmd/vetchtraild/serve.go
+++ b/cmd/vetchtraild/serve.go
@@ -11,6 +11,7 @@
 
 	"vetchtrail"
 	"vetchtrail/platform"
+	"vetchtrail/process/clock"
 	"vetchtrail/process/daemon"
 	"vetchtrail/process/logs"
 	"vetchtrail/process/membership"
@@ -74,11 +75,12 @@
 	return &daemon.Hosted{
 		Feed: func(f vetchtrail.Following) vetchtrail.Feed {
 			return platform.NewFeed(platform.FeedConfig{
-				Store: s.Platform.Store, Places: s.Platform.DataCentres, Log: log, Following: f,
+				Store: s.Platform.Store, Places: s.Platform.DataCentres, Log: log, Following: f, Clock: clock.Boot,
 				Weights: platform.Weights{Model: vetchtrail.Weights(s.Platform.Weights.Model), Plain: vetchtrail.Weights(s.Platform.Weights.Plain)},
 			})
 		},
 		Registry: platform.NewRegistry(s.Platform.Store, log),
+		Holds:    platform.NewHolds(s.Platform.Store, log),
 		Dialect:  platform.Dialect{},
 		Directory: func(m *membership.Membership, homes func(string) ([]string, bool)) daemon.Directory {
 			return platform.NewDirectory(m, homes, log)
--- a/connection/endpoint/endpoint.go
+++ b/connection/endpoint/endpoint.go
@@ -9,6 +9,7 @@
 	"context"
 	"io"
 	"strconv"
+	"syscall"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -106,6 +107,15 @@
 	return o, t.timing
 }
 
+// Refuses says whether an endpoint refuses a connection, as one does that has ended.
+func (k *Caller) Refuses(ctx context.Context, e vetchtrail.Endpoint) bool {
+	c, err := k.pool.dialer.DialContext(ctx, "tcp", e.Addr.String())
+	if err == nil {
+		_ = c.Close()
+	}
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
+
 func (t *attempt) run(ctx context.Context) (o vetchtrail.Outcome, reusable bool) {
 	_ = t.conn.SetDeadline(t.req.Deadline)
 	t.conn.silent = t.silent()
--- a/connection/peer/client.go
+++ b/connection/peer/client.go
@@ -166,6 +166,18 @@
 	return reply, fault("claim", addr, err)
 }
 
+// Ended tells a host that counts them of ends.
+func (c *Client) Ended(ctx context.Context, addr netip.AddrPort, m *schema.Ends) (*schema.Holds, error) {
+	reply, err := c.peers(ctx, addr).Ended(ctx, m)
+	return reply, fault("ended", addr, err)
+}
+
+// Hold swaps what is held back with a host.
+func (c *Client) Hold(ctx context.Context, addr netip.AddrPort, m *schema.Holds) (*schema.Holds, error) {
+	reply, err := c.peers(ctx, addr).Hold(ctx, m)
+	return reply, fault("hold", addr, err)
+}
+
 func fault(step vetchtrail.Step, addr netip.AddrPort, err error) error {
 	if err == nil {
 		return nil
--- a/connection/peer/server.go
+++ b/connection/peer/server.go
@@ -44,6 +44,12 @@
 	Claimed(m *schema.Claims) *schema.Claims
 }
 
+// Quarantines holds requests back.
+type Quarantines interface {
+	HostEnded(m *schema.Ends) (*schema.Holds, error)
+	HostHolds(m *schema.Holds) (*schema.Holds, error)
+}
+
 // ServerConfig is what a Server needs.
 type ServerConfig struct {
 	Membership Membership
@@ -51,6 +57,8 @@
 	Lister     Lister
 	Runner     Runner
 	Quotas     Quotas
+	Holds      Quarantines
+	Clock      func() time.Time // that goes on while the host is suspended
 	Operators  schema.DRPCOperatorsServer
 }
 
@@ -108,7 +116,7 @@
 	case l.Revision <= q.GetRevision():
 		m.Seen, m.Age = l.Seen, int64(time.Since(l.At))
 	default:
-		m = schema.FromListing(l, time.Now())
+		m = schema.FromListing(l, time.Now(), s.cfg.Clock())
 	}
 	m.Configuration, m.Cut = s.cfg.Lister.Revision(), s.cfg.Lister.Cut(time.Now())
 	return m, nil
@@ -124,6 +132,16 @@
 	return s.cfg.Quotas.Claimed(m), nil
 }
 
+// Ended implements schema.DRPCPeersServer.
+func (s *Server) Ended(_ context.Context, m *schema.Ends) (*schema.Holds, error) {
+	return s.cfg.Holds.HostEnded(m)
+}
+
+// Hold implements schema.DRPCPeersServer.
+func (s *Server) Hold(_ context.Context, m *schema.Holds) (*schema.Holds, error) {
+	return s.cfg.Holds.HostHolds(m)
+}
+
 // Forward implements schema.DRPCPeersServer.
 func (s *Server) Forward(m *schema.ForwardRequest, stream schema.DRPCPeers_ForwardStream) error {
 	r, err := schema.ToRequest(m, time.Now())
--- a/endpoint.go
+++ b/endpoint.go
@@ -19,6 +19,9 @@
 	// Instance is the id of the endpoint's process, which it checks when it is
 	// named in a request; empty: it does not.
 	Instance string
+	// Born is when the life of its process began: an endpoint may start again under its name,
+	// and then holds and knows nothing. Zero: not told.
+	Born time.Time
 	// ColdUntil is until when the endpoint is cold after its start and bears no
 	// more than ColdRate requests a second.
 	ColdUntil time.Time
--- a/feed.go
+++ b/feed.go
@@ -51,6 +51,8 @@
 	At        time.Time // when the platform was asked
 	Endpoints []Endpoint
 	Hosts     []Host // that have registered themselves, live or not long dead
+	// Holds are the requests held back that the platform keeps, by the clock of suspensions.
+	Holds []Hold
 }
 
 // Registry keeps a host in the platform's list of hosts while ctx lasts, from when it is
--- a/mechanism.go
+++ b/mechanism.go
@@ -30,12 +30,13 @@
 	Silence                         // endpoints whose streams all stop are out of use
 	AdaptiveLimits                  // what an endpoint may have in flight follows its answers
 	WarmUp                          // endpoints that return take a share that grows
+	HoldingBack                     // requests under which endpoints end are held back
 )
 
 var mechanismNames = [...]string{
 	"affinity", "prompt-moves", "far-moves", "last-sent", "kept-elsewhere", "prompt-backlog", "pace", "urgent-first",
 	"shedding", "forwarding", "waiting", "last-chance", "retries", "failure-cost", "ejection",
-	"silence", "adaptive-limits", "warm-up",
+	"silence", "adaptive-limits", "warm-up", "holding-back",
 }
 
 // String returns the mechanism's name in the settings.
--- a/outcome.go
+++ b/outcome.go
@@ -84,6 +84,7 @@
 	StepSend      Step = "send"
 	StepAnswer    Step = "answer"
 	StepForward   Step = "forward"
+	StepHold      Step = "hold"
 )
 
 // Reason says why a candidate lost or a request was refused.
@@ -133,4 +134,5 @@
 	ReasonUnknownKey   Reason = "unknown-key"    // no workspace has it, or no longer
 	ReasonNoHome       Reason = "no-common-home" // route and workspace have homes, but no region is both's
 	ReasonQuota        Reason = "over-quota"
+	ReasonHeldBack     Reason = "held-back" // endpoints ended under it
 )
--- a/process/daemon/daemon.go
+++ b/process/daemon/daemon.go
@@ -21,11 +21,13 @@
 	"vetchtrail/connection/endpoint"
 	"vetchtrail/connection/peer"
 	"vetchtrail/connection/store"
+	"vetchtrail/process/clock"
 	"vetchtrail/process/journal"
 	"vetchtrail/process/lists"
 	"vetchtrail/process/load"
 	"vetchtrail/process/membership"
 	"vetchtrail/process/poll"
+	"vetchtrail/process/quarantines"
 	"vetchtrail/process/quotas"
 	"vetchtrail/process/settings"
 	"vetchtrail/request/budget"
@@ -62,6 +64,7 @@
 	// Feed makes the platform's feed.
 	Feed      func(f vetchtrail.Following) vetchtrail.Feed
 	Registry  vetchtrail.Registry
+	Holds     vetchtrail.HoldKeeper
 	Dialect   vetchtrail.Dialect
 	Directory func(m *membership.Membership, homes func(name string) (regions []string, known bool)) Directory
 }
@@ -75,26 +78,28 @@
 
 // Daemon is one host.
 type Daemon struct {
-	set        settings.Settings
-	log        *slog.Logger
-	self       vetchtrail.Host
-	changes    *changelog.Log
-	table      *load.Table
-	membership *membership.Membership
-	journal    *journal.Journal
-	dispatcher *dispatch.Dispatcher
-	quotas     *quotas.Quotas
-	lists      *lists.Lists
-	peers      *peer.Client
-	callers    *caller.Server
-	poller     *poll.Poller
-	server     *peer.Server
-	tls        *tls.Config // for listening to peers; nil: plain
-	hosted     *Hosted     // nil: the project's own log and list
-	directory  Directory
-	endpoints  *endpoint.Caller
-	timing     atomic.Pointer[settings.Timing]
-	inForce    atomic.Uint64 // revision that all parts of the host hold; what others are told
+	set         settings.Settings
+	log         *slog.Logger
+	self        vetchtrail.Host
+	changes     *changelog.Log
+	table       *load.Table
+	membership  *membership.Membership
+	journal     *journal.Journal
+	dispatcher  *dispatch.Dispatcher
+	quotas      *quotas.Quotas
+	quarantines *quarantines.Quarantines
+	kept        *quarantines.Store // of the project's own store
+	lists       *lists.Lists
+	peers       *peer.Client
+	callers     *caller.Server
+	poller      *poll.Poller
+	server      *peer.Server
+	tls         *tls.Config // for listening to peers; nil: plain
+	hosted      *Hosted     // nil: the project's own log and list
+	directory   Directory
+	endpoints   *endpoint.Caller
+	timing      atomic.Pointer[settings.Timing]
+	inForce     atomic.Uint64 // revision that all parts of the host hold; what others are told
 
 	leave   chan struct{} // closed when the host is to leave
 	leaving sync.Once
@@ -114,7 +119,9 @@
 		State:       vetchtrail.HostStarting,
 		Capacity:    d.set.Limits.Capacity(),
 	}
-	d.changes = changelog.New(changelog.Config{Store: store.New(store.Config{Addr: d.set.Platform.Store}), Log: d.log})
+	own := store.New(store.Config{Addr: d.set.Platform.Store})
+	d.changes = changelog.New(changelog.Config{Store: own, Log: d.log})
+	d.kept = &quarantines.Store{Store: own, Log: d.log}
 	d.membership = membership.New(membership.Config{
 		Self: d.self, Seeds: d.set.Seeds, Load: d.table, Revision: d.inForce.Load, Log: d.log, Seed: d.seed(),
 		WholeRegion: d.hosted != nil,
@@ -125,7 +132,7 @@
 	}
 	d.lists = lists.New(lists.Config{
 		Self: d.self, Seeds: d.set.Seeds, KnownWithin: d.set.Platform.KnownWithin, Hosts: d.membership, Peers: d.peers,
-		Configuration: configuration{d}, Taken: d.taken, Log: d.log,
+		Configuration: configuration{d}, Taken: d.taken, Clock: clock.Boot, Log: d.log,
 	})
 	if err := d.newRequests(); err != nil {
 		return nil, err
@@ -135,7 +142,8 @@
 	})
 	var err error
 	d.server, err = peer.NewServer(peer.ServerConfig{
-		Membership: d.membership, Changes: d.changes, Lister: lister{d.lists, d.changes}, Runner: d.dispatcher, Quotas: d.quotas, Operators: &operators{d: d},
+		Membership: d.membership, Changes: d.changes, Lister: lister{d.lists, d.changes}, Runner: d.dispatcher, Quotas: d.quotas,
+		Holds: d.quarantines, Clock: clock.Boot, Operators: &operators{d: d},
 	})
 	return d, err
 }
@@ -165,10 +173,16 @@
 		Dialect: dialect, Observer: d.table,
 		Guard: func(e vetchtrail.Endpoint, r *vetchtrail.Request) vetchtrail.Reason { return d.dispatcher.Guard(e, r) },
 	})
+	off := vetchtrail.MechanismsOf(d.set.SwitchedOff...)
+	d.quarantines = quarantines.New(quarantines.Config{
+		Self: d.self, Regions: func() []string { return d.changes.Rules().RegionNames() }, Hosts: d.membership, Peers: d.peers,
+		Refuses: d.endpoints.Refuses, Leaving: d.leavingEndpoint, Keeper: d.holdKeeper(), Clock: clock.Boot,
+		Off: off.Has(vetchtrail.HoldingBack), Log: d.log,
+	})
 	d.dispatcher = dispatch.New(dispatch.Config{
 		Self: d.self, Policy: p, Rules: d.changes.Rules, Table: d.table, Membership: d.membership,
 		Endpoints: d.endpoints, Peers: d.peers, Keeper: keeper, Journal: d.journal, Seed: d.seed(),
-		Budget: d.budget(d.set.Retries), Quotas: d.quotas, Off: vetchtrail.MechanismsOf(d.set.SwitchedOff...),
+		Budget: d.budget(d.set.Retries), Quotas: d.quotas, Quarantine: d.quarantines, Off: off,
 	})
 	d.callers = caller.New(caller.Config{
 		Runner: d.dispatcher, Rules: d.changes.Rules, Membership: d.membership, Keeper: keeper,
@@ -178,6 +192,21 @@
 	return nil
 }
 
+// leavingEndpoint says whether an endpoint is known to leave.
+func (d *Daemon) leavingEndpoint(name string) bool {
+	_, known := d.table.Known(name)
+	_, usable := d.table.Endpoint(name, time.Now())
+	return known && !usable
+}
+
+// holdKeeper is where holds outlast all hosts.
+func (d *Daemon) holdKeeper() vetchtrail.HoldKeeper {
+	if d.hosted != nil {
+		return d.hosted.Holds
+	}
+	return d.kept
+}
+
 // Reload takes what may change while the daemon runs: the times of a stop and
 // the bounds on further attempts. It returns the names of settings that differ
 // and need a restart.
@@ -230,6 +259,7 @@
 	duties.Go(func() { d.membership.SwapDigests(ctx, d.peers) })
 	duties.Go(func() { d.pull(ctx) })
 	duties.Go(func() { d.quotas.Run(ctx) })
+	duties.Go(func() { d.quarantines.Run(ctx) })
 	if d.set.Listen.Metrics.IsValid() {
 		figures, err := listen(ctx, d.set.Listen.Metrics)
 		if err != nil {
@@ -260,6 +290,7 @@
 func (d *Daemon) runOwn(ctx context.Context, duties *conc.WaitGroup) {
 	duties.Go(func() { d.configure(ctx) })
 	duties.Go(func() { d.start(ctx) })
+	duties.Go(func() { d.quarantines.Load(ctx, d.kept) })
 	duties.Go(func() { d.poller.Run(ctx) })
 	duties.Go(func() { d.poller.RunList(ctx) })
 	go d.changes.Watch(ctx, func() bool { return d.membership.OnDuty("watch the store", Watchers, time.Now()) })
--- a/process/daemon/hosted.go
+++ b/process/daemon/hosted.go
@@ -91,6 +91,9 @@
 
 // taken places the endpoints of lists that were taken.
 func (d *Daemon) taken() {
+	if l := d.lists.Listing(); l != nil {
+		d.quarantines.Listed(l) // before the table forgets which endpoints were leaving
+	}
 	d.place(time.Now())
 	d.readyWhenHeld()
 }
--- a/process/daemon/operators.go
+++ b/process/daemon/operators.go
@@ -9,6 +9,7 @@
 	"github.com/go-faster/errors"
 
 	"vetchtrail"
+	"vetchtrail/process/clock"
 	"vetchtrail/process/load"
 	"vetchtrail/schema"
 	"vetchtrail/version/changelog"
@@ -189,3 +190,23 @@
 	o.d.Leave()
 	return &schema.DrainHostReply{InFlight: int32(o.d.dispatcher.InFlight())}, nil
 }
+
+// Quarantine implements schema.DRPCOperatorsServer.
+func (o *operators) Quarantine(context.Context, *schema.QuarantineRequest) (*schema.QuarantineReply, error) {
+	holds, suspects := o.d.quarantines.Holds()
+	out := &schema.QuarantineReply{Holds: schema.FromHolds(holds, clock.Boot())}
+	for _, s := range suspects {
+		out.Suspects = append(out.Suspects, &schema.Suspect{Digest: s.Digest[:], Ends: uint32(s.Ends)})
+	}
+	return out, nil
+}
+
+// Release implements schema.DRPCOperatorsServer.
+func (o *operators) Release(_ context.Context, m *schema.ReleaseRequest) (*schema.ReleaseReply, error) {
+	d, err := schema.ToDigest(m.GetDigest())
+	if err != nil {
+		return nil, err
+	}
+	hold, ok := o.d.quarantines.Release(d)
+	return &schema.ReleaseReply{Hold: schema.FromHold(hold, clock.Boot()), Released: ok}, nil
+}
--- a/process/lists/borrow.go
+++ b/process/lists/borrow.go
@@ -175,7 +175,7 @@
 		l.Take(same)
 		return nil
 	}
-	in, err := schema.ToListing(reply, time.Now())
+	in, err := schema.ToListing(reply, time.Now(), l.cfg.Clock())
 	if err != nil {
 		return err
 	}
--- a/process/lists/lists.go
+++ b/process/lists/lists.go
@@ -50,7 +50,8 @@
 	Hosts         Hosts
 	Peers         Peers
 	Configuration Configuration
-	Taken         func() // lists or a configuration were taken; it may be called by many
+	Taken         func()           // lists or a configuration were taken; it may be called by many
+	Clock         func() time.Time // that goes on while the host is suspended
 	Log           *slog.Logger
 }
 
@@ -72,6 +73,9 @@
 
 // New returns lists that hold nothing.
 func New(c Config) *Lists {
+	if c.Clock == nil {
+		c.Clock = time.Now
+	}
 	return &Lists{cfg: c, born: time.Now(), cut: map[string]time.Time{}, unmet: map[string]time.Time{}}
 }
 
--- a/process/lists/spread_test.go
+++ b/process/lists/spread_test.go
@@ -74,7 +74,7 @@
 		m.Seen, m.Age = l.Seen, int64(time.Since(l.At))
 		if l.Revision > revision {
 			h.r.lent()
-			m = schema.FromListing(l, time.Now())
+			m = schema.FromListing(l, time.Now(), time.Now())
 			m.Cut = to.Cut(time.Now())
 		}
 	}
--- /dev/null
+++ b/process/quarantines/count.go
@@ -0,0 +1,156 @@
+package quarantines
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"vetchtrail"
+	"vetchtrail/request/quarantine"
+	"vetchtrail/schema"
+)
+
+const (
+	// judgeAfter is how long after the word of an end is judged: until all hosts can have
+	// told of it.
+	judgeAfter = 320 * time.Millisecond
+	// tellTime bounds a message to another host: two ways between regions.
+	tellTime = time.Second
+	// tellTries is how often a message is sent to a host that counts, with tellPause between:
+	// what it does not hear is lost.
+	tellTries = 3
+	tellPause = 200 * time.Millisecond
+)
+
+// count tells the hosts that count what this host saw, and judges if it is one of them. It
+// returns true if it held a request back.
+func (q *Quarantines) count(ctx context.Context, now time.Time) bool {
+	q.mu.Lock()
+	ends, served := q.ends, q.served
+	q.ends, q.served = nil, nil
+	q.mu.Unlock()
+	if len(ends)+len(served) > 0 {
+		q.report(ctx, ends, served, now)
+	}
+	return q.judgeNow(now)
+}
+
+// report takes what this host saw to the counters of all regions.
+func (q *Quarantines) report(ctx context.Context, ends []quarantine.End, served []served, now time.Time) {
+	m := &schema.Ends{From: q.cfg.Self.Name}
+	for _, e := range ends {
+		m.Ends = append(m.Ends, fromEnd(e, now))
+	}
+	for _, s := range served {
+		m.Served = append(m.Served, &schema.Served{Digest: s.digest[:], Age: int64(now.Sub(s.at))})
+	}
+	for _, region := range q.cfg.Regions() {
+		for _, h := range q.countersOf(region, now) {
+			if h.Name == q.cfg.Self.Name {
+				q.counted(ends, served, now)
+				continue
+			}
+			go q.reportTo(ctx, h, m, now)
+		}
+	}
+}
+
+// reportTo tells one counter, again if it does not answer.
+func (q *Quarantines) reportTo(ctx context.Context, h vetchtrail.Host, m *schema.Ends, made time.Time) {
+	for try := range tellTries {
+		if try > 0 {
+			wait(ctx, tellPause)
+		}
+		call, cancel := context.WithTimeout(ctx, tellTime)
+		reply, err := q.cfg.Peers.Ended(call, h.Peers, older(m, q.cfg.Clock().Sub(made)))
+		cancel()
+		if err == nil {
+			q.hearSuspects(reply)
+			return
+		}
+		q.cfg.Log.Info("counter of ends not reached", "peer", h.Name, "try", try+1, "error", err)
+		if ctx.Err() != nil {
+			return
+		}
+	}
+}
+
+// older returns a report that is sent some time after it was made.
+func older(m *schema.Ends, by time.Duration) *schema.Ends {
+	out := &schema.Ends{From: m.GetFrom()}
+	for _, e := range m.GetEnds() {
+		out.Ends = append(out.Ends, &schema.End{Endpoint: e.GetEndpoint(), Born: e.GetBorn(), Age: e.GetAge() + int64(by), Ran: e.GetRan(), Begun: e.GetBegun()})
+	}
+	for _, s := range m.GetServed() {
+		out.Served = append(out.Served, &schema.Served{Digest: s.GetDigest(), Age: s.GetAge() + int64(by)})
+	}
+	return out
+}
+
+// counted takes what a host saw into the evidence.
+func (q *Quarantines) counted(ends []quarantine.End, served []served, now time.Time) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	for _, e := range ends {
+		q.evidence.Ended(e, now)
+	}
+	for _, s := range served {
+		q.evidence.Served(s.digest, s.at)
+	}
+	if len(ends) > 0 && q.judge.IsZero() {
+		q.judge = now.Add(judgeAfter)
+		q.stir()
+	}
+}
+
+// HostEnded takes what another host saw, and answers with the suspects.
+func (q *Quarantines) HostEnded(m *schema.Ends) (*schema.Holds, error) {
+	now := q.cfg.Clock()
+	var ends []quarantine.End
+	var seen []served
+	for _, line := range m.GetEnds() {
+		e, err := toEnd(line, now)
+		if err != nil {
+			return nil, err
+		}
+		ends = append(ends, e)
+	}
+	for _, line := range m.GetServed() {
+		d, err := schema.ToDigest(line.GetDigest())
+		if err != nil {
+			return nil, err
+		}
+		seen = append(seen, served{digest: d, at: now.Add(-time.Duration(max(0, line.GetAge())))})
+	}
+	q.counted(ends, seen, now)
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return &schema.Holds{From: q.cfg.Self.Name, Suspects: fromSuspects(q.suspects)}, nil
+}
+
+// judgeNow holds back what the evidence tells to, if there is any new.
+func (q *Quarantines) judgeNow(now time.Time) (found bool) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if q.judge.IsZero() || now.Before(q.judge) {
+		return false
+	}
+	q.judge = time.Time{}
+	if q.evidence.Unsettled(now) {
+		q.judge = now.Add(judgeAfter)
+	}
+	var holds []vetchtrail.Hold
+	for _, s := range q.evidence.Judge(quarantine.WayExplained, q.holds, now) {
+		hold := q.holds.Add(s.Digest, s.Ends, now)
+		holds = append(holds, hold)
+		countHold()
+		q.cfg.Log.Warn("request held back", "digest", s.Digest.String(), "ends", s.Ends, "strike", hold.Strike, "for", hold.Until.Sub(now))
+	}
+	suspects := q.evidence.Suspects(suspectAt)
+	suspects = suspects[:min(suspectsTold, len(suspects))]
+	if len(holds) > 0 || !slices.Equal(suspects, q.suspects) {
+		q.suspects = suspects
+		q.spread(holds, now)
+	}
+	return len(holds) > 0
+}
--- /dev/null
+++ b/process/quarantines/fleet_test.go
@@ -0,0 +1,307 @@
+package quarantines
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/go-faster/errors"
+	"google.golang.org/protobuf/proto"
+
+	"vetchtrail"
+	"vetchtrail/request/quarantine"
+	"vetchtrail/schema"
+)
+
+// The fleet plays hosts of three regions on virtual time (testing/synctest): the real
+// Quarantines, with messages that are late, lost or told twice, regions and hosts that are cut
+// off, hosts that start again without memory or are suspended, and a platform that keeps holds.
+
+const (
+	regionsOf   = 3
+	hostsOf     = 3 // of a region
+	endpointsOf = 4
+	endpointUp  = 2500 * time.Millisecond // until an endpoint that ended is back
+	listsEvery  = 1200 * time.Millisecond // between two readings of the platform's lists
+	deadAfter   = 4 * time.Second         // until a host that is gone is ranked no longer
+	inTouchFor  = 5 * time.Second
+)
+
+// fleet is a run.
+type fleet struct {
+	broken    string // a mechanism that is taken out
+	rnd       *rand.Rand
+	hosts     []*virtual
+	endpoints [regionsOf][]*backend
+	kept      quarantine.Kept
+	cut       [regionsOf]bool
+	calm      time.Time // when the last trouble of the whole fleet ended
+	bytes     int       // of messages
+
+	ends     []time.Time // of endpoints, under the deadly request
+	arrivals []arrival   // of the deadly request at endpoints
+}
+
+// arrival is the deadly request as it reaches an endpoint.
+type arrival struct {
+	at      time.Time
+	inTouch bool // the host that sent it is
+}
+
+// virtual is a host.
+type virtual struct {
+	fleet  *fleet
+	host   vetchtrail.Host
+	region int
+	q      *Quarantines
+	stop   context.CancelFunc
+	up     bool
+	gone   time.Time     // when it ended last
+	since  time.Time     // when it was troubled last
+	asleep time.Duration // by which its steady clock is behind
+}
+
+type backend struct {
+	name string
+	born time.Time
+	down time.Time // until when it is away
+}
+
+func regionName(n int) string { return fmt.Sprint("region-", n) }
+
+func newFleet(broken string, seed uint64) *fleet {
+	f := &fleet{broken: broken, rnd: rand.New(rand.NewPCG(seed, 5))}
+	for r := range regionsOf {
+		for n := range hostsOf {
+			addr := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, byte(r), byte(n)}), 7070)
+			h := &virtual{fleet: f, region: r, host: vetchtrail.Host{Name: fmt.Sprintf("h-%d-%d", r, n), Region: regionName(r), Peers: addr}}
+			f.hosts = append(f.hosts, h)
+			h.start()
+		}
+		for n := range endpointsOf {
+			f.endpoints[r] = append(f.endpoints[r], &backend{name: fmt.Sprintf("e-%d-%d", r, n), born: time.Now()})
+		}
+	}
+	return f
+}
+
+// close ends the duties of all hosts.
+func (f *fleet) close() {
+	for _, h := range f.hosts {
+		h.stop()
+	}
+}
+
+func (h *virtual) start() {
+	f := h.fleet
+	h.up, h.since, h.asleep = true, time.Now(), 0
+	c := Config{
+		Self: h.host, Regions: func() []string { return []string{regionName(0), regionName(1), regionName(2)} }, Hosts: h, Peers: h,
+		Refuses: h.refuses, Leaving: func(string) bool { return false }, Keeper: h, Log: slog.New(slog.DiscardHandler),
+		Clock: time.Now,
+	}
+	if f.broken == "a clock that a suspension fools" {
+		c.Clock = func() time.Time { return time.Now().Add(-h.asleep) }
+	}
+	if f.broken == "nothing outlasts the hosts" {
+		c.Keeper = nil
+	}
+	h.q = New(c)
+	var ctx context.Context
+	ctx, h.stop = context.WithCancel(context.Background())
+	q := h.q
+	go q.Run(ctx)
+	go h.readLists(ctx, q)
+}
+
+// readLists takes what the platform lists, as long as it is reached.
+func (h *virtual) readLists(ctx context.Context, q *Quarantines) {
+	for ctx.Err() == nil {
+		if !h.fleet.cut[h.region] && h.fleet.broken != "nothing outlasts the hosts" && h.fleet.broken != "nobody else is told" {
+			q.Listed(h.fleet.listing())
+		}
+		wait(ctx, listsEvery)
+	}
+}
+
+func (f *fleet) listing() *vetchtrail.Listing {
+	l := &vetchtrail.Listing{Holds: f.kept.From(time.Now())}
+	for _, region := range f.endpoints {
+		for _, e := range region {
+			l.Endpoints = append(l.Endpoints, vetchtrail.Endpoint{Name: e.name, Born: e.born})
+		}
+	}
+	return l
+}
+
+// kill ends a host with all that it remembers.
+func (h *virtual) kill() {
+	h.up, h.gone = false, time.Now()
+	h.stop()
+}
+
+// RankedIn implements Hosts.
+func (h *virtual) RankedIn(region, _ string, n int, now time.Time) []vetchtrail.Host {
+	var out []vetchtrail.Host
+	for _, other := range h.fleet.hosts {
+		if other.host.Region == region && (other.up || now.Sub(other.gone) < deadAfter) && h.reaches(other) {
+			out = append(out, other.host)
+		}
+	}
+	slices.SortFunc(out, func(a, b vetchtrail.Host) int { return a.Peers.Compare(b.Peers) })
+	return out[:min(n, len(out))]
+}
+
+func (h *virtual) reaches(other *virtual) bool {
+	return h.region == other.region || !h.fleet.cut[h.region] && !h.fleet.cut[other.region]
+}
+
+var errNotReached = errors.New("not reached")
+
+// send delivers a message after a while, or loses it, or delivers it twice.
+func send[M proto.Message](ctx context.Context, h *virtual, addr netip.AddrPort, m M, take func(*Quarantines, M) (*schema.Holds, error)) (*schema.Holds, error) {
+	f := h.fleet
+	f.bytes += proto.Size(m)
+	at := slices.IndexFunc(f.hosts, func(o *virtual) bool { return o.host.Peers == addr })
+	to := f.hosts[at]
+	if !to.up || !h.reaches(to) || f.rnd.IntN(20) == 0 {
+		<-ctx.Done()
+		return nil, errNotReached
+	}
+	delay := time.Millisecond
+	if h.region != to.region {
+		delay = 55 * time.Millisecond
+	}
+	wait(ctx, delay+time.Duration(f.rnd.IntN(20))*time.Millisecond)
+	if !to.up {
+		return nil, errNotReached
+	}
+	reply, err := take(to.q, proto.Clone(m).(M))
+	if f.rnd.IntN(10) == 0 {
+		reply, err = take(to.q, proto.Clone(m).(M))
+	}
+	wait(ctx, delay)
+	return reply, err
+}
+
+// Ended implements Peers.
+func (h *virtual) Ended(ctx context.Context, addr netip.AddrPort, m *schema.Ends) (*schema.Holds, error) {
+	if h.fleet.broken == "hosts count for themselves" {
+		return nil, errNotReached
+	}
+	return send(ctx, h, addr, m, (*Quarantines).HostEnded)
+}
+
+// Hold implements Peers.
+func (h *virtual) Hold(ctx context.Context, addr netip.AddrPort, m *schema.Holds) (*schema.Holds, error) {
+	if h.fleet.broken == "nobody else is told" {
+		return nil, errNotReached
+	}
+	return send(ctx, h, addr, m, (*Quarantines).HostHolds)
+}
+
+// Keep implements vetchtrail.HoldKeeper.
+func (h *virtual) Keep(ctx context.Context, put []vetchtrail.Hold, drop []vetchtrail.Digest) error {
+	if h.fleet.cut[h.region] {
+		<-ctx.Done()
+		return errNotReached
+	}
+	h.fleet.kept.Put(put, drop)
+	return nil
+}
+
+func (h *virtual) refuses(_ context.Context, e vetchtrail.Endpoint) bool {
+	at := slices.IndexFunc(h.fleet.endpoints[h.region], func(b *backend) bool { return b.name == e.Name })
+	return time.Now().Before(h.fleet.endpoints[h.region][at].down)
+}
+
+// inTouch says whether nothing has troubled a host, its region or the fleet for a while.
+func (h *virtual) inTouch(now time.Time) bool {
+	f := h.fleet
+	return now.Sub(h.since) > inTouchFor && now.Sub(f.calm) > inTouchFor && !slices.Contains(f.cut[:], true)
+}
+
+// ask has a request come to a host, which sends it to an endpoint unless it holds it back.
+// Deadly: the endpoint ends, with other requests of the region's hosts.
+func (h *virtual) ask(r *vetchtrail.Request, deadly bool) (ran, held bool) {
+	f, now := h.fleet, time.Now()
+	if !h.up {
+		return false, false
+	}
+	if _, held := h.q.Held(r); held {
+		return false, true
+	}
+	live := slices.DeleteFunc(slices.Clone(f.endpoints[h.region]), func(b *backend) bool { return now.Before(b.down) })
+	if len(live) == 0 {
+		return false, false
+	}
+	if !deadly {
+		h.q.Answered(r)
+		return true, false
+	}
+	b := live[f.rnd.IntN(len(live))]
+	f.arrivals = append(f.arrivals, arrival{at: now, inTouch: h.inTouch(now)})
+	time.Sleep(70 * time.Millisecond)
+	f.end(b, h, r)
+	return true, false
+}
+
+// end ends an endpoint under a request of a host.
+func (f *fleet) end(b *backend, h *virtual, r *vetchtrail.Request) {
+	now := time.Now()
+	f.ends = append(f.ends, now)
+	e := vetchtrail.Endpoint{Name: b.name, Born: b.born}
+	b.down, b.born = now.Add(endpointUp), now.Add(endpointUp)
+	lost := vetchtrail.Outcome{Kind: vetchtrail.Unknown, Reason: vetchtrail.ReasonLost}
+	for _, other := range f.hosts {
+		if other.region != h.region || !other.up {
+			continue
+		}
+		if other == h {
+			other.q.Lost(e, r, lost, vetchtrail.Timing{Sent: now})
+		}
+		for range 4 { // others' requests, which are answered elsewhere
+			beside := innocent(f.rnd.Uint64())
+			other.q.Lost(e, beside, lost, vetchtrail.Timing{Sent: now})
+			other.q.Answered(beside)
+		}
+	}
+}
+
+func innocent(n uint64) *vetchtrail.Request {
+	return &vetchtrail.Request{Path: fmt.Sprint("/ask/", n)}
+}
+
+func deadlyRequest() *vetchtrail.Request { return &vetchtrail.Request{Path: "/ask/deadly"} }
+
+// over returns how often the deadly request was sent by hosts in touch later than they could
+// know of it.
+func (f *fleet) over() int {
+	if len(f.ends) < 3 {
+		return 0
+	}
+	n := 0
+	for _, a := range f.arrivals {
+		if a.inTouch && a.at.After(f.ends[2].Add(inTouchFor)) {
+			n++
+		}
+	}
+	return n
+}
+
+// suspend stands a host's steady clock and its duties still for a time.
+func (h *virtual) suspend(t time.Duration) {
+	h.asleep += t
+	h.since = time.Now().Add(t)
+}
+
+var _ vetchtrail.Quarantine = (*Quarantines)(nil)
+
+func logFleet(t testing.TB, f *fleet) {
+	t.Logf("%d ends, %d arrivals, %d over, %d bytes of messages", len(f.ends), len(f.arrivals), f.over(), f.bytes)
+}
--- /dev/null
+++ b/process/quarantines/quarantines.go
@@ -0,0 +1,202 @@
+// Package quarantines finds the requests under which endpoints end and holds them back on all
+// hosts, by the rules of request/quarantine: it makes sure that an endpoint has ended, tells
+// the hosts that count what was there, and spreads what they hold back. It lives for the
+// process.
+package quarantines
+
+import (
+	"context"
+	"log/slog"
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+
+	"vetchtrail"
+	"vetchtrail/request/quarantine"
+	"vetchtrail/schema"
+)
+
+const (
+	// counterDuty names the duty to count ends.
+	counterDuty = "count ends"
+	// counters is how many hosts of a region count, so that the loss of one loses no count.
+	counters = 2
+	// suspectsTold bounds the suspects in a message.
+	suspectsTold = 32
+	// suspectAt is from how many ends on all hosts are told of a suspect, so that whoever
+	// serves it says so.
+	suspectAt = 2
+)
+
+// Hosts is what quarantines know of the other hosts.
+type Hosts interface {
+	// RankedIn returns the first n live hosts of a region for a duty, this one too if it is in
+	// the region.
+	RankedIn(region, duty string, n int, now time.Time) []vetchtrail.Host
+}
+
+// Peers is how quarantines reach other hosts.
+type Peers interface {
+	Ended(ctx context.Context, addr netip.AddrPort, m *schema.Ends) (*schema.Holds, error)
+	Hold(ctx context.Context, addr netip.AddrPort, m *schema.Holds) (*schema.Holds, error)
+}
+
+// Config is what Quarantines need.
+type Config struct {
+	Self    vetchtrail.Host
+	Regions func() []string
+	Hosts   Hosts
+	Peers   Peers
+	// Refuses says whether an endpoint refuses connections.
+	Refuses func(ctx context.Context, e vetchtrail.Endpoint) bool
+	// Leaving says whether an endpoint is known to leave: that it ends then is no fault.
+	Leaving func(name string) bool
+	Keeper  vetchtrail.HoldKeeper // nil: holds last as long as hosts that know them
+	Clock   func() time.Time      // that goes on while the host is suspended
+	Off     bool                  // nothing is held back
+	Log     *slog.Logger
+}
+
+// Quarantines is a host's part in holding requests back. It is a vetchtrail.Quarantine, and
+// safe for use by many.
+type Quarantines struct {
+	cfg   Config
+	holds *quarantine.Holds
+	watch watch
+	wake  chan struct{} // for the duties of Run
+
+	mu        sync.Mutex // guards what follows
+	evidence  *quarantine.Evidence
+	judge     time.Time // when there is something to judge; zero: there is not
+	suspects  []quarantine.Suspect
+	suspected suspected
+	served    []served                              // not told of yet
+	ends      []quarantine.End                      // of this host's endpoints, not told of yet
+	kept      map[vetchtrail.Digest]vetchtrail.Hold // as the platform keeps them
+}
+
+type served struct {
+	digest vetchtrail.Digest
+	at     time.Time
+}
+
+// New returns quarantines that hold nothing back.
+func New(c Config) *Quarantines {
+	return &Quarantines{
+		cfg: c, holds: quarantine.NewHolds(), wake: make(chan struct{}, 1), watch: newWatch(),
+		evidence: quarantine.NewEvidence(), kept: map[vetchtrail.Digest]vetchtrail.Hold{},
+	}
+}
+
+// Held implements vetchtrail.Quarantine. Where nothing is held back it costs a load of a
+// pointer; else the request's digest, once, and a look-up.
+func (q *Quarantines) Held(r *vetchtrail.Request) (vetchtrail.Hold, bool) {
+	if q.cfg.Off || !q.holds.Any() {
+		return vetchtrail.Hold{}, false
+	}
+	return q.holds.Held(r.Digest(), q.cfg.Clock)
+}
+
+// Answered implements vetchtrail.Quarantine.
+func (q *Quarantines) Answered(r *vetchtrail.Request) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if q.suspected.none() {
+		return
+	}
+	if d := r.Digest(); q.suspected.remove(d) {
+		q.served = append(q.served, served{digest: d, at: q.cfg.Clock()})
+		q.stir()
+	}
+}
+
+// Holds returns the requests that are held back or were lately, and those that may be soon.
+func (q *Quarantines) Holds() ([]vetchtrail.Hold, []quarantine.Suspect) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.holds.All(q.cfg.Clock()), slices.Clone(q.suspects)
+}
+
+// Release lets a request go and tells all hosts. It returns false if it is not held back.
+func (q *Quarantines) Release(d vetchtrail.Digest) (vetchtrail.Hold, bool) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	now := q.cfg.Clock()
+	hold, ok := q.holds.Release(d, now)
+	if ok {
+		q.cfg.Log.Info("request let go", "digest", d.String(), "strike", hold.Strike)
+		q.evidence.Served(d, now)
+		q.spread([]vetchtrail.Hold{hold}, now)
+	}
+	return hold, ok
+}
+
+// stir makes Run look at once. The caller holds the lock.
+func (q *Quarantines) stir() {
+	select {
+	case q.wake <- struct{}{}:
+	default:
+	}
+}
+
+// counts says whether this host is one of its region that count.
+func (q *Quarantines) counts(now time.Time) bool {
+	return slices.ContainsFunc(q.countersOf(q.cfg.Self.Region, now), func(h vetchtrail.Host) bool { return h.Name == q.cfg.Self.Name })
+}
+
+func (q *Quarantines) countersOf(region string, now time.Time) []vetchtrail.Host {
+	return q.cfg.Hosts.RankedIn(region, counterDuty, counters, now)
+}
+
+// take takes holds that were told, and returns those that were news. The caller holds the
+// lock.
+func (q *Quarantines) take(in []vetchtrail.Hold, now time.Time) []vetchtrail.Hold {
+	var news []vetchtrail.Hold
+	for _, h := range in {
+		if !q.holds.Take(h, now) {
+			continue
+		}
+		news = append(news, h)
+		if h.Released {
+			q.evidence.Served(h.Digest, now)
+		}
+	}
+	return news
+}
+
+// suspected are the digests of requests that were lost with an endpoint, here or elsewhere:
+// whoever serves one says so. Only the newest are remembered.
+type suspected struct {
+	all   map[vetchtrail.Digest]bool
+	order []vetchtrail.Digest
+}
+
+// mostSuspected bounds the digests remembered: those of some dozen endpoints' requests.
+const mostSuspected = 2048
+
+func (s *suspected) none() bool { return len(s.all) == 0 }
+
+func (s *suspected) add(d vetchtrail.Digest) {
+	if s.all == nil {
+		s.all = map[vetchtrail.Digest]bool{}
+	}
+	if s.all[d] {
+		return
+	}
+	s.all[d] = true
+	s.order = append(s.order, d)
+	for len(s.order) > mostSuspected {
+		delete(s.all, s.order[0])
+		s.order = s.order[1:]
+	}
+}
+
+func (s *suspected) remove(d vetchtrail.Digest) bool {
+	if !s.all[d] {
+		return false
+	}
+	delete(s.all, d)
+	s.order = slices.DeleteFunc(s.order, func(other vetchtrail.Digest) bool { return other == d })
+	return true
+}
--- a/request/dispatch/dispatch.go
+++ b/request/dispatch/dispatch.go
@@ -54,6 +54,7 @@
 	Seed       uint64 // of the random choices
 	Budget     budget.Config
 	Quotas     vetchtrail.Quotas     // nil: workspaces have none
+	Quarantine vetchtrail.Quarantine // nil: nothing is held back
 	Off        vetchtrail.Mechanisms // that are not used
 }
 
@@ -133,6 +134,9 @@
 	if why != "" {
 		return d.refusal(vetchtrail.StepDecide, why, time.Time{}), false
 	}
+	if hold, held := d.held(r); held {
+		return d.heldBack(hold), false
+	}
 	r.Home, r.Priority = j.Home, j.Priority
 	if r.Hops == 0 {
 		r.Allowed = j.Allowed
@@ -171,6 +175,9 @@
 	if why != "" || !known || !(j.Allowed & r.Allowed).Has(g.ID) {
 		return vetchtrail.ReasonResidency
 	}
+	if _, held := d.held(r); held {
+		return vetchtrail.ReasonHeldBack
+	}
 	if _, usable := d.cfg.Table.Endpoint(e.Name, now); !usable && r.Resume.Endpoint == "" {
 		return vetchtrail.ReasonDraining
 	}
@@ -328,21 +335,10 @@
 		Request: r.ID, Route: r.Route, Outcome: o, Timing: timing, Tokens: r.PromptTokens(), Cancel: ctx.Err() != nil,
 		Predicted: p.predicted,
 	}, time.Now())
-	if o.Kind == vetchtrail.Unknown && ctx.Err() == nil {
-		d.noteLost(r, o, timing.Sent, n)
-	}
+	d.learn(ctx, p.endpoint, r, o, timing, n)
 	return o
 }
 
-// noteLost writes a line of an attempt that may have run: which of an endpoint's requests
-// ended with it, and whether they came again, can only be told from all of them.
-func (d *Dispatcher) noteLost(r *vetchtrail.Request, o vetchtrail.Outcome, sent time.Time, n int) {
-	d.cfg.Journal.Note(vetchtrail.Record{
-		At: sent, Request: r.ID, Service: r.Service, Route: r.Route, Workspace: r.Workspace, Prompt: r.PromptTokens(),
-		Hops: r.Hops, Attempt: n, Lost: true, Outcome: o, Took: time.Since(sent), Digest: r.Digest(),
-	})
-}
-
 // asSeenHere words the refusal of a host whose configuration is another one:
 // by the one held here the request is proper.
 func asSeenHere(o vetchtrail.Outcome) vetchtrail.Outcome {
--- a/scenario/deadly_test.go
+++ b/scenario/deadly_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -23,6 +24,8 @@
 	// the time in which all hosts know it then.
 	knownEnds   = 3
 	knownWithin = 5 * time.Second
+	// comesAgain is the caller's pause.
+	comesAgain = 100 * time.Millisecond
 	// fewMore is how often a request that is known may still reach endpoints.
 	fewMore = 3
 )
@@ -58,14 +61,14 @@
 	})
 }
 
-// comeAgain has a caller send the deadly request every so often, at any host, until ctx ends.
-func (x *deadlyRun) comeAgain(ctx context.Context, every time.Duration, hosts []int) {
+// comeAgain has a caller send the deadly request again and again, at any of some hosts, until ctx ends.
+func (x *deadlyRun) comeAgain(ctx context.Context, hosts []int) {
 	for ctx.Err() == nil {
 		r := x.ask(hosts[x.rnd.IntN(len(hosts))], deadlyText)
 		x.mu.Lock()
 		x.results = append(x.results, r)
 		x.mu.Unlock()
-		time.Sleep(every)
+		time.Sleep(comesAgain)
 	}
 }
 
@@ -86,11 +89,11 @@
 }
 
 // play has the deadly request come again beside others for a time.
-func (x *deadlyRun) play(length, every time.Duration, hosts []int) {
+func (x *deadlyRun) play(length time.Duration, hosts []int) {
 	ctx, stop := context.WithTimeout(x.ctx, length)
 	defer stop()
 	var all sync.WaitGroup
-	all.Go(func() { x.comeAgain(ctx, every, hosts) })
+	all.Go(func() { x.comeAgain(ctx, hosts) })
 	for caller := range 4 {
 		all.Go(func() { x.askOthers(ctx, caller) })
 	}
@@ -143,10 +146,116 @@
 func TestDeadlyRequest(t *testing.T) {
 	t.Parallel()
 	x := newDeadlyRun(t, 2, 2)
-	x.play(14*time.Second, 100*time.Millisecond, x.allHosts())
+	x.play(14*time.Second, x.allHosts())
 	ends, arrivals := x.lives()
 	t.Logf("%d ends, %d arrivals, others %v", len(ends), len(arrivals), x.others)
 	assert.Assert(t, len(ends) >= knownEnds, "the fault was not brought about")
 	more := after(arrivals, ends[knownEnds-1].Add(knownWithin))
 	assert.Assert(t, more <= fewMore, "%d ended, and it was sent to endpoints %d times more", len(ends), more)
+	x.heldBackTruly()
+	assert.Equal(t, x.others["not-run held-back"], 0, "who did nothing was held back: %v", x.others)
+}
+
+// heldBackTruly checks what the caller of the deadly request was told last: at once, that it was
+// not run this time and why, and no time at which to come back. Operators see it.
+func (x *deadlyRun) heldBackTruly() {
+	x.t.Helper()
+	last := x.results[len(x.results)-1]
+	assert.Equal(x.t, last.Status, 503)
+	assert.Equal(x.t, last.Outcome+" "+last.Reason, "not-run held-back", last.Detail)
+	assert.Assert(x.t, last.RetryAt.IsZero(), "told to come back")
+	out, err := x.f.Tool(x.ctx, x.d.Hosts[0].Host, "quarantine", "list")
+	assert.NilError(x.t, err, out)
+	assert.Equal(x.t, strings.Count(out, "held back"), 1, out)
+}
+
+// sends asks the deadly request once at each host and returns how many endpoints it reached.
+func (x *deadlyRun) sends() int {
+	x.t.Helper()
+	_, before := x.lives()
+	for host := range x.d.Hosts {
+		x.ask(host, deadlyText)
+	}
+	_, after := x.lives()
+	return len(after) - len(before)
+}
+
+// TestDeadlyRequestOutlastsHosts: all hosts are killed together with what they remember, and the
+// deadly request comes again. The store keeps what is held back.
+func TestDeadlyRequestOutlastsHosts(t *testing.T) {
+	t.Parallel()
+	x := newDeadlyRun(t, 1, 2)
+	x.play(5*time.Second, x.allHosts())
+	x.heldBackTruly()
+	for _, h := range x.d.Hosts {
+		assert.NilError(t, x.f.Kill(h.Host))
+	}
+	for _, h := range x.d.Hosts {
+		assert.NilError(t, x.f.StartHost(h.Host))
+	}
+	for i, h := range x.d.Hosts {
+		assert.NilError(t, x.f.Await(x.ctx, h.Host+" serves", func() bool { return x.ask(i, "x").Whole }))
+	}
+	assert.Equal(t, x.sends(), 0)
+}
+
+// TestDeadlyRequestIsLetGo: an operator lets a request go that is held back; it runs again, and
+// is held back again after one endpoint.
+func TestDeadlyRequestIsLetGo(t *testing.T) {
+	t.Parallel()
+	x := newDeadlyRun(t, 1, 2)
+	x.play(5*time.Second, x.allHosts())
+	assert.Equal(t, x.sends(), 0)
+	out, err := x.f.Tool(x.ctx, x.d.Hosts[0].Host, "quarantine", "list")
+	assert.NilError(t, err, out)
+	digest, _, _ := strings.Cut(strings.Split(out, "\n")[1], " ")
+	out, err = x.f.Tool(x.ctx, x.d.Hosts[0].Host, "quarantine", "release", digest)
+	assert.NilError(t, err, out)
+	assert.NilError(t, x.f.Await(x.ctx, "all hosts let it go", func() bool { return x.sends() > 0 }))
+	x.play(5*time.Second, x.allHosts())
+	assert.Equal(t, x.sends(), 0)
+}
+
+// TestDeadlyRequestInARegionCutOff: it comes to a region that reaches neither the others nor the
+// platform, which holds it back by itself, and the others do once it is heard again, before an
+// endpoint of theirs ends.
+func TestDeadlyRequestInARegionCutOff(t *testing.T) {
+	t.Parallel()
+	x := newDeadlyRun(t, 2, 3)
+	cutOff := x.d.Spec.Regions[2].Name
+	var inside, outside []int
+	for i, h := range x.d.Hosts {
+		if h.Region == cutOff {
+			inside = append(inside, i)
+			continue
+		}
+		outside = append(outside, i)
+	}
+	x.isolate(cutOff, true)
+	x.play(6*time.Second, inside)
+	ends, arrivals := x.lives()
+	assert.Assert(t, len(ends) >= knownEnds, "the fault was not brought about")
+	assert.Assert(t, after(arrivals, ends[knownEnds-1].Add(knownWithin)) <= fewMore)
+	x.isolate(cutOff, false)
+	for _, i := range outside {
+		assert.NilError(t, x.f.Await(x.ctx, x.d.Hosts[i].Host+" knows", func() bool {
+			out, err := x.f.Tool(x.ctx, x.d.Hosts[i].Host, "quarantine", "list")
+			return err == nil && strings.Contains(out, "held back")
+		}))
+	}
+	x.play(2*time.Second, outside)
+	_, more := x.lives()
+	assert.Equal(t, len(more), len(arrivals))
+}
+
+// isolate cuts a region off from the others and the platform, or heals its links.
+func (x *deadlyRun) isolate(region string, cut bool) {
+	x.t.Helper()
+	for _, r := range x.d.Spec.Regions {
+		if r.Name != region {
+			assert.NilError(x.t, x.f.Cut(x.ctx, region, r.Name, cut))
+			assert.NilError(x.t, x.f.Cut(x.ctx, r.Name, region, cut))
+		}
+	}
+	assert.NilError(x.t, x.f.Cut(x.ctx, region, deployment.PlatformName, cut))
 }
--- a/schema/convert.go
+++ b/schema/convert.go
@@ -210,10 +210,19 @@
 		Route:  r.Route, GoalRemaining: left(r.Goal, now), Prompt: fromPrompt(r.Prompt), Resumable: r.Resumable, LastEvent: r.LastEvent,
 		Begun: r.Begun, PatienceRemaining: left(r.Patience, now),
 		AnswerTokens: uint32(r.AnswerTokens), MostTokens: uint32(r.MostTokens), Fresh: r.Fresh,
-		BeginRemaining: left(r.BeginBy, now),
+		BeginRemaining: left(r.BeginBy, now), Digest: fromDigest(r),
 	}
 }
 
+// fromDigest is a request's digest if it was taken, so that no other host takes it again.
+func fromDigest(r *vetchtrail.Request) []byte {
+	d, ok := r.KnownDigest()
+	if !ok {
+		return nil
+	}
+	return d[:]
+}
+
 func fromPrompt(in []vetchtrail.PromptPart) []*PromptPart {
 	out := make([]*PromptPart, 0, len(in))
 	for _, p := range in {
@@ -252,7 +261,7 @@
 		return nil, errors.New("schema.ToRequest: region id out of range")
 	}
 	p := m.GetResume()
-	return &vetchtrail.Request{
+	r := &vetchtrail.Request{
 		ID: m.GetId(), Service: m.GetService(), Kind: vetchtrail.ServiceKind(m.GetKind()), Workspace: m.GetWorkspace(),
 		Home: vetchtrail.RegionID(m.GetHome()), Entry: vetchtrail.RegionID(m.GetEntry()),
 		Allowed: vetchtrail.RegionSet(m.GetAllowed()), Priority: int8(m.GetPriority()),
@@ -265,7 +274,11 @@
 		Begun: m.GetBegun(), Patience: after(m.GetPatienceRemaining(), now),
 		AnswerTokens: int(m.GetAnswerTokens()), MostTokens: int(m.GetMostTokens()), Fresh: m.GetFresh(),
 		BeginBy: after(m.GetBeginRemaining(), now),
-	}, nil
+	}
+	if d, err := ToDigest(m.GetDigest()); err == nil {
+		r.Digested(d)
+	}
+	return r, nil
 }
 
 // FromHeader returns the messages for header fields.
