--- a/process/quarantines/quarantines.go
+++ b/process/quarantines/quarantines.go
@@ -154,6 +154,7 @@
 func (q *Quarantines) take(in []vetchtrail.Hold, now time.Time) []vetchtrail.Hold {
 	var news []vetchtrail.Hold
 	for _, h := range in {
+		h.Until = vetchtrail.Earlier(h.Until, now.Add(quarantine.HoldTime(h.Strike)))
 		if !q.holds.Take(h, now) {
 			continue
 		}
--- a/request/quarantine/judge.go
+++ b/request/quarantine/judge.go
@@ -25,7 +25,7 @@
 // Way is a way to tell the requests under which endpoints end from those beside them.
 type Way uint8
 
-// Ways. TestWays compares them: 10 plays each of 10,000 requests on endpoints of 32. With one to
+// Ways. TestWays compares them: 10 plays each (VETCHTRAIL_PLAYS) of 10,000 requests on endpoints of 32. With one to
 // five deadly requests the first held them back after 3.1 to 4.5 ends in the mean, 8 at most
 // (6 each where endpoints ended in mid-answer), and nobody else; the second after 2.8 to 3.6 in
 // the mean, 4 at most, and up to 11 others in a play.
--- a/soak/inject.go
+++ b/soak/inject.go
@@ -161,6 +161,7 @@
 	if err := j.checks.collect(ctx, e.Target); err != nil {
 		return err
 	}
+	j.checks.collectDeadly(ctx, e.Target)
 	if err := j.fleet.Kill(e.Target); err != nil {
 		return err
 	}
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -28,6 +28,8 @@
 	Binaries  string    // directory of the programs
 	Directory string    // for settings files and logs
 	Progress  io.Writer // nil: none
+	// Deadly has a caller send a request under which engines end, again and again.
+	Deadly bool
 }
 
 // Bounds of a run: of the machine's processes, and of what one person waits for.
@@ -75,7 +77,7 @@
 	}
 	d := deployment.Build(c.Spec)
 	f, err := fleet.Start(ctx, fleet.Config{
-		Deployment: d, Binaries: c.Binaries, Directory: c.Directory, EngineArgs: []string{"--step=5ms"},
+		Deployment: d, Binaries: c.Binaries, Directory: c.Directory, EngineArgs: c.engineArgs(),
 		Leave: leaveTime, Poll: pollTime,
 	})
 	if err != nil {
@@ -93,6 +95,14 @@
 	return r.report, nil
 }
 
+func (c *Config) engineArgs() []string {
+	args := []string{"--step=5ms"}
+	if c.Deadly {
+		args = append(args, "--deadly="+deadlyPrompt, "--back="+deadlyBack.String())
+	}
+	return args
+}
+
 const (
 	leaveTime = 500 * time.Millisecond // between announcing a stop and closing
 	pollTime  = 200 * time.Millisecond // of load reports
@@ -149,6 +159,10 @@
 			callers.Go(func() { v.run(driving) })
 		}
 	}
+	if r.cfg.Deadly {
+		v := &driver{d: r.d, checks: r.checks, client: client.New(), rnd: rand.New(rand.NewPCG(r.cfg.Seed, 1<<20)), seen: Tally{}, served: func(time.Time, string) {}}
+		callers.Go(func() { v.sendDeadly(driving) })
+	}
 	callers.Go(func() { r.checks.watch(driving) })
 	callers.Go(func() { r.progress(driving) })
 	errs := make(chan error, len(r.report.Events)+1)
@@ -168,6 +182,9 @@
 	if err := r.checks.finish(ctx); err != nil {
 		return err
 	}
+	if r.cfg.Deadly {
+		r.checks.boundedDeadly(ctx)
+	}
 	for _, v := range drivers {
 		for how, n := range v.seen {
 			r.report.Outcomes[how] += n
