--- a/cmd/vetchtrail/trace.go
+++ b/cmd/vetchtrail/trace.go
@@ -91,6 +91,9 @@
 	case l.Msg == journal.MsgOutcome:
 		return fmt.Sprintf("%s at %s, step %s %s: status %d, first after %s, %d events, took %s %s",
 			l.Outcome, l.Peer, l.Step, l.Reason, l.Status, ms(l.First), l.Events, ms(l.Took), l.Error)
+	case l.Msg == journal.MsgLost:
+		return fmt.Sprintf("attempt %d at %s lost, step %s %s, after %s, %d events; the request's digest is %s %s",
+			l.Attempt, l.Peer, l.Step, l.Reason, ms(l.Took), l.Events, l.Digest, l.Error)
 	case l.Decision == "run-here":
 		return fmt.Sprintf("attempt %d: run at %s, first expected after %s, of it %s for prompts before; holds %d of %d tokens; said %s ago to run %d and hold back %d",
 			l.Attempt, l.Target, ms(l.Wait), ms(l.Backlog), l.Holds, l.Prompt, ms(l.ReportAge), l.Running, l.Queued)
--- a/process/journal/losses.go
+++ b/process/journal/losses.go
@@ -18,6 +18,7 @@
 	CauseRefusedFirst  Cause = "refused at its first try"
 	CauseRefusedBack   Cause = "refused when its caller came back"
 	CauseOverQuota     Cause = "over its workspace's quota"
+	CauseHeldBack      Cause = "held back, as endpoints ended under it"
 	CauseLateForeseen  Cause = "late as foreseen"
 	CauseLateAtQueue   Cause = "late at the endpoint, foreseen in time"
 	CauseLateAgain     Cause = "late after another attempt"
@@ -32,6 +33,9 @@
 	firstServerFailure       = 500
 )
 
+// heldBack is the reason of requests that are held back.
+const heldBack = "held-back"
+
 // Loss is how many requests had one end in one second.
 type Loss struct {
 	Second  int    `json:"second"` // since the first line
@@ -71,6 +75,9 @@
 	}
 	counts := map[Loss]int{}
 	for _, s := range stories {
+		if s.first.Msg == "" && s.end.Reason == heldBack {
+			s.first = s.end // refused before a decision was made
+		}
 		if s.first.Msg == "" {
 			continue // only the host that it was passed to is there
 		}
@@ -156,6 +163,8 @@
 		return CauseCallerGone
 	case e.Outcome == "not-run" && e.Reason == "over-quota":
 		return CauseOverQuota
+	case e.Reason == heldBack:
+		return CauseHeldBack
 	case e.Outcome == "not-run" && s.first.Fresh:
 		return CauseRefusedFirst
 	case e.Outcome == "not-run":
--- a/process/journal/losses_test.go
+++ b/process/journal/losses_test.go
@@ -39,6 +39,7 @@
 		"refused at first":          {[][]string{{no, ends(`"outcome":"not-run"`)}}, CauseRefusedFirst},
 		"refused when back":         {[][]string{{noBack, ends(`"outcome":"not-run"`)}}, CauseRefusedBack},
 		"beyond a quota":            {[][]string{{no, ends(`"outcome":"not-run","reason":"over-quota"`)}}, CauseOverQuota},
+		"held back":                 {[][]string{{ends(`"route":"r","home":"h","outcome":"not-run","reason":"held-back"`)}}, CauseHeldBack},
 		"cut":                       {[][]string{{asks, ends(`"outcome":"unknown","reason":"answer-broken","begun":true`)}}, CauseCut},
 		"lost":                      {[][]string{{asks, ends(`"outcome":"unknown","reason":"answer-lost"`)}}, CauseLost},
 		"lost with a host":          {[][]string{{elsew, ends(`"outcome":"unknown","reason":"answer-lost","begun":true,"host_lost":true`)}}, CauseHostLost},
