--- a/connection/endpoint/pool.go
+++ b/connection/endpoint/pool.go
@@ -38,9 +38,16 @@
 type place struct {
 	addr     netip.AddrPort
 	instance string
+	born     int64 // Unix nanoseconds of its life's start; 0: not told
 }
 
-func placeOf(e vetchtrail.Endpoint) place { return place{addr: e.Addr, instance: e.Instance} }
+func placeOf(e vetchtrail.Endpoint) place {
+	p := place{addr: e.Addr, instance: e.Instance}
+	if !e.Born.IsZero() {
+		p.born = e.Born.UnixNano()
+	}
+	return p
+}
 
 // conn is a connection to an endpoint that counts what was written for the
 // request in hand, so that "no byte left" can be said truthfully.
@@ -170,12 +177,16 @@
 	p.idle[at] = append(p.idle[at], c)
 }
 
-// Forget closes the idle connections to endpoints that are no longer known.
-func (k *Caller) Forget(known func(vetchtrail.Endpoint) bool) {
+// Keep closes the idle connections but for those to the lives of some endpoints.
+func (k *Caller) Keep(endpoints []vetchtrail.Endpoint) {
+	known := make(map[place]bool, len(endpoints))
+	for _, e := range endpoints {
+		known[placeOf(e)] = true
+	}
 	k.pool.mu.Lock()
 	defer k.pool.mu.Unlock()
 	for at, list := range k.pool.idle {
-		if known(vetchtrail.Endpoint{Addr: at.addr, Instance: at.instance}) {
+		if known[at] {
 			continue
 		}
 		for _, c := range list {
--- a/observation.go
+++ b/observation.go
@@ -5,6 +5,8 @@
 // Observation is what one request showed of the endpoint that ran it.
 type Observation struct {
 	Request string // id
+	// Born is the start of the endpoint's life that ran it; zero: not told.
+	Born    time.Time
 	Outcome Outcome
 	Timing  Timing
 	Route   string
--- a/process/daemon/hosted.go
+++ b/process/daemon/hosted.go
@@ -135,9 +135,7 @@
 	held := d.changes.Rules()
 	defer d.inForce.Store(held.Revision())
 	var placed, far []load.Placed
-	known := make(map[vetchtrail.Endpoint]bool, len(l.Endpoints))
 	for _, e := range l.Endpoints {
-		known[vetchtrail.Endpoint{Addr: e.Addr, Instance: e.Instance}] = true
 		g, _ := held.Region(e.Region)
 		if e.Region != d.set.Region {
 			far = append(far, load.Placed{Endpoint: e, RegionID: g.ID})
@@ -148,7 +146,7 @@
 	}
 	d.table.Configure(placed)
 	d.table.SetFar(far)
-	d.endpoints.Forget(func(e vetchtrail.Endpoint) bool { return known[e] })
+	d.endpoints.Keep(l.Endpoints)
 }
 
 // coldPart is this host's part of the requests a second that a cold endpoint
--- a/process/load/learn.go
+++ b/process/load/learn.go
@@ -12,7 +12,7 @@
 func (t *Table) Release(name string, o vetchtrail.Observation, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	s, ok := t.endpoints[name]
+	s, ok := t.life(name, o.Born)
 	if !ok {
 		return
 	}
--- a/process/load/load.go
+++ b/process/load/load.go
@@ -173,7 +173,7 @@
 	t.shorts = make(map[uint32]*state, len(endpoints))
 	for _, e := range endpoints {
 		s, ok := old[e.Name]
-		if !ok || s.Addr != e.Addr || s.Service != e.Service {
+		if !ok || s.Addr != e.Addr || s.Service != e.Service || s.another(e.Born) {
 			s = &state{
 				limit: float64(e.Slots), service: average{value: firstService}, pace: average{value: 1},
 				warmth: 1, reading: map[string]unread{}, sessions: sessions{}, streams: map[string]bool{},
@@ -193,6 +193,18 @@
 	}
 }
 
+// another says whether an endpoint's life that began at a moment is another than the one that
+// is known: what it held is gone, and what is on its way to the earlier life isn't in this one.
+func (s *state) another(born time.Time) bool {
+	return !s.Born.IsZero() && !born.IsZero() && !s.Born.Equal(born)
+}
+
+// life returns what is known of an endpoint's life. The caller holds the lock.
+func (t *Table) life(name string, born time.Time) (*state, bool) {
+	s, ok := t.endpoints[name]
+	return s, ok && !s.another(born)
+}
+
 // SwitchOff leaves mechanisms out, until it is called again.
 func (t *Table) SwitchOff(off vetchtrail.Mechanisms) {
 	t.mu.Lock()
--- a/process/load/pace.go
+++ b/process/load/pace.go
@@ -67,7 +67,7 @@
 func (t *Table) Silent(e vetchtrail.Endpoint, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	s, ok := t.endpoints[e.Name]
+	s, ok := t.life(e.Name, e.Born)
 	return ok && t.silent(s, now)
 }
 
@@ -91,7 +91,7 @@
 func (t *Table) Paced(e vetchtrail.Endpoint, d time.Duration, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if s, ok := t.endpoints[e.Name]; ok {
+	if s, ok := t.life(e.Name, e.Born); ok {
 		s.gap.observe(d, now)
 		s.heard = now
 		if s.reported && now.Sub(s.report.At) < gapReportAge {
--- a/process/load/prefill.go
+++ b/process/load/prefill.go
@@ -246,7 +246,7 @@
 func (t *Table) Started(e vetchtrail.Endpoint, r *vetchtrail.Request, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	s, ok := t.endpoints[e.Name]
+	s, ok := t.life(e.Name, e.Born)
 	if !ok {
 		return
 	}
@@ -270,7 +270,7 @@
 func (t *Table) Told(e vetchtrail.Endpoint, l vetchtrail.LoadReport) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if s, ok := t.endpoints[e.Name]; ok {
+	if s, ok := t.life(e.Name, e.Born); ok {
 		t.take(s, l, true, time.Time{})
 	}
 }
--- a/request/dispatch/dispatch.go
+++ b/request/dispatch/dispatch.go
@@ -332,7 +332,7 @@
 	o, timing := d.cfg.Endpoints.Call(ctx, p.endpoint, r, a)
 	o.First = timing.First
 	d.cfg.Table.Release(p.endpoint.Name, vetchtrail.Observation{
-		Request: r.ID, Route: r.Route, Outcome: o, Timing: timing, Tokens: r.PromptTokens(), Cancel: ctx.Err() != nil,
+		Request: r.ID, Born: p.endpoint.Born, Route: r.Route, Outcome: o, Timing: timing, Tokens: r.PromptTokens(), Cancel: ctx.Err() != nil,
 		Predicted: p.predicted,
 	}, time.Now())
 	d.learn(ctx, p.endpoint, r, o, timing, n)
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -179,6 +179,9 @@
 	errs <- r.recovers(ctx)
 	stop()
 	callers.Wait()
+	if r.cfg.Deadly {
+		sleep(ctx, 2*deadlyBack) // the last that it ended listen again
+	}
 	if err := r.checks.finish(ctx); err != nil {
 		return err
 	}
