--- a/process/daemon/daemon.go
+++ b/process/daemon/daemon.go
@@ -166,7 +166,7 @@
 		})
 	}
 	d.quotas = quotas.New(quotas.Config{
-		Self: d.self, Rules: d.changes.Rules, Hosts: d.membership, Peers: d.peers, Way: d.set.Quotas.Way, Log: d.log,
+		Self: d.self, Rules: d.changes.Rules, Hosts: d.membership, Peers: d.peers, Way: d.set.Quotas.Way, Clock: clock.Boot, Log: d.log,
 		Tolerance: quota.Tolerance{Window: d.set.Quotas.Window, Overage: d.set.Quotas.Overage, Slack: d.set.Quotas.Slack},
 	})
 	d.endpoints = endpoint.New(endpoint.Config{
--- a/process/load/life_test.go
+++ b/process/load/life_test.go
@@ -21,8 +21,8 @@
 		keeps bool      // what was believed
 		late  int       // in flight after an answer of the first life
 	}{
-		"the same life":            {first, true, 0},
-		"it started again":         {second, false, 1},
+		"the same life":             {first, true, 0},
+		"it started again":          {second, false, 1},
 		"its start is told no more": {time.Time{}, true, 0},
 	}
 	for name, c := range cases {
--- a/process/quotas/ask.go
+++ b/process/quotas/ask.go
@@ -38,7 +38,7 @@
 	now := time.Now()
 	for _, h := range q.cfg.Hosts.RankedIn(q.cfg.Self.Region, duty(shardOf(a.Workspace)), keepersAsked, now) {
 		if h.Name == q.cfg.Self.Name {
-			return q.grant(q.cfg.Self.Name, a, now), true
+			return rebased(q.grant(q.cfg.Self.Name, a, now), now, q.cfg.Clock()), true
 		}
 		if q.isLost(h.Name, now) {
 			continue
@@ -53,6 +53,16 @@
 	return quota.Grant{}, false
 }
 
+// rebased returns a grant with its moments by another clock.
+func rebased(g quota.Grant, from, to time.Time) quota.Grant {
+	for _, at := range []*time.Time{&g.Until, &g.Back} {
+		if !at.IsZero() {
+			*at = to.Add(at.Sub(from))
+		}
+	}
+	return g
+}
+
 func (q *Quotas) askHost(h vetchtrail.Host, a quota.Ask) (quota.Grant, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), askTime)
 	defer cancel()
@@ -62,7 +72,7 @@
 	if err != nil {
 		return quota.Grant{}, err
 	}
-	now := time.Now()
+	now := q.cfg.Clock()
 	return quota.Grant{
 		Units: m.GetGranted(), Until: now.Add(time.Duration(m.GetFor())), Back: now.Add(time.Duration(m.GetBack())),
 		Left: m.GetLeft(), Age: time.Duration(m.GetAge()), Share: m.GetShare(),
--- a/process/quotas/claim.go
+++ b/process/quotas/claim.go
@@ -38,19 +38,20 @@
 		now := time.Now()
 		q.swap(ctx, now)
 		if !now.Before(forget) {
-			q.forget(now)
+			q.forget(now, q.cfg.Clock())
 			forget = now.Add(forgetEvery)
 		}
 	}
 }
 
-// forget drops what is held for workspaces that nobody asks for.
-func (q *Quotas) forget(now time.Time) {
+// forget drops what is held for workspaces that nobody asks for. What is held has a clock of its
+// own.
+func (q *Quotas) forget(now, holding time.Time) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	for name, h := range q.held {
 		h.mu.Lock()
-		idle := h.holder.Idle(now)
+		idle := h.holder.Idle(holding)
 		h.mu.Unlock()
 		if idle {
 			delete(q.held, name)
--- a/process/quotas/quotas.go
+++ b/process/quotas/quotas.go
@@ -52,7 +52,10 @@
 	Peers     Peers
 	Tolerance quota.Tolerance
 	Way       string
-	Log       *slog.Logger
+	// Clock goes on while the host is suspended: units that it holds lapse meanwhile. What it
+	// keeps of the region's parts stands still, as nobody is granted of it. Nil: time.Now.
+	Clock func() time.Time
+	Log   *slog.Logger
 }
 
 // Quotas is a host's part in keeping quotas. It is safe for use by many.
@@ -93,6 +96,9 @@
 	if c.Way == "" {
 		c.Way = WayLeased
 	}
+	if c.Clock == nil {
+		c.Clock = time.Now
+	}
 	return &Quotas{cfg: c, held: map[string]*held{}, keepers: map[string]*kept{}, lost: map[string]time.Time{}}
 }
 
@@ -109,7 +115,7 @@
 	h := q.heldOf(workspace)
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	now := time.Now()
+	now := q.cfg.Clock()
 	h.holder.Arrive(charge, now)
 	switch q.cfg.Way {
 	case WayEqual:
@@ -132,7 +138,7 @@
 		if !q.await(ctx, h, workspace, charge) {
 			break
 		}
-		now = time.Now()
+		now = q.cfg.Clock()
 	}
 	back, _ := h.holder.Shut(now)
 	return h.verdict(false, latest(back, now.Add(leastBack)), now)
@@ -167,6 +173,9 @@
 
 func (h *held) verdict(ok bool, back, now time.Time) vetchtrail.QuotaVerdict {
 	here, region, age := h.holder.Held(now)
+	if !back.IsZero() {
+		back = time.Now().Add(back.Sub(now)) // by the clock of callers
+	}
 	return vetchtrail.QuotaVerdict{Granted: ok, RetryAt: back, Left: here, Region: region, Age: age}
 }
 
@@ -175,7 +184,7 @@
 	h := q.heldOf(workspace)
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	switch now := time.Now(); q.cfg.Way {
+	switch now := q.cfg.Clock(); q.cfg.Way {
 	case WayEqual:
 		h.equal.Return(charge)
 	case WayTold:
@@ -228,7 +237,7 @@
 		return
 	}
 	h.asking = make(chan struct{})
-	a := h.holder.Ask(workspace, least, h.waiting, time.Now())
+	a := h.holder.Ask(workspace, least, h.waiting, q.cfg.Clock())
 	go q.question(h, a)
 }
 
@@ -237,7 +246,7 @@
 	g, ok := q.granted(a)
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	now := time.Now()
+	now := q.cfg.Clock()
 	switch {
 	case ok && q.cfg.Way == WayTold:
 		h.told.Answer(g.Share, now)
--- a/process/quotas/quotas_test.go
+++ b/process/quotas/quotas_test.go
@@ -219,9 +219,40 @@
 	virtual(t, "a minute later", func(t *testing.T) {
 		_, hosts := join(t, WayLeased, vetchtrail.Quota{Rate: 100, Burst: 100}, 1)
 		hosts[0].Take(context.Background(), "w", 1)
-		hosts[0].forget(time.Now())
+		hosts[0].forget(time.Now(), time.Now())
 		assert.Equal(t, len(hosts[0].held), 1)
-		hosts[0].forget(time.Now().Add(2 * time.Minute))
+		hosts[0].forget(time.Now().Add(2*time.Minute), time.Now().Add(2*time.Minute))
 		assert.Equal(t, len(hosts[0].held), 0)
 	})
 }
+
+// TestSuspendedHolder: what a host was granted before it was suspended is void when it wakes:
+// its keeper has granted the same room to others since.
+func TestSuspendedHolder(t *testing.T) {
+	cases := map[string]struct {
+		asleep time.Duration
+		spends bool
+	}{
+		"awake":                      {0, true},
+		"suspended for a moment":     {100 * time.Millisecond, true},
+		"suspended for five seconds": {5 * time.Second, false},
+	}
+	for name, c := range cases {
+		virtual(t, name, func(t *testing.T) {
+			began := time.Now()
+			asleep := time.Duration(0)
+			clock := func() time.Time { return time.Unix(5000, 0).Add(time.Since(began) + asleep) }
+			q := New(Config{Clock: clock, Log: slog.New(slog.NewTextHandler(io.Discard, nil))})
+			h := q.heldOf("w")
+			a := h.holder.Ask("w", 0, 0, clock())
+			h.holder.Answer(a, quota.Grant{Units: 10, Until: clock().Add(500 * time.Millisecond)}, clock())
+			asleep = c.asleep
+			assert.Equal(t, h.holder.Spend(1, q.cfg.Clock()), c.spends)
+			steady := time.Now()
+			g := rebased(quota.Grant{Until: steady.Add(time.Second)}, steady, clock())
+			assert.Assert(t, g.Until.Sub(clock()) > 900*time.Millisecond && g.Back.IsZero())
+			v := h.verdict(false, clock().Add(300*time.Millisecond), clock())
+			assert.Assert(t, time.Until(v.RetryAt) > 200*time.Millisecond && time.Until(v.RetryAt) <= 300*time.Millisecond, "%s", time.Until(v.RetryAt))
+		})
+	}
+}
