Quarantine: an endpoint that loses answers and lives is looked at once a second; suspects are forgotten

Cause: each lost answer of a living endpoint led to a connection to it, and after one loss the digest of each answered request was taken for ever.

Change: a pause of a second between looks at one endpoint; two minutes for which a lost request is remembered.

--- a/process/quarantines/messages.go
+++ b/process/quarantines/messages.go
@@ -12,7 +12,7 @@
 
 // fromEnd returns the message for the end of an endpoint.
 func fromEnd(e quarantine.End, now time.Time) *schema.End {
-	m := &schema.End{Endpoint: e.Endpoint, Born: unixNanos(e.Born), Age: int64(now.Sub(e.At))}
+	m := &schema.End{Endpoint: e.Endpoint, Born: schema.Nanos(e.Born), Age: int64(now.Sub(e.At))}
 	for _, r := range e.Ran {
 		m.Ran = append(m.Ran, r.Digest[:]...)
 		begun := byte(0)
@@ -30,7 +30,7 @@
 	if len(ran) != len(begun)*len(vetchtrail.Digest{}) || m.GetEndpoint() == "" || m.GetAge() < 0 {
 		return quarantine.End{}, errors.Errorf("quarantines: end: %d bytes of digests of %d requests at %q", len(ran), len(begun), m.GetEndpoint())
 	}
-	e := quarantine.End{Endpoint: m.GetEndpoint(), Born: fromNanos(m.GetBorn()), At: now.Add(-time.Duration(m.GetAge()))}
+	e := quarantine.End{Endpoint: m.GetEndpoint(), Born: schema.Moment(m.GetBorn()), At: now.Add(-time.Duration(m.GetAge()))}
 	for i, b := range begun {
 		e.Ran = append(e.Ran, quarantine.Ran{Digest: vetchtrail.Digest(ran[i*len(vetchtrail.Digest{}) : (i+1)*len(vetchtrail.Digest{})]), Begun: b != 0})
 	}
@@ -58,17 +58,3 @@
 	}
 	return out, nil
 }
-
-func unixNanos(t time.Time) int64 {
-	if t.IsZero() {
-		return 0
-	}
-	return t.UnixNano()
-}
-
-func fromNanos(n int64) time.Time {
-	if n == 0 {
-		return time.Time{}
-	}
-	return time.Unix(0, n)
-}
--- a/process/quarantines/quarantines.go
+++ b/process/quarantines/quarantines.go
@@ -105,8 +105,10 @@
 	if q.suspected.none() {
 		return
 	}
+	now := q.cfg.Clock()
+	q.suspected.forget(now)
 	if d := r.Digest(); q.suspected.remove(d) {
-		q.served = append(q.served, served{digest: d, at: q.cfg.Clock()})
+		q.served = append(q.served, served{digest: d, at: now})
 		q.stir()
 	}
 }
@@ -169,32 +171,48 @@
 // suspected are the digests of requests that were lost with an endpoint, here or elsewhere:
 // whoever serves one says so. Only the newest are remembered.
 type suspected struct {
-	all   map[vetchtrail.Digest]bool
+	all   map[vetchtrail.Digest]time.Time // until when
 	order []vetchtrail.Digest
 }
 
-// mostSuspected bounds the digests remembered: those of some dozen endpoints' requests.
-const mostSuspected = 2048
+const (
+	// mostSuspected bounds the digests remembered: those of some dozen endpoints' requests.
+	mostSuspected = 2048
+	// suspectedFor is for how long one is remembered. Its caller has asked again by then, and
+	// while some are, the digest of each request that is answered is taken.
+	suspectedFor = 2 * time.Minute
+)
 
 func (s *suspected) none() bool { return len(s.all) == 0 }
 
-func (s *suspected) add(d vetchtrail.Digest) {
+func (s *suspected) add(d vetchtrail.Digest, now time.Time) {
 	if s.all == nil {
-		s.all = map[vetchtrail.Digest]bool{}
+		s.all = map[vetchtrail.Digest]time.Time{}
 	}
-	if s.all[d] {
-		return
+	if _, known := s.all[d]; !known {
+		s.order = append(s.order, d)
 	}
-	s.all[d] = true
-	s.order = append(s.order, d)
+	s.all[d] = now.Add(suspectedFor)
 	for len(s.order) > mostSuspected {
-		delete(s.all, s.order[0])
-		s.order = s.order[1:]
+		s.drop()
+	}
+}
+
+// drop forgets the one that was added first.
+func (s *suspected) drop() {
+	delete(s.all, s.order[0])
+	s.order = s.order[1:]
+}
+
+// forget drops those that were added first and are too old.
+func (s *suspected) forget(now time.Time) {
+	for len(s.order) > 0 && !now.Before(s.all[s.order[0]]) {
+		s.drop()
 	}
 }
 
 func (s *suspected) remove(d vetchtrail.Digest) bool {
-	if !s.all[d] {
+	if _, known := s.all[d]; !known {
 		return false
 	}
 	delete(s.all, d)
--- a/process/quarantines/spread.go
+++ b/process/quarantines/spread.go
@@ -164,7 +164,7 @@
 		q.suspects = suspects
 	}
 	for _, s := range suspects {
-		q.suspected.add(s.Digest)
+		q.suspected.add(s.Digest, q.cfg.Clock())
 	}
 }
 
--- a/process/quarantines/watch.go
+++ b/process/quarantines/watch.go
@@ -19,6 +19,9 @@
 	// lookTime bounds a look: endpoints are in the same region, and one that is gone refuses
 	// at once.
 	lookTime = 300 * time.Millisecond
+	// lookPause is the least time between the looks at one endpoint that did not refuse: one that
+	// loses answers and lives is not connected to for each.
+	lookPause = time.Second
 	// lostWith is how long before its end a request may be lost and still count as lost with
 	// the endpoint.
 	lostWith = 2 * time.Second
@@ -44,6 +47,7 @@
 	endpoint vetchtrail.Endpoint
 	lost     []loss // in the order of their times
 	looking  bool
+	next     time.Time // when it may be looked at again
 }
 
 type loss struct {
@@ -60,12 +64,12 @@
 	}
 	now := q.cfg.Clock()
 	l := loss{at: now, Ran: quarantine.Ran{Digest: r.Digest(), Begun: !t.First.IsZero() && time.Since(t.First) > begunLong}}
-	if q.watch.add(e, l, now) {
-		go q.look(e)
+	if from, due := q.watch.add(e, l, now); due {
+		go q.look(e, from.Sub(now))
 	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.suspected.add(l.Digest)
+	q.suspected.add(l.Digest, now)
 }
 
 // mayHaveEnded says whether an attempt ended as it does with its endpoint.
@@ -73,8 +77,8 @@
 	return o.Kind == vetchtrail.Unknown && (o.Reason == vetchtrail.ReasonLost || o.Reason == vetchtrail.ReasonBroken)
 }
 
-// add remembers a loss. It returns true if the endpoint is to be looked at.
-func (w *watch) add(e vetchtrail.Endpoint, l loss, now time.Time) bool {
+// add remembers a loss. It returns true, and from when, if the endpoint is to be looked at.
+func (w *watch) add(e vetchtrail.Endpoint, l loss, now time.Time) (from time.Time, due bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.tidy(now)
@@ -88,10 +92,10 @@
 		p.lost = p.lost[1:]
 	}
 	if p.looking {
-		return false
+		return time.Time{}, false
 	}
 	p.looking = true
-	return true
+	return vetchtrail.Later(now.Add(gather), p.next), true
 }
 
 // tidy forgets losses of which no word came. The caller holds the lock.
@@ -106,16 +110,16 @@
 	}
 }
 
-// look finds out whether an endpoint has ended.
-func (q *Quarantines) look(e vetchtrail.Endpoint) {
-	time.Sleep(gather)
+// look finds out after a time whether an endpoint has ended.
+func (q *Quarantines) look(e vetchtrail.Endpoint, after time.Duration) {
+	time.Sleep(after)
 	refused := q.refuses(e)
 	if refused {
 		time.Sleep(lookAgain)
 		refused = q.refuses(e)
 	}
 	if !refused || q.cfg.Leaving(e.Name) {
-		q.watch.looked(e.Name)
+		q.watch.looked(e.Name, q.cfg.Clock().Add(lookPause))
 		return
 	}
 	q.Ended(e.Name, "refuses connections")
@@ -127,11 +131,11 @@
 	return q.cfg.Refuses(ctx, e)
 }
 
-func (w *watch) looked(name string) {
+func (w *watch) looked(name string, next time.Time) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if p, ok := w.places[name]; ok {
-		p.looking = false
+		p.looking, p.next = false, next
 	}
 }
 
--- a/schema/convert.go
+++ b/schema/convert.go
@@ -16,7 +16,7 @@
 		Revision: c.Revision,
 		Author:   c.Author,
 		Reason:   c.Reason,
-		At:       nanos(c.At),
+		At:       Nanos(c.At),
 		Expect:   c.Expect,
 		Edits:    FromEdits(c.Edits),
 	}
@@ -33,7 +33,7 @@
 		Revision: m.GetRevision(),
 		Author:   m.GetAuthor(),
 		Reason:   m.GetReason(),
-		At:       moment(m.GetAt()),
+		At:       Moment(m.GetAt()),
 		Expect:   m.GetExpect(),
 		Edits:    edits,
 	}, nil
@@ -323,14 +323,16 @@
 	return o
 }
 
-func nanos(t time.Time) int64 {
+// Nanos is a moment as messages hold it; 0: none.
+func Nanos(t time.Time) int64 {
 	if t.IsZero() {
 		return 0
 	}
 	return t.UnixNano()
 }
 
-func moment(n int64) time.Time {
+// Moment is the moment that messages hold so.
+func Moment(n int64) time.Time {
 	if n == 0 {
 		return time.Time{}
 	}
--- a/schema/listing.go
+++ b/schema/listing.go
@@ -16,7 +16,7 @@
 	for _, e := range l.Endpoints {
 		m.Endpoints = append(m.Endpoints, &Listed{
 			Endpoint: fromEndpoint(e), Instance: e.Instance, ColdRemaining: left(e.ColdUntil, now), ColdRate: e.ColdRate,
-			MoveToken: e.MoveToken, Born: nanos(e.Born),
+			MoveToken: e.MoveToken, Born: Nanos(e.Born),
 		})
 	}
 	m.Holds = FromHolds(l.Holds, boot)
@@ -35,7 +35,7 @@
 			return l, errors.Wrap(err, "schema.ToListing")
 		}
 		e.Instance, e.ColdUntil = line.GetInstance(), after(line.GetColdRemaining(), now)
-		e.ColdRate, e.MoveToken, e.Born = line.GetColdRate(), line.GetMoveToken(), moment(line.GetBorn())
+		e.ColdRate, e.MoveToken, e.Born = line.GetColdRate(), line.GetMoveToken(), Moment(line.GetBorn())
 		l.Endpoints = append(l.Endpoints, e)
 	}
 	var err error
