--- a/process/daemon/daemon.go
+++ b/process/daemon/daemon.go
@@ -174,11 +174,7 @@
 		Guard: func(e vetchtrail.Endpoint, r *vetchtrail.Request) vetchtrail.Reason { return d.dispatcher.Guard(e, r) },
 	})
 	off := vetchtrail.MechanismsOf(d.set.SwitchedOff...)
-	d.quarantines = quarantines.New(quarantines.Config{
-		Self: d.self, Regions: func() []string { return d.changes.Rules().RegionNames() }, Hosts: d.membership, Peers: d.peers,
-		Refuses: d.endpoints.Refuses, Leaving: d.leavingEndpoint, Keeper: d.holdKeeper(), Clock: clock.Boot,
-		Off: off.Has(vetchtrail.HoldingBack), Log: d.log,
-	})
+	d.newQuarantines(off)
 	d.dispatcher = dispatch.New(dispatch.Config{
 		Self: d.self, Policy: p, Rules: d.changes.Rules, Table: d.table, Membership: d.membership,
 		Endpoints: d.endpoints, Peers: d.peers, Keeper: keeper, Journal: d.journal, Seed: d.seed(),
@@ -192,21 +188,6 @@
 	return nil
 }
 
-// leavingEndpoint says whether an endpoint is known to leave.
-func (d *Daemon) leavingEndpoint(name string) bool {
-	_, known := d.table.Known(name)
-	_, usable := d.table.Endpoint(name, time.Now())
-	return known && !usable
-}
-
-// holdKeeper is where holds outlast all hosts.
-func (d *Daemon) holdKeeper() vetchtrail.HoldKeeper {
-	if d.hosted != nil {
-		return d.hosted.Holds
-	}
-	return d.kept
-}
-
 // Reload takes what may change while the daemon runs: the times of a stop and
 // the bounds on further attempts. It returns the names of settings that differ
 // and need a restart.
--- /dev/null
+++ b/process/daemon/quarantine.go
@@ -0,0 +1,33 @@
+package daemon
+
+import (
+	"time"
+
+	"vetchtrail"
+	"vetchtrail/process/clock"
+	"vetchtrail/process/quarantines"
+)
+
+// newQuarantines makes the host's part in holding back requests under which endpoints end.
+func (d *Daemon) newQuarantines(off vetchtrail.Mechanisms) {
+	d.quarantines = quarantines.New(quarantines.Config{
+		Self: d.self, Regions: func() []string { return d.changes.Rules().RegionNames() }, Hosts: d.membership, Peers: d.peers,
+		Refuses: d.endpoints.Refuses, Leaving: d.leavingEndpoint, Keeper: d.holdKeeper(), Clock: clock.Boot,
+		Off: off.Has(vetchtrail.HoldingBack), Log: d.log,
+	})
+}
+
+// leavingEndpoint says whether an endpoint is known to leave.
+func (d *Daemon) leavingEndpoint(name string) bool {
+	_, known := d.table.Known(name)
+	_, usable := d.table.Endpoint(name, time.Now())
+	return known && !usable
+}
+
+// holdKeeper is where holds outlast all hosts.
+func (d *Daemon) holdKeeper() vetchtrail.HoldKeeper {
+	if d.hosted != nil {
+		return d.hosted.Holds
+	}
+	return d.kept
+}
