Quarantine: suspects are told by counters alone, and forgotten

A request held back was listed as a suspect beside it.

Change: counters alone tell of suspects; others believe it for a minute; a counter looks again when one is served.

--- a/process/quarantines/count.go
+++ b/process/quarantines/count.go
@@ -97,7 +97,7 @@
 	for _, s := range served {
 		q.evidence.Served(s.digest, s.at)
 	}
-	if len(ends) > 0 && q.judge.IsZero() {
+	if q.judge.IsZero() {
 		q.judge = now.Add(judgeAfter)
 		q.stir()
 	}
@@ -146,7 +146,10 @@
 		countHold()
 		q.cfg.Log.Warn("request held back", "digest", s.Digest.String(), "ends", s.Ends, "strike", hold.Strike, "for", hold.Until.Sub(now))
 	}
-	suspects := q.evidence.Suspects(suspectAt)
+	suspects := slices.DeleteFunc(q.evidence.Suspects(suspectAt), func(s quarantine.Suspect) bool {
+		_, held := q.holds.Held(s.Digest, q.cfg.Clock)
+		return held
+	})
 	suspects = suspects[:min(suspectsTold, len(suspects))]
 	if len(holds) > 0 || !slices.Equal(suspects, q.suspects) {
 		q.suspects = suspects
--- a/process/quarantines/quarantines.go
+++ b/process/quarantines/quarantines.go
@@ -27,6 +27,9 @@
 	// suspectAt is from how many ends on all hosts are told of a suspect, so that whoever
 	// serves it says so.
 	suspectAt = 2
+	// suspectsFor is for how long a host that doesn't count believes in the suspects that it was
+	// told: longer than the pause between two questions, also with 300 hosts in its region.
+	suspectsFor = time.Minute
 )
 
 // Hosts is what quarantines know of the other hosts.
@@ -66,14 +69,16 @@
 	watch watch
 	wake  chan struct{} // for the duties of Run
 
-	mu        sync.Mutex // guards what follows
-	evidence  *quarantine.Evidence
-	judge     time.Time // when there is something to judge; zero: there is not
-	suspects  []quarantine.Suspect
-	suspected suspected
-	served    []served                              // not told of yet
-	ends      []quarantine.End                      // of this host's endpoints, not told of yet
-	kept      map[vetchtrail.Digest]vetchtrail.Hold // as the platform keeps them
+	mu       sync.Mutex // guards what follows
+	evidence *quarantine.Evidence
+	judge    time.Time // when there is something to judge; zero: there is not
+	suspects []quarantine.Suspect
+	// suspectsUntil is until when those stand that a counter told; a counter's own stand.
+	suspectsUntil time.Time
+	suspected     suspected
+	served        []served                              // not told of yet
+	ends          []quarantine.End                      // of this host's endpoints, not told of yet
+	kept          map[vetchtrail.Digest]vetchtrail.Hold // as the platform keeps them
 }
 
 type served struct {
@@ -115,9 +120,14 @@
 
 // Holds returns the requests that are held back or were lately, and those that may be soon.
 func (q *Quarantines) Holds() ([]vetchtrail.Hold, []quarantine.Suspect) {
+	now := q.cfg.Clock()
+	counts := q.counts(now)
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return q.holds.All(q.cfg.Clock()), slices.Clone(q.suspects)
+	if !counts && !now.Before(q.suspectsUntil) {
+		q.suspects = nil
+	}
+	return q.holds.All(now), slices.Clone(q.suspects)
 }
 
 // Release lets a request go and tells all hosts. It returns false if it is not held back.
--- a/process/quarantines/quarantines_test.go
+++ b/process/quarantines/quarantines_test.go
@@ -192,6 +192,44 @@
 	})
 }
 
+// TestSuspectsFade: who is suspected is told while counters suspect it, by these alone, and is
+// forgotten by all hosts after.
+func TestSuspectsFade(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet("", 6)
+		defer func() {
+			f.close()
+			time.Sleep(30 * time.Second)
+		}()
+		suspected := func() (told, remembered int) {
+			for _, h := range f.hosts {
+				_, suspects := h.q.Holds()
+				h.q.mu.Lock()
+				remembered += len(h.q.suspected.all)
+				h.q.mu.Unlock()
+				told += len(suspects)
+			}
+			return told, remembered
+		}
+		for range 2 {
+			f.hosts[4].ask(deadlyRequest(), true)
+			time.Sleep(time.Second)
+		}
+		time.Sleep(3 * syncEvery)
+		told, remembered := suspected()
+		assert.Equal(t, told, len(f.hosts))
+		assert.Assert(t, remembered >= len(f.hosts))
+		f.hosts[1].ask(deadlyRequest(), false) // it is served after all, by another host
+		time.Sleep(suspectsFor + suspectedFor)
+		for _, h := range f.hosts {
+			h.q.Answered(innocent(7))
+		}
+		told, remembered = suspected()
+		assert.Equal(t, told, 0)
+		assert.Equal(t, remembered, 0)
+	})
+}
+
 func TestBoundedMemory(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet("", 2)
--- a/process/quarantines/spread.go
+++ b/process/quarantines/spread.go
@@ -94,11 +94,14 @@
 	return slices.DeleteFunc(all, func(h vetchtrail.Host) bool { return h.Name == q.cfg.Self.Name })
 }
 
-// message tells of holds and of the suspects. The caller holds the lock.
+// message tells of holds, and as a counter's of the suspects: what others heard of them would
+// come back to who forgot it. The caller holds the lock.
 func (q *Quarantines) message(holds []vetchtrail.Hold, now time.Time) *schema.Holds {
-	return &schema.Holds{
-		From: q.cfg.Self.Name, Version: q.holds.Version(now), Holds: schema.FromHolds(holds, now), Suspects: fromSuspects(q.suspects),
+	m := &schema.Holds{From: q.cfg.Self.Name, Version: q.holds.Version(now), Holds: schema.FromHolds(holds, now)}
+	if q.counts(now) {
+		m.Suspects = fromSuspects(q.suspects)
 	}
+	return m
 }
 
 // push tells hosts. One that is not reached asks later.
@@ -168,13 +171,18 @@
 		q.cfg.Log.Error("suspects not taken", "peer", m.GetFrom(), "error", err)
 		return
 	}
+	if len(suspects) == 0 {
+		return
+	}
+	now := q.cfg.Clock()
+	counts := q.counts(now)
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if len(suspects) > 0 {
-		q.suspects = suspects
+	if !counts { // which has its own evidence
+		q.suspects, q.suspectsUntil = suspects, now.Add(suspectsFor)
 	}
 	for _, s := range suspects {
-		q.suspected.add(s.Digest, q.cfg.Clock())
+		q.suspected.add(s.Digest, now)
 	}
 }
 
