Scenario: a cached result is forgotten when the code of the programs under test changes

Cause: the tests build the programs as they run, which the cache of test results does not see: after a change of the daemon alone 'ok (cached)' was printed for tests that had not run on it.

Change: the test package imports the daemon's parts, so that its key has them.

Seen: on the commit before, 'ok (cached)' after a change of process/quarantines; that package is among the test's now.

--- a/scenario/scenario_test.go
+++ b/scenario/scenario_test.go
@@ -17,6 +17,12 @@
 	"vetchtrail/standin/client"
 	"vetchtrail/standin/deployment"
 	"vetchtrail/standin/fleet"
+
+	// The programs under test are built while the tests run, which the cache of test results
+	// doesn't see: with these it forgets a result when their code changes.
+	_ "vetchtrail/connection/operator"
+	_ "vetchtrail/platform"
+	_ "vetchtrail/process/daemon"
 )
 
 // binaries is the directory of the programs under test.
