--- a/soak/inject.go
+++ b/soak/inject.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/netip"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -69,7 +70,7 @@
 			if err != nil {
 				return err
 			}
-			return j.fleet.Client.Put(context.WithoutCancel(ctx), addr, "/faults", f)
+			return j.setAt(context.WithoutCancel(ctx), addr, f)
 		}
 	}
 	switch e.Kind {
@@ -104,6 +105,18 @@
 	return unknown, unknown
 }
 
+// setAt sets an endpoint's fault. One that a request has just ended is asked again until it is
+// back.
+func (j *injector) setAt(ctx context.Context, addr netip.AddrPort, f any) error {
+	for tries := 0; ; tries++ {
+		err := j.fleet.Client.Put(ctx, addr, "/faults", f)
+		if err == nil || tries > 2*int(deadlyBack/deadlyPause) {
+			return err
+		}
+		sleep(ctx, deadlyPause)
+	}
+}
+
 func (j *injector) hostsOf(region string) []string {
 	var out []string
 	for _, h := range j.d.Hosts {
