Quarantine: no look-up once all holds are over; holds that are deleted are written again

And an empty list of the platform's holds was passed over, so that after the deletion of their key, or with bytes there that can't be read, hosts took all for kept: after a kill of all hosts the request would have run again.

Ruled out: to ask for the time on each look-up (the clock of suspensions is a system call); the duties of each 2 s drop what is over. That lists without holds mean "not told": they come from the platform alone, whose lists always tell.

Change: Holds.Tidy on the duties' beat; an empty list clears what is taken for kept.

--- a/process/quarantines/quarantines_test.go
+++ b/process/quarantines/quarantines_test.go
@@ -12,6 +12,7 @@
 	"pgregory.net/rapid"
 
 	"vetchtrail"
+	"vetchtrail/request/quarantine"
 )
 
 var kindsOfTrouble = []string{"cut", "kill", "suspend", "kill all", "nothing"}
@@ -179,6 +180,41 @@
 	})
 }
 
+// TestKeptAgain: holds that are deleted where they outlast the hosts are written there again.
+func TestKeptAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet("", 8)
+		defer func() {
+			f.close()
+			time.Sleep(30 * time.Second)
+		}()
+		f.play(nil, 300*time.Millisecond, 8*time.Second)
+		assert.Equal(t, len(f.listing().Holds), 1)
+		f.locked(func() { f.kept = quarantine.Kept{} })
+		time.Sleep(2*listsEvery + 2*syncEvery)
+		assert.Equal(t, len(f.listing().Holds), 1)
+	})
+}
+
+// TestNothingHeld: once the last hold is over, requests don't pay for a look-up any more.
+func TestNothingHeld(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet("", 8)
+		defer func() {
+			f.close()
+			time.Sleep(30 * time.Second)
+		}()
+		f.play(nil, 300*time.Millisecond, 8*time.Second)
+		for _, h := range f.hosts {
+			assert.Assert(t, h.q.holds.Any())
+		}
+		time.Sleep(quarantine.HoldTime(1) + 2*syncEvery)
+		for i, h := range f.hosts {
+			assert.Assert(t, !h.q.holds.Any(), "host %d", i)
+		}
+	})
+}
+
 func TestBoundedMemory(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet("", 2)
--- a/process/quarantines/spread.go
+++ b/process/quarantines/spread.go
@@ -41,6 +41,7 @@
 			return
 		case <-sync.C:
 			now := q.cfg.Clock()
+			q.holds.Tidy(now)
 			go q.sync(ctx, now)
 			go q.keep(ctx, now)
 			sync.Reset(q.syncPause(now))
@@ -150,11 +151,9 @@
 	}
 }
 
-// hear takes holds that the platform keeps.
+// hear takes the holds that the platform keeps: those that it doesn't keep, also if it keeps
+// none, are written there again.
 func (q *Quarantines) hear(holds []vetchtrail.Hold) {
-	if len(holds) == 0 {
-		return
-	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	clear(q.kept)
--- a/request/quarantine/hold.go
+++ b/request/quarantine/hold.go
@@ -117,9 +117,25 @@
 	return true
 }
 
-// put stores a hold and makes the look-up anew. The caller holds the lock.
+// put stores a hold. The caller holds the lock.
 func (h *Holds) put(hold vetchtrail.Hold, now time.Time) {
 	h.all[hold.Digest] = hold
+	h.tidy(now)
+}
+
+// Tidy drops holds that are over from the look-up: else the digest of each request would go
+// on being taken when nothing is held back any more.
+func (h *Holds) Tidy(now time.Time) {
+	if !h.Any() {
+		return
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.tidy(now)
+}
+
+// tidy makes the look-up anew. The caller holds the lock.
+func (h *Holds) tidy(now time.Time) {
 	looks := make(map[vetchtrail.Digest]vetchtrail.Hold, len(h.all))
 	for d, known := range h.all {
 		switch {
