Quarantine: hosts that are gone count no longer; a suspended look ends

Cause 1: who counts ends is asked of the membership, which tells who lives by the steady clock. It was given a moment of the clock of suspensions, decades before any heartbeat, by which nobody is ever silent: a host that was killed and did not come back stayed one of the two that count in its region. With both gone and the region cut off nobody counted.

Cause 2: a loss that was forgotten while its endpoint was looked at (a suspension of 10 s and more) left the mark "looking" there for good.

Ruled out: the quotas' duties (they ask with the steady clock); to have the membership take both clocks: a moment doesn't show its clock.

Change: the quarantine's view of the hosts takes no moment, the daemon asks with its own; a place goes with the end that is told or not. The virtual fleet runs on a clock of its own for suspensions now, so that the two can't be mixed up unseen.

--- a/process/quarantines/count.go
+++ b/process/quarantines/count.go
@@ -45,7 +45,7 @@
 		m.Served = append(m.Served, &schema.Served{Digest: s.digest[:], Age: int64(now.Sub(s.at))})
 	}
 	for _, region := range q.cfg.Regions() {
-		for _, h := range q.countersOf(region, now) {
+		for _, h := range q.countersOf(region) {
 			if h.Name == q.cfg.Self.Name {
 				q.counted(ends, served, now)
 				continue
--- a/process/quarantines/fleet_test.go
+++ b/process/quarantines/fleet_test.go
@@ -36,6 +36,7 @@
 // fleet is a run.
 type fleet struct {
 	broken string // a mechanism that is taken out
+	began  time.Time
 
 	mu        sync.Mutex // guards what follows; never held while a host is called
 	rnd       *rand.Rand
@@ -78,7 +79,7 @@
 func regionName(n int) string { return fmt.Sprint("region-", n) }
 
 func newFleet(broken string, seed uint64) *fleet {
-	f := &fleet{broken: broken, rnd: rand.New(rand.NewPCG(seed, 5))}
+	f := &fleet{broken: broken, began: time.Now(), rnd: rand.New(rand.NewPCG(seed, 5))}
 	for r := range regionsOf {
 		for n := range hostsOf {
 			addr := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, byte(r), byte(n)}), 7070)
@@ -96,6 +97,9 @@
 	return f
 }
 
+// boot is the clock of suspensions: its moments are none of the time of day.
+func (f *fleet) boot() time.Time { return time.Unix(3600, 0).Add(time.Since(f.began)) }
+
 // locked does something with the fleet's state.
 func (f *fleet) locked(do func()) {
 	f.mu.Lock()
@@ -129,13 +133,13 @@
 	c := Config{
 		Self: h.host, Regions: func() []string { return []string{regionName(0), regionName(1), regionName(2)} }, Hosts: h, Peers: h,
 		Refuses: h.refuses, Leaving: func(string) bool { return false }, Keeper: h, Log: slog.New(slog.DiscardHandler),
-		Clock: time.Now,
+		Clock: f.boot,
 	}
 	if f.broken == "a clock that a suspension fools" {
 		c.Clock = func() time.Time {
 			f.mu.Lock()
 			defer f.mu.Unlock()
-			return time.Now().Add(-h.asleep)
+			return f.boot().Add(-h.asleep)
 		}
 	}
 	if f.broken == "nothing outlasts the hosts" {
@@ -163,7 +167,7 @@
 func (f *fleet) listing() *vetchtrail.Listing {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	l := &vetchtrail.Listing{Holds: f.kept.From(time.Now())}
+	l := &vetchtrail.Listing{Holds: f.kept.From(f.boot())}
 	for _, region := range f.endpoints {
 		for _, e := range region {
 			l.Endpoints = append(l.Endpoints, vetchtrail.Endpoint{Name: e.name, Born: e.born})
@@ -188,7 +192,8 @@
 }
 
 // RankedIn implements Hosts.
-func (h *virtual) RankedIn(region, _ string, n int, now time.Time) []vetchtrail.Host {
+func (h *virtual) RankedIn(region, _ string, n int) []vetchtrail.Host {
+	now := time.Now()
 	h.fleet.mu.Lock()
 	defer h.fleet.mu.Unlock()
 	var out []vetchtrail.Host
--- a/process/quarantines/messages_test.go
+++ b/process/quarantines/messages_test.go
@@ -74,7 +74,7 @@
 // nobody is a fleet of no hosts.
 type nobody struct{}
 
-func (nobody) RankedIn(string, string, int, time.Time) []vetchtrail.Host { return nil }
+func (nobody) RankedIn(string, string, int) []vetchtrail.Host { return nil }
 
 // FuzzHostEnded: whatever bytes come as a host's word, they are taken or refused.
 func FuzzHostEnded(f *testing.F) {
--- a/process/quarantines/quarantines.go
+++ b/process/quarantines/quarantines.go
@@ -34,9 +34,10 @@
 
 // Hosts is what quarantines know of the other hosts.
 type Hosts interface {
-	// RankedIn returns the first n live hosts of a region for a duty, this one too if it is in
-	// the region.
-	RankedIn(region, duty string, n int, now time.Time) []vetchtrail.Host
+	// RankedIn returns the first n hosts of a region for a duty that live now, this one too if it
+	// is in the region. Which live is told by another clock than Config.Clock: a moment of that
+	// one would have hosts live for ever that are gone.
+	RankedIn(region, duty string, n int) []vetchtrail.Host
 }
 
 // Peers is how quarantines reach other hosts.
@@ -121,7 +122,7 @@
 // Holds returns the requests that are held back or were lately, and those that may be soon.
 func (q *Quarantines) Holds() ([]vetchtrail.Hold, []quarantine.Suspect) {
 	now := q.cfg.Clock()
-	counts := q.counts(now)
+	counts := q.counts()
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	if !counts && !now.Before(q.suspectsUntil) {
@@ -153,12 +154,12 @@
 }
 
 // counts says whether this host is one of its region that count.
-func (q *Quarantines) counts(now time.Time) bool {
-	return slices.ContainsFunc(q.countersOf(q.cfg.Self.Region, now), func(h vetchtrail.Host) bool { return h.Name == q.cfg.Self.Name })
+func (q *Quarantines) counts() bool {
+	return slices.ContainsFunc(q.countersOf(q.cfg.Self.Region), func(h vetchtrail.Host) bool { return h.Name == q.cfg.Self.Name })
 }
 
-func (q *Quarantines) countersOf(region string, now time.Time) []vetchtrail.Host {
-	return q.cfg.Hosts.RankedIn(region, counterDuty, counters, now)
+func (q *Quarantines) countersOf(region string) []vetchtrail.Host {
+	return q.cfg.Hosts.RankedIn(region, counterDuty, counters)
 }
 
 // take takes holds that were told, and returns those that were news. The caller holds the
--- a/process/quarantines/quarantines_test.go
+++ b/process/quarantines/quarantines_test.go
@@ -80,6 +80,30 @@
 	}
 }
 
+// TestCountersGone: where the hosts that counted are gone for good, others of the region count,
+// also while it reaches no other.
+func TestCountersGone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet("", 5)
+		defer func() {
+			f.close()
+			time.Sleep(30 * time.Second)
+		}()
+		time.Sleep(inTouchFor)
+		f.hosts[0].kill()
+		f.hosts[1].kill()
+		f.locked(func() { f.cut[0] = true })
+		time.Sleep(2 * deadAfter)
+		for range 20 {
+			f.hosts[2].ask(deadlyRequest(), true)
+			time.Sleep(time.Second)
+		}
+		assert.Assert(t, len(f.arrivals) <= 6, "%d", len(f.arrivals))
+		_, held := f.hosts[2].ask(deadlyRequest(), true)
+		assert.Assert(t, held)
+	})
+}
+
 // TestServedAgain: a request that was held back is served again after the stated time on each
 // host, also on one that was suspended for a part of it.
 func TestServedAgain(t *testing.T) {
--- a/process/quarantines/spread.go
+++ b/process/quarantines/spread.go
@@ -44,7 +44,7 @@
 			q.holds.Tidy(now)
 			go q.sync(ctx, now)
 			go q.keep(ctx, now)
-			sync.Reset(q.syncPause(now))
+			sync.Reset(q.syncPause())
 		case <-judge.C:
 		case <-q.wake:
 		}
@@ -55,8 +55,8 @@
 }
 
 // syncPause is the time until this host asks again.
-func (q *Quarantines) syncPause(now time.Time) time.Duration {
-	return max(syncEvery, syncEvery*time.Duration(1+len(q.region(now)))/syncHosts)
+func (q *Quarantines) syncPause() time.Duration {
+	return max(syncEvery, syncEvery*time.Duration(1+len(q.region()))/syncHosts)
 }
 
 // nextJudgement is the time until there is something to judge.
@@ -80,18 +80,18 @@
 // caller holds the lock.
 func (q *Quarantines) spread(holds []vetchtrail.Hold, now time.Time) {
 	m := q.message(holds, now)
-	to := q.region(now)
+	to := q.region()
 	for _, region := range q.cfg.Regions() {
 		if region != q.cfg.Self.Region {
-			to = append(to, q.countersOf(region, now)...)
+			to = append(to, q.countersOf(region)...)
 		}
 	}
 	go q.push(m, to)
 }
 
 // region returns the other hosts of this one's region.
-func (q *Quarantines) region(now time.Time) []vetchtrail.Host {
-	all := q.cfg.Hosts.RankedIn(q.cfg.Self.Region, counterDuty, allHosts, now)
+func (q *Quarantines) region() []vetchtrail.Host {
+	all := q.cfg.Hosts.RankedIn(q.cfg.Self.Region, counterDuty, allHosts)
 	return slices.DeleteFunc(all, func(h vetchtrail.Host) bool { return h.Name == q.cfg.Self.Name })
 }
 
@@ -99,7 +99,7 @@
 // come back to who forgot it. The caller holds the lock.
 func (q *Quarantines) message(holds []vetchtrail.Hold, now time.Time) *schema.Holds {
 	m := &schema.Holds{From: q.cfg.Self.Name, Version: q.holds.Version(now), Holds: schema.FromHolds(holds, now)}
-	if q.counts(now) {
+	if q.counts() {
 		m.Suspects = fromSuspects(q.suspects)
 	}
 	return m
@@ -132,7 +132,7 @@
 		return nil, err
 	}
 	q.hearSuspects(m)
-	counts := q.counts(now)
+	counts := q.counts()
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.takeAndTell(holds, counts, now)
@@ -147,7 +147,7 @@
 // is news. The caller holds the lock.
 func (q *Quarantines) takeAndTell(holds []vetchtrail.Hold, counts bool, now time.Time) {
 	if news := q.take(holds, now); len(news) > 0 && counts {
-		go q.push(q.message(news, now), q.region(now))
+		go q.push(q.message(news, now), q.region())
 	}
 }
 
@@ -174,7 +174,7 @@
 		return
 	}
 	now := q.cfg.Clock()
-	counts := q.counts(now)
+	counts := q.counts()
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	if !counts { // which has its own evidence
@@ -202,7 +202,7 @@
 		q.cfg.Log.Error("holds not taken", "peer", h.Name, "error", err)
 		return
 	}
-	counts := q.counts(now)
+	counts := q.counts()
 	q.mu.Lock()
 	q.takeAndTell(holds, counts, q.cfg.Clock())
 	all := q.holds.All(now)
@@ -227,12 +227,12 @@
 // syncWith picks the host to ask.
 func (q *Quarantines) syncWith(now time.Time) (vetchtrail.Host, bool) {
 	var from []vetchtrail.Host
-	if q.counts(now) {
+	if q.counts() {
 		for _, region := range q.cfg.Regions() {
-			from = append(from, q.countersOf(region, now)...)
+			from = append(from, q.countersOf(region)...)
 		}
 	} else {
-		from = q.countersOf(q.cfg.Self.Region, now)
+		from = q.countersOf(q.cfg.Self.Region)
 	}
 	from = slices.DeleteFunc(from, func(h vetchtrail.Host) bool { return h.Name == q.cfg.Self.Name })
 	if len(from) == 0 {
@@ -251,7 +251,7 @@
 // keep writes holds where they outlast all hosts. The first counter does at once; the others
 // where it is lost or cut off from there.
 func (q *Quarantines) keep(ctx context.Context, now time.Time) {
-	rank, counts := q.keepRank(now)
+	rank, counts := q.keepRank()
 	if q.cfg.Keeper == nil || !counts {
 		return
 	}
@@ -294,12 +294,12 @@
 }
 
 // keepRank is how many counters, of all regions in turn, go before this host.
-func (q *Quarantines) keepRank(now time.Time) (int, bool) {
+func (q *Quarantines) keepRank() (int, bool) {
 	regions := slices.Sorted(slices.Values(q.cfg.Regions()))
 	rank := 0
 	for n := range counters {
 		for _, region := range regions {
-			all := q.countersOf(region, now)
+			all := q.countersOf(region)
 			if n >= len(all) {
 				continue
 			}
--- a/process/quarantines/watch.go
+++ b/process/quarantines/watch.go
@@ -158,10 +158,13 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	p, ok := w.places[name]
-	if !ok || len(p.lost) == 0 {
+	if !ok {
+		return quarantine.End{}, false
+	}
+	delete(w.places, name) // also where all losses are forgotten: a place being looked at stays so
+	if len(p.lost) == 0 {
 		return quarantine.End{}, false
 	}
-	delete(w.places, name)
 	last := p.lost[len(p.lost)-1].at
 	out := quarantine.End{Endpoint: name, Born: p.endpoint.Born, At: last}
 	for _, l := range p.lost {
--- a/process/quarantines/watch_test.go
+++ b/process/quarantines/watch_test.go
@@ -67,3 +67,31 @@
 		})
 	}
 }
+
+// TestLookAfterSuspension: a host that was suspended while it looked at an endpoint forgets the
+// loss, and looks at the endpoint again after the next one.
+func TestLookAfterSuspension(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		asleep := time.Duration(0)
+		q := New(Config{
+			Clock: func() time.Time { return time.Now().Add(asleep) }, Hosts: nobody{},
+			Log:     slog.New(slog.NewTextHandler(io.Discard, nil)),
+			Leaving: func(string) bool { return false },
+			Refuses: func(context.Context, vetchtrail.Endpoint) bool { return true },
+		})
+		lose := func(endpoint string) {
+			lost := vetchtrail.Outcome{Kind: vetchtrail.Unknown, Reason: vetchtrail.ReasonLost}
+			q.Lost(vetchtrail.Endpoint{Name: endpoint}, innocent(1), lost, vetchtrail.Timing{Sent: time.Now()})
+		}
+		lose("e")
+		asleep = 2 * waitForWord
+		lose("other")
+		time.Sleep(time.Second)
+		synctest.Wait()
+		before := len(q.ends)
+		lose("e")
+		time.Sleep(time.Second)
+		synctest.Wait()
+		assert.Equal(t, len(q.ends), before+1)
+	})
+}
