Scenario: a region cut off is seen to hold the request back itself, before it is heard again

Cause: TestDeadlyRequestInARegionCutOff failed once in a run of all tests beside the race detector: 30 s after the links healed a host of another region did not hold the request back. The message doesn't tell whether the region cut off had not seen enough, or was not heard.

Change: the test asks the region itself before the links heal, and tells on a failure what hosts wrote of ends and of what they hold back.

--- a/scenario/deadly_test.go
+++ b/scenario/deadly_test.go
@@ -2,7 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"regexp"
 	"slices"
 	"strings"
 	"sync"
@@ -45,14 +49,41 @@
 
 func newDeadlyRun(t *testing.T, hosts, engines int) *deadlyRun {
 	t.Helper()
-	f, d, err := newFleet(t.TempDir(), hosts, engines, usualSlots, []string{"--deadly", deadlyText, "--back", "700ms", "--step", "5ms"})
+	dir := t.TempDir()
+	f, d, err := newFleet(dir, hosts, engines, usualSlots, []string{"--deadly", deadlyText, "--back", "700ms", "--step", "5ms"})
 	assert.NilError(t, err)
 	t.Cleanup(func() { closeFleet(f) })
+	t.Cleanup(func() { tellEnds(t, dir) })
 	x := &deadlyRun{t: t, f: f, d: d, ctx: t.Context(), rnd: rand.New(rand.NewPCG(1, 2)), others: map[string]int{}}
 	applyTo(t, f, d)
 	return x
 }
 
+// tellEnds logs, if a test failed, what the hosts wrote of ends and of what they hold back: what
+// was not seen can't be told from what was not passed on without it.
+func tellEnds(t *testing.T, dir string) {
+	if !t.Failed() {
+		return
+	}
+	const most = 400 // lines
+	words := regexp.MustCompile(`msg="(endpoint ended|request held back|holds not swapped|holds not taken|host not told|counter of ends)`)
+	logs, err := filepath.Glob(filepath.Join(dir, "*.log"))
+	told := 0
+	for _, path := range logs {
+		text, errRead := os.ReadFile(path)
+		err = errors.Join(err, errRead)
+		for line := range strings.Lines(string(text)) {
+			if words.MatchString(line) && told < most {
+				told++
+				t.Log(strings.TrimSpace(line))
+			}
+		}
+	}
+	if err != nil {
+		t.Log("logs not read:", err)
+	}
+}
+
 // ask sends a request through a host and returns what its caller saw.
 func (x *deadlyRun) ask(host int, prompt string) client.Result {
 	return x.f.Client.Do(x.ctx, client.Ask{
@@ -236,18 +267,25 @@
 	ends, arrivals := x.lives()
 	assert.Assert(t, len(ends) >= knownEnds, "the fault was not brought about")
 	assert.Assert(t, after(arrivals, ends[knownEnds-1].Add(knownWithin)) <= fewMore)
+	assert.Assert(t, x.holds(inside[0]) || x.holds(inside[1]), "the region does not hold it back by itself: it ended %v", ends)
 	x.isolate(cutOff, false)
 	for _, i := range outside {
-		assert.NilError(t, x.f.Await(x.ctx, x.d.Hosts[i].Host+" knows", func() bool {
-			out, err := x.f.Tool(x.ctx, x.d.Hosts[i].Host, "quarantine", "list")
-			return err == nil && strings.Contains(out, "held back")
-		}))
+		assert.NilError(t, x.f.Await(x.ctx, x.d.Hosts[i].Host+" knows", func() bool { return x.holds(i) }))
 	}
 	x.play(2*time.Second, outside)
 	_, more := x.lives()
 	assert.Equal(t, len(more), len(arrivals))
 }
 
+// holds says whether a host tells operators that a request is held back.
+func (x *deadlyRun) holds(host int) bool {
+	out, err := x.f.Tool(x.ctx, x.d.Hosts[host].Host, "quarantine", "list")
+	if err != nil {
+		x.t.Logf("%s: %v: %s", x.d.Hosts[host].Host, err, out)
+	}
+	return err == nil && strings.Contains(out, "held back")
+}
+
 // isolate cuts a region off from the others and the platform, or heals its links.
 func (x *deadlyRun) isolate(region string, cut bool) {
 	x.t.Helper()
