--- a/process/quarantines/quarantines_test.go
+++ b/process/quarantines/quarantines_test.go
@@ -31,15 +31,26 @@
 // playFleet plays a fleet and returns it as it is in the end.
 func playFleet(t *testing.T, broken string, seed uint64, troubles []trouble, every, length time.Duration) *fleet {
 	t.Helper()
-	var f *fleet
-	synctest.Test(t, func(*testing.T) {
-		f = newFleet(broken, seed)
+	var out *fleet
+	withFleet(t, broken, seed, func(_ *testing.T, f *fleet) {
+		out = f
 		time.Sleep(inTouchFor + time.Second)
 		f.play(troubles, every, length)
-		f.close()
-		time.Sleep(30 * time.Second) // messages under way end
 	})
-	return f
+	return out
+}
+
+// withFleet does something with a fleet on virtual time.
+func withFleet(t *testing.T, broken string, seed uint64, do func(t *testing.T, f *fleet)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(broken, seed)
+		defer func() {
+			f.close()
+			time.Sleep(30 * time.Second) // messages under way end
+		}()
+		do(t, f)
+	})
 }
 
 // TestBound: whatever happens to hosts and links, hosts in touch send a request under which
@@ -83,12 +94,7 @@
 // TestCountersGone: where the hosts that counted are gone for good, others of the region count,
 // also while it reaches no other.
 func TestCountersGone(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		f := newFleet("", 5)
-		defer func() {
-			f.close()
-			time.Sleep(30 * time.Second)
-		}()
+	withFleet(t, "", 5, func(t *testing.T, f *fleet) {
 		time.Sleep(inTouchFor)
 		f.hosts[0].kill()
 		f.hosts[1].kill()
@@ -109,12 +115,7 @@
 func TestServedAgain(t *testing.T) {
 	for broken, want := range map[string]bool{"": true, "a clock that a suspension fools": false} {
 		t.Run(broken, func(t *testing.T) {
-			synctest.Test(t, func(*testing.T) {
-				f := newFleet(broken, 3)
-				defer func() {
-					f.close()
-					time.Sleep(30 * time.Second)
-				}()
+			withFleet(t, broken, 3, func(t *testing.T, f *fleet) {
 				f.play(nil, 300*time.Millisecond, 6*time.Second)
 				_, held := f.hosts[0].ask(deadlyRequest(), false)
 				assert.Assert(t, held)
@@ -130,12 +131,7 @@
 // TestNobodyElse: requests that were at endpoints that ended, and are answered then, are not
 // held back, whoever else ends endpoints beside them.
 func TestNobodyElse(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		f := newFleet("", 9)
-		defer func() {
-			f.close()
-			time.Sleep(30 * time.Second)
-		}()
+	withFleet(t, "", 9, func(t *testing.T, f *fleet) {
 		f.play(nil, 100*time.Millisecond, 20*time.Second)
 		holds, _ := f.hosts[4].q.Holds()
 		assert.Equal(t, len(holds), 1)
@@ -145,12 +141,7 @@
 
 // TestLetGo: a request that an operator lets go at one host runs at all.
 func TestLetGo(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		f := newFleet("", 4)
-		defer func() {
-			f.close()
-			time.Sleep(30 * time.Second)
-		}()
+	withFleet(t, "", 4, func(t *testing.T, f *fleet) {
 		f.play(nil, 300*time.Millisecond, 8*time.Second)
 		_, ok := f.hosts[5].q.Release(deadlyRequest().Digest())
 		assert.Assert(t, ok)
@@ -169,12 +160,7 @@
 // TestSuspectsFade: who is suspected is told while counters suspect it, by these alone, and is
 // forgotten by all hosts after.
 func TestSuspectsFade(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		f := newFleet("", 6)
-		defer func() {
-			f.close()
-			time.Sleep(30 * time.Second)
-		}()
+	withFleet(t, "", 6, func(t *testing.T, f *fleet) {
 		suspected := func() (told, remembered int) {
 			for _, h := range f.hosts {
 				_, suspects := h.q.Holds()
@@ -206,12 +192,7 @@
 
 // TestKeptAgain: holds that are deleted where they outlast the hosts are written there again.
 func TestKeptAgain(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		f := newFleet("", 8)
-		defer func() {
-			f.close()
-			time.Sleep(30 * time.Second)
-		}()
+	withFleet(t, "", 8, func(t *testing.T, f *fleet) {
 		f.play(nil, 300*time.Millisecond, 8*time.Second)
 		assert.Equal(t, len(f.listing().Holds), 1)
 		f.locked(func() { f.kept = quarantine.Kept{} })
@@ -222,12 +203,7 @@
 
 // TestNothingHeld: once the last hold is over, requests don't pay for a look-up any more.
 func TestNothingHeld(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		f := newFleet("", 8)
-		defer func() {
-			f.close()
-			time.Sleep(30 * time.Second)
-		}()
+	withFleet(t, "", 8, func(t *testing.T, f *fleet) {
 		f.play(nil, 300*time.Millisecond, 8*time.Second)
 		for _, h := range f.hosts {
 			assert.Assert(t, h.q.holds.Any())
@@ -240,12 +216,7 @@
 }
 
 func TestBoundedMemory(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		f := newFleet("", 2)
-		defer func() {
-			f.close()
-			time.Sleep(30 * time.Second)
-		}()
+	withFleet(t, "", 2, func(t *testing.T, f *fleet) {
 		q := f.hosts[0].q
 		e := vetchtrail.Endpoint{Name: "e-0-0"}
 		lost := vetchtrail.Outcome{Kind: vetchtrail.Unknown, Reason: vetchtrail.ReasonLost}
