Stand-in: an agenda for plays on virtual time, in place of two

Cause: the plays of quotas and of the quarantine each had a queue of what is due, the same but for names. Change: standin/agenda, with a test of its order; both plays use it. Ruled out: the same code in a package of a play: the other would import decisions that it doesn't need. The quarantine's play ended one event later before; nothing is due at that moment.

--- a/request/quarantine/sim_test.go
+++ b/request/quarantine/sim_test.go
@@ -1,7 +1,6 @@
 package quarantine
 
 import (
-	"container/heap"
 	"encoding/binary"
 	"fmt"
 	"math/rand/v2"
@@ -14,6 +13,7 @@
 	"gotest.tools/v3/assert"
 
 	"vetchtrail"
+	"vetchtrail/standin/agenda"
 )
 
 var simStart = time.Unix(1_800_000_000, 0)
@@ -26,8 +26,7 @@
 	way       Way
 	rnd       *rand.Rand
 	now       time.Time
-	queue     events
-	sequence  int
+	due       agenda.Agenda
 	endpoints []*place
 	evidence  *Evidence
 	holds     *Holds
@@ -62,30 +61,8 @@
 	done   bool
 }
 
-type event struct {
-	at  time.Time
-	seq int
-	do  func()
-}
-
-type events []event
-
-func (q events) Len() int { return len(q) }
-func (q events) Less(i, k int) bool {
-	return q[i].at.Before(q[k].at) || q[i].at.Equal(q[k].at) && q[i].seq < q[k].seq
-}
-func (q events) Swap(i, k int) { q[i], q[k] = q[k], q[i] }
-func (q *events) Push(x any)   { *q = append(*q, x.(event)) }
-func (q *events) Pop() any {
-	old := *q
-	last := old[len(old)-1]
-	*q = old[:len(old)-1]
-	return last
-}
-
 func (p *play) after(d time.Duration, do func()) {
-	p.sequence++
-	heap.Push(&p.queue, event{p.now.Add(d), p.sequence, do})
+	p.due.Put(p.now.Add(d), do)
 }
 
 func digestOf(n uint64) vetchtrail.Digest {
@@ -135,10 +112,13 @@
 func (p *play) upTo(d time.Duration) time.Duration { return time.Duration(p.rnd.Int64N(int64(d))) }
 
 func (p *play) run() {
-	for len(p.queue) > 0 && p.now.Before(simStart.Add((simSeconds+10)*time.Second)) {
-		e := heap.Pop(&p.queue).(event)
-		p.now = e.at
-		e.do()
+	for {
+		at, do, ok := p.due.Take(simStart.Add((simSeconds + 10) * time.Second))
+		if !ok {
+			return
+		}
+		p.now = at
+		do()
 	}
 }
 
--- a/request/quota/play_test.go
+++ b/request/quota/play_test.go
@@ -6,30 +6,6 @@
 	"vetchtrail"
 )
 
-// event is something that happens at a moment.
-type event struct {
-	at     time.Time
-	number int
-	do     func()
-}
-
-type events []event
-
-func (e events) Len() int { return len(e) }
-func (e events) Less(i, j int) bool {
-	if !e[i].at.Equal(e[j].at) {
-		return e[i].at.Before(e[j].at)
-	}
-	return e[i].number < e[j].number
-}
-func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
-func (e *events) Pop() any {
-	last := (*e)[len(*e)-1]
-	*e = (*e)[:len(*e)-1]
-	return last
-}
-
 // excess is by how much the units used in the worst window exceed the bound.
 func (s *sim) excess(bound func(from time.Time) float64) (float64, time.Time) {
 	worst, at := -1.0, simStart
--- a/request/quota/sim_test.go
+++ b/request/quota/sim_test.go
@@ -1,12 +1,12 @@
 package quota
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"time"
 
 	"vetchtrail"
+	"vetchtrail/standin/agenda"
 )
 
 // The simulation plays hosts of three regions on virtual time: messages that are late, lost
@@ -49,8 +49,7 @@
 	tolerance Tolerance
 	rnd       *rand.Rand
 	now       time.Time
-	queue     events
-	count     int
+	due       agenda.Agenda
 	hosts     []*simHost
 	cut       [3]bool // regions that reach no other
 	lossShare float64
@@ -99,16 +98,18 @@
 }
 
 func (s *sim) after(d time.Duration, do func()) {
-	s.count++
-	heap.Push(&s.queue, event{s.now.Add(d), s.count, do})
+	s.due.Put(s.now.Add(d), do)
 }
 
 // advance plays what happens until a moment.
 func (s *sim) advance(to time.Time) {
-	for len(s.queue) > 0 && !s.queue[0].at.After(to) {
-		e := heap.Pop(&s.queue).(event)
-		s.now = e.at
-		e.do()
+	for {
+		at, do, ok := s.due.Take(to)
+		if !ok {
+			break
+		}
+		s.now = at
+		do()
 	}
 	s.now = to
 }
--- /dev/null
+++ b/standin/agenda/agenda_test.go
@@ -0,0 +1,33 @@
+package agenda
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// TestTake: what is due comes by its moment, and by when it was put where that is the same.
+func TestTake(t *testing.T) {
+	start := time.Unix(1, 0)
+	var a Agenda
+	var got []int
+	for i, after := range []time.Duration{3, 1, 3, 2, 1, 9} {
+		a.Put(start.Add(after), func() { got = append(got, i) })
+	}
+	last := start
+	for {
+		at, do, ok := a.Take(start.Add(5))
+		if !ok {
+			break
+		}
+		assert.Assert(t, !at.Before(last))
+		last = at
+		do()
+	}
+	assert.DeepEqual(t, got, []int{1, 4, 3, 0, 2})
+	_, _, ok := a.Take(start.Add(9))
+	assert.Assert(t, ok)
+	_, _, ok = a.Take(start.Add(time.Hour))
+	assert.Assert(t, !ok)
+}
