--- a/answer.go
+++ b/answer.go
@@ -36,6 +36,9 @@
 	// Limited tells what an endpoint said in an answer of the requests that it takes; err: it
 	// said what can't be read.
 	Limited(e Endpoint, l RateLimit, err error)
+	// Noticed tells what an endpoint said in an answer of whether it wants requests; err: it said
+	// what can't be read.
+	Noticed(e Endpoint, n Notice, err error)
 }
 
 // Timing is when things happened to a request at an endpoint.
--- a/connection/dialect/dialect.go
+++ b/connection/dialect/dialect.go
@@ -24,6 +24,10 @@
 	// HeaderRate is the requests a second that an endpoint takes from all hosts together, for as
 	// long as its answers say so.
 	HeaderRate = "X-Rate-Limit"
+	// HeaderLeaving is 1 in the answers of an endpoint that ends soon and wants nothing new.
+	HeaderLeaving = "X-Leaving"
+	// headerRetryAfter is, in a 503, the seconds for which an endpoint wants nothing from the host.
+	headerRetryAfter = "Retry-After"
 	// HeaderWorkspace names the workspace to endpoints. Callers may name one that has no
 	// keys, outside of routes.
 	HeaderWorkspace = "X-Workspace"
@@ -103,7 +107,10 @@
 
 // Read implements vetchtrail.Dialect.
 func (Plain) Read(status int, get vetchtrail.Fields, _ *vetchtrail.Request) vetchtrail.Reading {
-	out := vetchtrail.Reading{Cold: -1, Rate: vetchtrail.ReadRate(get(HeaderRate))}
+	out := vetchtrail.Reading{
+		Cold: -1, Rate: vetchtrail.ReadRate(get(HeaderRate)),
+		Notice: vetchtrail.ReadNotice(get(HeaderLeaving), get(headerRetryAfter), status == statusUnavailable),
+	}
 	if status == statusTooMany || (status == statusUnavailable && get(HeaderNotStarted) != "") {
 		out.Kind = vetchtrail.ReadingRefused
 	}
--- a/connection/endpoint/endpoint.go
+++ b/connection/endpoint/endpoint.go
@@ -225,6 +225,7 @@
 			t.of.cfg.Observer.Told(t.to, reading.Load)
 		}
 		t.tellLimit(reading.Rate)
+		t.tellNotice(reading.Notice)
 		t.body = newBody(t.conn.in, &t.resp.Header, t.req.Method)
 		if reading.Kind != vetchtrail.ReadingForeign {
 			return reading, nil
@@ -245,6 +246,18 @@
 	t.of.cfg.Observer.Limited(t.to, vetchtrail.RateLimit{Named: r.Named, Rate: r.Rate, Asked: t.timing.Sent, Heard: time.Now()}, r.Err)
 }
 
+// tellNotice tells what the head says of whether the endpoint wants requests, as tellLimit does.
+func (t *attempt) tellNotice(r vetchtrail.NoticeReading) {
+	if t.of.cfg.Observer == nil || r == (vetchtrail.NoticeReading{}) {
+		return
+	}
+	n := vetchtrail.Notice{Leaving: r.Leaving, Asked: t.timing.Sent, Heard: time.Now()}
+	if r.Pause > 0 {
+		n.Until = n.Heard.Add(r.Pause)
+	}
+	t.of.cfg.Observer.Noticed(t.to, n, r.Err)
+}
+
 // readHead reads a head, passing over those that only announce another.
 func (t *attempt) readHead() error {
 	for {
--- a/dialect.go
+++ b/dialect.go
@@ -34,6 +34,8 @@
 	// does not tell.
 	Cold time.Duration
 	Rate RateReading // what it says of the requests that the endpoint takes
+	// Notice is what it says of whether the endpoint wants requests at all.
+	Notice NoticeReading
 }
 
 // ReadingKind says what an answer is worth.
--- a/process/daemon/daemon.go
+++ b/process/daemon/daemon.go
@@ -26,6 +26,7 @@
 	"vetchtrail/process/lists"
 	"vetchtrail/process/load"
 	"vetchtrail/process/membership"
+	"vetchtrail/process/notices"
 	"vetchtrail/process/poll"
 	"vetchtrail/process/quarantines"
 	"vetchtrail/process/quotas"
@@ -89,6 +90,7 @@
 	dispatcher  *dispatch.Dispatcher
 	quotas      *quotas.Quotas
 	rateLimits  *ratelimits.RateLimits
+	notices     *notices.Notices
 	quarantines *quarantines.Quarantines
 	kept        *quarantines.Store // of the project's own store
 	lists       *lists.Lists
@@ -173,8 +175,9 @@
 	})
 	off := vetchtrail.MechanismsOf(d.set.SwitchedOff...)
 	d.newRateLimits(off)
+	d.notices = notices.New(notices.Config{Observer: d.rateLimits, Table: d.table, Log: d.log})
 	d.endpoints = endpoint.New(endpoint.Config{
-		Dialect: dialect, Observer: d.rateLimits,
+		Dialect: dialect, Observer: d.notices,
 		Guard: func(e vetchtrail.Endpoint, r *vetchtrail.Request) vetchtrail.Reason { return d.dispatcher.Guard(e, r) },
 	})
 	d.newQuarantines(off)
--- a/process/load/load.go
+++ b/process/load/load.go
@@ -116,6 +116,7 @@
 	limited  time.Time            // since when it names a rate, or did last; zero: never in its life
 	shut     time.Time            // until when nothing of its rate is left
 	left     float64              // of its rate when its keeper was last asked, in requests
+	notice   notice               // what its answers said of whether it wants requests
 }
 
 // ownMark is the number of requests in flight from a moment on.
--- /dev/null
+++ b/process/notices/notices.go
@@ -0,0 +1,60 @@
+// Package notices tells operators what endpoints say of whether they want requests: that they leave, that
+// they want nothing from this host for a time. It lives for the process.
+package notices
+
+import (
+	"log/slog"
+	"time"
+
+	"vetchtrail"
+	"vetchtrail/process/logs"
+)
+
+// Table is what the host believes of its endpoints.
+type Table interface {
+	// HearNotice takes what an answer said, and returns what of it is news.
+	HearNotice(name string, born time.Time, n vetchtrail.Notice) (leaves, paused, ok bool)
+}
+
+// Config is what Notices need.
+type Config struct {
+	Observer vetchtrail.Observer // hears all else that is observed
+	Table    Table
+	Log      *slog.Logger
+}
+
+// Notices is a vetchtrail.Observer. It is safe for use by many.
+type Notices struct {
+	vetchtrail.Observer
+	cfg   Config
+	lines logs.Sparse // by endpoint
+}
+
+// New returns notices of which none was heard.
+func New(c Config) *Notices {
+	return &Notices{Observer: c.Observer, cfg: c}
+}
+
+// Noticed implements vetchtrail.Observer.
+func (n *Notices) Noticed(e vetchtrail.Endpoint, said vetchtrail.Notice, err error) {
+	if err != nil {
+		count("misread")
+		if n.lines.May(e.Name, said.Heard) {
+			n.cfg.Log.Warn("endpoint says what can't be read of whether it wants requests", "endpoint", e.Name, "error", err)
+		}
+	}
+	leaves, paused, ok := n.cfg.Table.HearNotice(e.Name, e.Born, said)
+	if !ok {
+		return
+	}
+	if leaves {
+		count("leaving")
+		n.cfg.Log.Info("endpoint says that it leaves", "endpoint", e.Name, "service", e.Service)
+	}
+	if paused {
+		count("paused")
+		if n.lines.May(e.Name, said.Heard) {
+			n.cfg.Log.Info("endpoint wants nothing for a time", "endpoint", e.Name, "service", e.Service, "for", said.Until.Sub(said.Heard))
+		}
+	}
+}
--- a/process/ratelimits/permits.go
+++ b/process/ratelimits/permits.go
@@ -29,6 +29,8 @@
 	// settleTime is for how long a host that knows no other keeps rates for nobody: it has just
 	// started, and the others may be using them.
 	settleTime = 4 * time.Second
+	// mostSent bounds the endpoints whose permits are counted.
+	mostSent = 1 << 14
 	// leastPause is the least time until an endpoint is tried again of whose rate nothing was left.
 	leastPause = 20 * time.Millisecond
 )
@@ -156,7 +158,7 @@
 	now := time.Now()
 	news, born, err := schema.ToRateLimit(m, now)
 	if err != nil {
-		if !l.mayWrite(m.GetEndpoint(), now) {
+		if !l.lines.May(m.GetEndpoint(), now) {
 			return
 		}
 		l.cfg.Log.Warn("rate of another host not taken", "endpoint", m.GetEndpoint(), "error", err)
@@ -169,7 +171,7 @@
 func (l *RateLimits) use(name string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if len(l.sent) >= mostLines {
+	if len(l.sent) >= mostSent {
 		clear(l.sent)
 	}
 	l.sent[name]++
--- a/process/ratelimits/ratelimits.go
+++ b/process/ratelimits/ratelimits.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"vetchtrail"
+	"vetchtrail/process/logs"
 	"vetchtrail/process/quotas"
 	"vetchtrail/schema"
 )
@@ -49,9 +50,10 @@
 	shares *quotas.Quotas // of the rates, in requests
 	began  time.Time
 
-	mu    sync.Mutex
-	lines map[string]time.Time // when a line of an endpoint was written last
-	sent  map[string]uint64    // permits used, by endpoint
+	lines logs.Sparse // by endpoint
+
+	mu   sync.Mutex
+	sent map[string]uint64 // permits used, by endpoint
 }
 
 // New returns rate limits of which none is known.
@@ -59,7 +61,7 @@
 	if c.Clock == nil {
 		c.Clock = time.Now
 	}
-	l := &RateLimits{Observer: c.Table, cfg: c, lines: map[string]time.Time{}, sent: map[string]uint64{}, began: time.Now()}
+	l := &RateLimits{Observer: c.Table, cfg: c, sent: map[string]uint64{}, began: time.Now()}
 	l.shares = quotas.New(quotas.Config{
 		Self: c.Self, Bounds: func() quotas.Bounds { return bounds{l} }, Hosts: settled{Hosts: c.Hosts, limits: l}, Peers: carrier{l},
 		Duty: "keep rates", Shards: shards, Strict: true, Clock: c.Clock, Log: c.Log,
@@ -74,7 +76,7 @@
 func (l *RateLimits) Limited(e vetchtrail.Endpoint, news vetchtrail.RateLimit, err error) {
 	if err != nil {
 		countMisread()
-		if l.mayWrite(e.Name, news.Heard) {
+		if l.lines.May(e.Name, news.Heard) {
 			l.cfg.Log.Warn("endpoint names a rate that can't be read", "endpoint", e.Name, "error", err)
 		}
 		return
@@ -102,28 +104,7 @@
 		l.cfg.Log.Info("endpoint names no rate any more", "endpoint", e.Name, "service", e.Service, "was", was.Rate)
 	case !was.Named && is.Named:
 		l.cfg.Log.Info("endpoint names a rate", "endpoint", e.Name, "service", e.Service, "rate", is.Rate)
-	case is.Named && is.Rate != was.Rate && l.mayWrite(e.Name, is.Heard):
+	case is.Named && is.Rate != was.Rate && l.lines.May(e.Name, is.Heard):
 		l.cfg.Log.Info("endpoint names another rate", "endpoint", e.Name, "service", e.Service, "rate", is.Rate, "was", was.Rate)
 	}
 }
-
-const (
-	// lineEvery bounds the lines of one endpoint: one may name another rate in each answer.
-	lineEvery = time.Second
-	// mostLines bounds the endpoints whose lines are remembered.
-	mostLines = 1 << 14
-)
-
-// mayWrite says whether a line of an endpoint may be written.
-func (l *RateLimits) mayWrite(name string, now time.Time) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if now.Sub(l.lines[name]) < lineEvery {
-		return false
-	}
-	if len(l.lines) >= mostLines {
-		clear(l.lines)
-	}
-	l.lines[name] = now
-	return true
-}
