--- a/scenario/ratelimit_test.go
+++ b/scenario/ratelimit_test.go
@@ -2,18 +2,11 @@
 
 import (
 	"context"
-	"math/rand/v2"
-	"slices"
 	"strconv"
-	"sync"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
-
-	"vetchtrail/standin/client"
-	"vetchtrail/standin/deployment"
-	"vetchtrail/standin/fleet"
 )
 
 const (
@@ -27,84 +20,8 @@
 	rateKnown = time.Second
 )
 
-// rateRun is a deployment of which one engine names a rate.
-type rateRun struct {
-	t   *testing.T
-	f   *fleet.Fleet
-	d   deployment.Deployment
-	in  string // region of the engine
-	ctx context.Context
-
-	mu       sync.Mutex
-	outcomes map[string]int
-}
-
-func newRateRun(t *testing.T) *rateRun {
-	t.Helper()
-	f, d, err := newFleet(t.TempDir(), 3, 2, usualSlots, []string{"--step", "5ms"})
-	assert.NilError(t, err)
-	t.Cleanup(func() { closeFleet(f) })
-	applyTo(t, f, d)
-	return &rateRun{t: t, f: f, d: d, ctx: t.Context(), in: d.Spec.Regions[0].Name, outcomes: map[string]int{}}
-}
-
-// callers have some callers ask the hosts of the region different questions until ctx ends.
-func (x *rateRun) callers(ctx context.Context, many int) *sync.WaitGroup {
-	var hosts []int
-	for i, h := range x.d.Hosts {
-		if h.Region == x.in {
-			hosts = append(hosts, i)
-		}
-	}
-	all := &sync.WaitGroup{}
-	for caller := range many {
-		all.Go(func() {
-			rnd := rand.New(rand.NewPCG(5, uint64(caller)))
-			for n := 0; ctx.Err() == nil; n++ {
-				r := x.f.Client.Do(x.ctx, client.Ask{
-					Host: x.d.Hosts[hosts[rnd.IntN(len(hosts))]].Listen.Callers, Service: x.d.Spec.Model.Name,
-					Prompt: "deed " + strconv.Itoa(caller) + " " + strconv.Itoa(n), Tokens: 4, Stream: true, Timeout: 3 * time.Second,
-				})
-				x.mu.Lock()
-				x.outcomes[r.Outcome+" "+r.Reason]++
-				x.mu.Unlock()
-				time.Sleep(20 * time.Millisecond)
-			}
-		})
-	}
-	return all
-}
-
-// engines returns the names of the region's model engines.
-func (x *rateRun) engines() []string {
-	var out []string
-	for _, e := range x.d.Document.Endpoints {
-		if e.Region == x.in && e.Service == x.d.Spec.Model.Name {
-			out = append(out, e.Name)
-		}
-	}
-	slices.Sort(out)
-	return out
-}
-
-// busiest returns the engine that was given the most lately, once one was given enough.
-func (x *rateRun) busiest() string {
-	x.t.Helper()
-	var name string
-	assert.NilError(x.t, x.f.Await(x.ctx, "an engine is used", func() bool {
-		lately, most := time.Now().Add(-time.Second), 30
-		for _, e := range x.engines() {
-			if n := after(x.started(e), lately); n > most {
-				name, most = e, n
-			}
-		}
-		return name != ""
-	}))
-	return name
-}
-
-// name has an engine name a rate in its answers, or none, and returns when.
-func (x *rateRun) name(engineName, rate string) time.Time {
+// nameRate has an engine name a rate in its answers, or none, and returns when.
+func (x *engineRun) nameRate(engineName, rate string) time.Time {
 	x.t.Helper()
 	for _, e := range x.d.Document.Endpoints {
 		if e.Name == engineName {
@@ -114,19 +31,6 @@
 	return time.Now()
 }
 
-// started returns when requests were started at an engine, in order.
-func (x *rateRun) started(engineName string) []time.Time {
-	x.t.Helper()
-	all, err := x.f.Executions(x.ctx)
-	assert.NilError(x.t, err)
-	var out []time.Time
-	for _, e := range all[engineName] {
-		out = append(out, e.At)
-	}
-	slices.SortFunc(out, time.Time.Compare)
-	return out
-}
-
 // most is the most of some moments in any window that begins between two.
 func most(moments []time.Time, from, to time.Time) int {
 	out := 0
@@ -159,15 +63,15 @@
 func TestNamedRate(t *testing.T) {
 	t.Parallel()
 	const rate = 2.0
-	x := newRateRun(t)
+	x := newEngineRun(t)
 	ctx, stop := context.WithCancel(x.ctx)
 	all := x.callers(ctx, 24)
 	defer all.Wait()
 	defer stop()
 	limited := x.busiest()
-	named := x.name(limited, strconv.FormatFloat(rate, 'g', -1, 64))
+	named := x.nameRate(limited, strconv.FormatFloat(rate, 'g', -1, 64))
 	time.Sleep(12 * time.Second)
-	lifted := x.name(limited, "")
+	lifted := x.nameRate(limited, "")
 	time.Sleep(4 * time.Second)
 	stop()
 	all.Wait()
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -2,7 +2,8 @@
 // caches prompt prefixes in limited memory, slows as its batch fills, reports
 // its load with a lag, resumes and cancels streams. Its answers follow from the
 // prompt, so that a check can tell a wrong or cut one. Faults are set by PUT
-// /faults with a JSON Faults, and the rate that it names by PUT /rate with a JSON text.
+// /faults with a JSON Faults, the rate that it names by PUT /rate with a JSON text, and what else
+// it says of itself by PUT /words with a JSON Words.
 package engine
 
 import (
@@ -15,7 +16,6 @@
 
 	"github.com/valyala/fasthttp"
 
-	"vetchtrail/connection/dialect"
 	"vetchtrail/standin/ledger"
 	"vetchtrail/standin/listen"
 )
@@ -51,10 +51,13 @@
 type Server struct {
 	cfg  Config
 	runs ledger.Ledger
+	// arrivals are all requests, those too that it turns away.
+	arrivals ledger.Ledger
 
 	mu      sync.Mutex
 	faults  Faults
 	rate    string // requests a second that it names in its answers; empty: none
+	words   Words
 	running int
 	waiting []chan struct{}
 	cache   prefixCache
@@ -119,6 +122,10 @@
 		s.handleFaults(ctx)
 	case path == "/rate":
 		s.handleRate(ctx)
+	case path == "/words":
+		s.handleWords(ctx)
+	case path == "/arrivals":
+		s.arrivals.Answer(ctx)
 	case path == "/load":
 		s.handleLoad(ctx)
 	case path == "/executions":
@@ -128,10 +135,11 @@
 	case path == "/stats":
 		writeJSON(ctx, s.Stats())
 	case strings.HasPrefix(path, "/v1/streams/"):
-		s.nameRate(ctx)
+		s.say(ctx)
 		s.handleResume(ctx, strings.TrimPrefix(path, "/v1/streams/"))
 	case strings.HasPrefix(path, "/v1/"):
-		s.nameRate(ctx)
+		s.arrivals.Note(&ctx.Request.Header)
+		s.say(ctx)
 		s.handleCompletion(ctx)
 	default:
 		ctx.SetStatusCode(fasthttp.StatusNotFound)
@@ -158,15 +166,6 @@
 	s.rate = rate
 }
 
-// nameRate names the engine's rate in an answer, if it has one.
-func (s *Server) nameRate(ctx *fasthttp.RequestCtx) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.rate != "" {
-		ctx.Response.Header.Set(dialect.HeaderRate, s.rate)
-	}
-}
-
 func writeJSON(ctx *fasthttp.RequestCtx, v any) {
 	body, _ := json.Marshal(v)
 	ctx.SetContentType("application/json")
--- a/standin/engine/serve.go
+++ b/standin/engine/serve.go
@@ -117,10 +117,12 @@
 		ctx.Error(err.Error(), fasthttp.StatusBadRequest)
 		return
 	}
+	if seconds := s.away(); seconds != "" {
+		turnAway(ctx, seconds)
+		return
+	}
 	if f.Refuse || s.full() {
-		ctx.Response.Header.Set("X-Not-Started", "1")
-		ctx.Response.Header.Set("Retry-After", "1")
-		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+		turnAway(ctx, "1")
 		return
 	}
 	time.Sleep(f.Delay)
--- /dev/null
+++ b/standin/engine/words.go
@@ -0,0 +1,53 @@
+package engine
+
+import (
+	"encoding/json"
+
+	"github.com/valyala/fasthttp"
+
+	"vetchtrail/connection/dialect"
+)
+
+// Words are what an engine says of itself in its answers, beside its rate.
+type Words struct {
+	Leaving string `json:"leaving"` // in all: whether it leaves; empty: nothing
+	Away    string `json:"away"`    // it turns all away for so many seconds; empty: it doesn't
+}
+
+// handleWords sets what the engine says.
+func (s *Server) handleWords(ctx *fasthttp.RequestCtx) {
+	var w Words
+	if err := json.Unmarshal(ctx.PostBody(), &w); err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.words = w
+}
+
+// say puts into an answer what the engine says of itself.
+func (s *Server) say(ctx *fasthttp.RequestCtx) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.rate != "" {
+		ctx.Response.Header.Set(dialect.HeaderRate, s.rate)
+	}
+	if s.words.Leaving != "" {
+		ctx.Response.Header.Set(dialect.HeaderLeaving, s.words.Leaving)
+	}
+}
+
+// turnAway answers a request that the engine does not run, and names a time for which it wants none.
+func turnAway(ctx *fasthttp.RequestCtx, seconds string) {
+	ctx.Response.Header.Set("X-Not-Started", "1")
+	ctx.Response.Header.Set("Retry-After", seconds)
+	ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+}
+
+// away is the time for which the engine turns all requests away; empty: it doesn't.
+func (s *Server) away() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.words.Away
+}
