--- a/scenario/notice_test.go
+++ b/scenario/notice_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"strconv"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
+	"vetchtrail"
 	"vetchtrail/standin/engine"
 )
 
@@ -55,3 +57,45 @@
 	assert.Equal(t, late, 0)
 	assert.DeepEqual(t, x.outcomes, map[string]int{" ": len(x.passed)})
 }
+
+const (
+	// awayFor is the time that an engine names with which it turns a host away, and awayKnown and awayMost the
+	// bound: from so long after it did, no more than so many requests reach it from that host until the time is over.
+	awayFor   = 12 * time.Second
+	awayKnown = 500 * time.Millisecond
+	awayMost  = 2
+)
+
+// TestTurnedAway: an endpoint that turned hosts away with 503 and named the time for which it wants nothing
+// from them got more than two requests from a host within it.
+func TestTurnedAway(t *testing.T) {
+	t.Parallel()
+	x := newEngineRun(t)
+	ctx, stop := context.WithCancel(x.ctx)
+	all := x.callers(ctx, 24)
+	defer all.Wait()
+	defer stop()
+	away := x.busiest()
+	said := x.says(away, engine.Words{Away: strconv.FormatFloat(awayFor.Seconds(), 'g', -1, 64)})
+	time.Sleep(awayFor)
+	took := x.says(away, engine.Words{})
+	time.Sleep(4 * time.Second)
+	stop()
+	all.Wait()
+	lines, placed := x.heard("endpoint wants nothing for a time", away)
+	for host, at := range lines {
+		t.Logf("%s told of it %s after it was said, and placed %d requests there since", host, at.Sub(said), placed[host])
+	}
+	moments, last := x.arrived(away), time.Time{}
+	for _, at := range lines {
+		last = vetchtrail.Later(last, at)
+	}
+	got := between(moments, last.Add(awayKnown), took)
+	again := after(moments, took.Add(time.Second))
+	t.Logf("%d reached it from %s after all hosts were told until the time was over, %d later than a second after it, outcomes %v",
+		got, awayKnown, again, x.outcomes)
+	assert.Equal(t, len(lines), 3, "hosts that were turned away")
+	assert.Assert(t, got <= awayMost*len(lines), "%d requests", got)
+	assert.Assert(t, again > 0, "it was not used again")
+	assert.DeepEqual(t, x.outcomes, map[string]int{" ": len(x.passed)})
+}
