--- a/process/daemon/daemon.go
+++ b/process/daemon/daemon.go
@@ -128,7 +128,7 @@
 	d.kept = &quarantines.Store{Store: own, Log: d.log}
 	d.membership = membership.New(membership.Config{
 		Self: d.self, Seeds: d.set.Seeds, Load: d.table, Revision: d.inForce.Load, Log: d.log, Seed: d.seed(),
-		WholeRegion: d.hosted != nil, Rates: rates{d},
+		WholeRegion: d.hosted != nil, Rates: rates{d}, Notices: leavers{d},
 	})
 	d.journal = journal.New(journal.Config{Log: d.log})
 	if err := d.newTLS(); err != nil {
--- a/process/daemon/ratelimits.go
+++ b/process/daemon/ratelimits.go
@@ -19,3 +19,9 @@
 
 // Learn implements membership.Rates.
 func (r rates) Learn(m *schema.EndpointRate) { r.d.rateLimits.Learn(m) }
+
+// leavers takes what other hosts tell of endpoints that leave.
+type leavers struct{ d *Daemon }
+
+// Learn implements membership.Notices.
+func (l leavers) Learn(from string, m *schema.EndpointLeaves) { l.d.notices.Learn(from, m) }
--- a/process/load/learn.go
+++ b/process/load/learn.go
@@ -33,7 +33,7 @@
 		t.means[s.Service].sawEvents(o.Route, o.Outcome.Events)
 		t.answered(s, o, now)
 	case o.Outcome.Reason == vetchtrail.ReasonMisled:
-		s.leaving = now.Add(misledFor)
+		s.leaving.misled = now.Add(misledFor)
 	case o.Outcome.Reason == vetchtrail.ReasonRefused:
 		t.cutLimit(s)
 		s.avoid(vetchtrail.ReasonRefused, vetchtrail.Earlier(o.Outcome.RetryAt, now.Add(refusedMost)))
@@ -46,7 +46,9 @@
 		if o.Outcome.Reason == vetchtrail.ReasonDeadline {
 			t.cutLimit(s)
 		}
-		t.failed(s, now)
+		if !s.leaves(now) { // else it ended as it said
+			t.failed(s, now)
+		}
 	}
 }
 
--- a/process/load/limit.go
+++ b/process/load/limit.go
@@ -54,13 +54,19 @@
 	return was, s.rate, true
 }
 
-// takeOver takes the word that was heard of the life that begins here: a host may hear it from an
+// takeOver takes the words that were heard of the life that begins here: a host may hear them from an
 // endpoint that has started again before the lists tell so. Nothing of an earlier life stands in a
-// later one.
+// later one, and lists that come back from an older copy tell of an earlier one.
 func (s *state) takeOver(old *state, born time.Time) {
-	if !born.IsZero() && old.rate.Asked.After(born) {
+	if born.IsZero() || !old.Born.Before(born) {
+		return
+	}
+	if old.rate.Asked.After(born) {
 		s.rate, s.limited = old.rate, old.limited
 	}
+	if old.leaving.asked.After(born) {
+		s.leaving.answers = s.leaving.join(old.leaving.answers)
+	}
 }
 
 // Limited implements vetchtrail.Observer.
--- a/process/load/load.go
+++ b/process/load/load.go
@@ -78,6 +78,8 @@
 	freed     map[string]chan struct{} // for each service, closed when room is made
 	off       vetchtrail.Mechanisms    // that are not used
 	far       map[string][]*state      // endpoints of other regions, for each service: only where prompts are kept
+	absent    map[lifeKey]absentee     // words of lives of endpoints that are not listed now
+	learned   time.Time                // when a word of leaving was learned last
 }
 
 // state is one endpoint's.
@@ -110,13 +112,12 @@
 	ejected  time.Time       // until when, for failures
 	backOff  time.Time       // until when, by its own refusal or as it is down
 	backWhy  vetchtrail.Reason
-	leaving  time.Time            // until when a word of its leaving stands
+	leaving  departure            // what is known of its leaving beside the configuration
 	says     bool                 // its newest report says that it is leaving
 	rate     vetchtrail.RateLimit // what it last said of the requests that it takes
 	limited  time.Time            // since when it names a rate, or did last; zero: never in its life
 	shut     time.Time            // until when nothing of its rate is left
 	left     float64              // of its rate when its keeper was last asked, in requests
-	notice   notice               // what its answers said of whether it wants requests
 }
 
 // ownMark is the number of requests in flight from a moment on.
@@ -158,6 +159,7 @@
 		services:  map[string][]*state{},
 		means:     map[string]*means{},
 		freed:     map[string]chan struct{}{},
+		absent:    map[lifeKey]absentee{},
 	}
 }
 
@@ -183,6 +185,7 @@
 				limit: float64(e.Slots), service: average{value: firstService}, pace: average{value: 1},
 				warmth: 1, reading: map[string]unread{}, sessions: sessions{}, streams: map[string]bool{},
 			}
+			t.recall(s, e.Endpoint)
 			if ok {
 				s.takeOver(old[e.Name], e.Born)
 			}
@@ -196,6 +199,11 @@
 			t.means[e.Service] = newMeans()
 		}
 	}
+	for name, s := range old {
+		if t.endpoints[name] != s {
+			t.remember(s)
+		}
+	}
 	for service := range t.services {
 		t.wake(service)
 	}
@@ -238,7 +246,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s, ok := t.endpoints[name]
-	if !ok || s.Draining || now.Before(s.leaving) {
+	if !ok || s.leaves(now) {
 		return vetchtrail.Endpoint{}, false
 	}
 	return s.Endpoint, true
@@ -312,7 +320,7 @@
 		v.OwnSince = s.own - s.ownAt(s.report.At)
 	}
 	switch {
-	case s.Draining, now.Before(s.leaving):
+	case s.leaves(now):
 		v.Away, v.Why = true, vetchtrail.ReasonDraining
 	case now.Before(s.ejected):
 		v.Away, v.Why = true, vetchtrail.ReasonEjected
@@ -362,7 +370,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s, ok := t.endpoints[name]
-	if !ok || s.Draining || now.Before(s.leaving) || now.Before(s.ejected) || now.Before(s.backOff) || s.own >= t.allowedNow(s) {
+	if !ok || s.leaves(now) || now.Before(s.ejected) || now.Before(s.backOff) || s.own >= t.allowedNow(s) {
 		return false
 	}
 	if !s.cold.take(now) {
--- a/process/load/prefill.go
+++ b/process/load/prefill.go
@@ -73,7 +73,7 @@
 
 // inUse says whether all hosts are likely to use the endpoint.
 func (s *state) inUse(now time.Time) bool {
-	return !s.Draining && !now.Before(s.leaving) && !now.Before(s.ejected)
+	return !s.leaves(now) && !now.Before(s.ejected)
 }
 
 func weighSession(s *state, session uint64) uint64 {
--- a/process/load/report.go
+++ b/process/load/report.go
@@ -47,12 +47,10 @@
 // hearLeaving takes an endpoint's own word that it is leaving, or that it is
 // no longer.
 func (s *state) hearLeaving(leaving bool, until time.Time) {
+	s.leaving.reported, s.says = time.Time{}, leaving
 	if leaving {
-		s.leaving = until
-	} else if s.says {
-		s.leaving = time.Time{}
+		s.leaving.reported = until
 	}
-	s.says = leaving
 }
 
 // Reported returns when an endpoint's newest report was true.
@@ -70,8 +68,8 @@
 func (t *Table) Leave(name string, until time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if s, ok := t.endpoints[name]; ok && until.After(s.leaving) {
-		s.leaving = until
+	if s, ok := t.endpoints[name]; ok {
+		s.leaving.listed = vetchtrail.Later(s.leaving.listed, until)
 	}
 }
 
--- a/process/membership/digest.go
+++ b/process/membership/digest.go
@@ -83,8 +83,11 @@
 
 // swapWith swaps with one host, again with our members if it lacks them.
 func (m *Membership) swapWith(ctx context.Context, p Peers, t target, own *schema.Digest) error {
-	out := &schema.Digests{From: m.cfg.Self.Name, Digest: withoutMembers(own), HaveMembers: m.membersHash(t.dataCentre)}
 	sent := time.Now()
+	out := &schema.Digests{
+		From: m.cfg.Self.Name, Digest: withoutMembers(own), HaveMembers: m.membersHash(t.dataCentre),
+		Leaves: m.leavesWithin(m.regionOf(t.dataCentre), sent),
+	}
 	reply, err := p.Swap(ctx, t.addr, out)
 	if err != nil {
 		return err
@@ -97,6 +100,25 @@
 	return err
 }
 
+// regionOf is a data centre's region as its digest tells; empty: not known.
+func (m *Membership) regionOf(dataCentre string) string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if d, ok := m.remotes[dataCentre]; ok {
+		return d.digest.GetRegion()
+	}
+	return ""
+}
+
+// leavesWithin are the endpoints that leave of which a data centre of a region is told: of those that this
+// host learned of in the last swaps. Other regions call none of them.
+func (m *Membership) leavesWithin(region string, now time.Time) []*schema.EndpointLeaves {
+	if region != m.cfg.Self.Region || !m.cfg.WholeRegion {
+		return nil
+	}
+	return m.leavesAfter(now.Add(-leavesFresh), now)
+}
+
 func (m *Membership) membersHash(dataCentre string) uint32 {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -197,15 +219,18 @@
 	if in.GetHaveMembers() == own.GetMembersHash() {
 		own = withoutMembers(own)
 	}
+	m.learnLeaves(in.GetFrom(), in.GetLeaves())
+	leaves := m.leavesWithin(in.GetDigest().GetRegion(), now)
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	known := m.introduce(in)
 	whole := m.mergeDigest(in.GetDigest(), now, now, true)
-	return &schema.Digests{From: m.cfg.Self.Name, Digest: own, WantMembers: !whole, Introduced: known}
+	return &schema.Digests{From: m.cfg.Self.Name, Digest: own, WantMembers: !whole, Introduced: known, Leaves: leaves}
 }
 
 // swapped takes the answer to a swap that was sent at a moment.
 func (m *Membership) swapped(in *schema.Digests, sent, now time.Time) {
+	m.learnLeaves(in.GetFrom(), in.GetLeaves())
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.mergeDigest(in.GetDigest(), now, now, true)
--- a/process/membership/exchange.go
+++ b/process/membership/exchange.go
@@ -136,6 +136,7 @@
 	h.WantFull, to.missing = to.missing, false
 	h.Loads = m.loadsFor(to, now)
 	h.Rates = m.ratesFor(to, now)
+	h.Leaves = m.leavesFor(&to.told, now)
 	h.Digests = m.digestsFor(to, now)
 	return h
 }
@@ -214,6 +215,39 @@
 	return out
 }
 
+// leavesFresh is how long after a host learned that an endpoint leaves it passes that on: with four
+// exchanges a tick, each of a hundred hosts has it by then from several others. A host that was told of nothing
+// yet, or lost a message, is told of all.
+const leavesFresh = 3 * time.Second
+
+// leavesFor are the endpoints whose answers said that they leave, of which a host was not told yet.
+func (m *Membership) leavesFor(to *told, now time.Time) []*schema.EndpointLeaves {
+	after := to.leaves
+	if !after.IsZero() {
+		after = vetchtrail.Later(after, now.Add(-leavesFresh))
+	}
+	to.leaves = now
+	return m.leavesAfter(after, now)
+}
+
+func (m *Membership) leavesAfter(after, now time.Time) []*schema.EndpointLeaves {
+	var out []*schema.EndpointLeaves
+	for _, l := range m.cfg.Load.Leavers(after, now) {
+		out = append(out, schema.FromLeaves(l.Short, l.Born, l.Said, now))
+	}
+	return out
+}
+
+// learnLeaves takes what another host tells of endpoints that leave.
+func (m *Membership) learnLeaves(from string, leaves []*schema.EndpointLeaves) {
+	if m.cfg.Notices == nil {
+		return
+	}
+	for _, l := range leaves {
+		m.cfg.Notices.Learn(from, l)
+	}
+}
+
 // digestsFor are the digests that this host was given by other data centres
 // itself.
 func (m *Membership) digestsFor(to *member, now time.Time) []*schema.Digest {
@@ -271,6 +305,7 @@
 			m.cfg.Rates.Learn(r)
 		}
 	}
+	m.learnLeaves(h.GetFrom(), h.GetLeaves())
 }
 
 func reportOf(l *schema.Load, now time.Time) vetchtrail.LoadReport {
--- a/process/membership/membership.go
+++ b/process/membership/membership.go
@@ -44,7 +44,9 @@
 	Seeds []netip.AddrPort // peers of any data centre
 	Load  *load.Table
 	// Rates takes what other hosts know of the rates that endpoints name; nil: nobody does.
-	Rates    Rates
+	Rates Rates
+	// Notices takes what other hosts know of endpoints that leave; nil: nobody does.
+	Notices  Notices
 	Revision func() uint64
 	Log      *slog.Logger
 	Seed     uint64 // of the random choice of peers
@@ -58,6 +60,11 @@
 	Learn(m *schema.EndpointRate)
 }
 
+// Notices takes what another host knows of an endpoint that leaves.
+type Notices interface {
+	Learn(from string, m *schema.EndpointLeaves)
+}
+
 // Membership is a host's view of the others.
 type Membership struct {
 	cfg Config
@@ -107,6 +114,7 @@
 	hosts    map[string]uint64          // incarnations by name
 	members  map[string]uint32          // hashes of members by data centre
 	rates    map[string]load.NamedLimit // that endpoints named
+	leaves   time.Time                  // until when what this host had learned of endpoints that leave
 	messages int
 }
 
@@ -116,7 +124,7 @@
 // next counts a message and forgets now and then.
 func (t *told) next() {
 	if t.messages%fullEvery == 0 {
-		t.hosts, t.members, t.rates = map[string]uint64{}, map[string]uint32{}, map[string]load.NamedLimit{}
+		t.hosts, t.members, t.rates, t.leaves = map[string]uint64{}, map[string]uint32{}, map[string]load.NamedLimit{}, time.Time{}
 	}
 	t.messages++
 }
--- a/process/notices/notices.go
+++ b/process/notices/notices.go
@@ -7,13 +7,17 @@
 	"time"
 
 	"vetchtrail"
+	"vetchtrail/process/load"
 	"vetchtrail/process/logs"
+	"vetchtrail/schema"
 )
 
 // Table is what the host believes of its endpoints.
 type Table interface {
 	// HearNotice takes what an answer said, and returns what of it is news.
-	HearNotice(name string, born time.Time, n vetchtrail.Notice) (leaves, paused, ok bool)
+	HearNotice(name string, born time.Time, n vetchtrail.Notice) load.NoticeNews
+	// HearNoticeShort takes what one said to another host, by the short form of its name.
+	HearNoticeShort(short uint32, born time.Time, n vetchtrail.Notice, now time.Time) load.NoticeNews
 }
 
 // Config is what Notices need.
@@ -43,18 +47,29 @@
 			n.cfg.Log.Warn("endpoint says what can't be read of whether it wants requests", "endpoint", e.Name, "error", err)
 		}
 	}
-	leaves, paused, ok := n.cfg.Table.HearNotice(e.Name, e.Born, said)
-	if !ok {
-		return
-	}
-	if leaves {
+	news := n.cfg.Table.HearNotice(e.Name, e.Born, said)
+	if news.Leaves {
 		count("leaving")
 		n.cfg.Log.Info("endpoint says that it leaves", "endpoint", e.Name, "service", e.Service)
 	}
-	if paused {
+	if news.Paused {
 		count("paused")
 		if n.lines.May(e.Name, said.Heard) {
 			n.cfg.Log.Info("endpoint wants nothing for a time", "endpoint", e.Name, "service", e.Service, "for", said.Until.Sub(said.Heard))
 		}
 	}
 }
+
+// Learn takes what another host tells of an endpoint that leaves.
+func (n *Notices) Learn(from string, m *schema.EndpointLeaves) {
+	now := time.Now()
+	said, born := schema.ToLeaves(m, now)
+	news := n.cfg.Table.HearNoticeShort(m.GetEndpoint(), born, said, now)
+	if !news.Leaves {
+		return
+	}
+	count("leaving, told by a host")
+	if news.Endpoint != "" {
+		n.cfg.Log.Info("endpoint said to another host that it leaves", "endpoint", news.Endpoint, "from", from, "ago", now.Sub(said.Heard))
+	}
+}
--- a/scenario/notice_test.go
+++ b/scenario/notice_test.go
@@ -18,7 +18,12 @@
 
 // TestLeavingWord: an endpoint said in each answer that it leaves, and went on getting as much as those
 // beside it, for as long as no list said so: the platform's store was away, and what the endpoint wrote there
-// did not get in.
+// did not get in. No host read what it said: it was handed on to callers as any other field, and that an endpoint
+// leaves was known by lists and load reports alone, which said that it doesn't. The evidence: with a line
+// when the word is read, and nothing decided by it, all three hosts of the region told of it within 57 ms of the first
+// answer that said so, and then placed 564 to 630 requests each on the endpoint in 10 s, at the first attempt, decided
+// and sent at once. So it came neither of a host that was not told, nor of words that come late, nor of requests that
+// were placed before.
 func TestLeavingWord(t *testing.T) {
 	t.Parallel()
 	x := newEngineRun(t)
