Quarantine: hosts that meet tell each other of the ends that they saw

A test of a region that is cut off failed once: 30 s after it was reached again another host did not hold a request back under which endpoints had ended there. On virtual time each message of the asking for holds was lost in turn, there and back (149 swaps), then all between any two hosts and all that any host asks: none leaves a host without it. So nobody held it.

A host keeps the ends of the last minute, 32 at most, and tells them to counters that it meets, that start again, or that a report did not reach. The same word twice changes nothing.

--- a/process/quarantines/count.go
+++ b/process/quarantines/count.go
@@ -20,6 +20,10 @@
 	// what it does not hear is lost.
 	tellTries = 3
 	tellPause = 200 * time.Millisecond
+	// recentFor is for how long a host tells counters that it meets of the ends that it saw, and mostRecent bounds
+	// those.
+	recentFor  = time.Minute
+	mostRecent = 32
 )
 
 // count tells the hosts that count what this host saw, and judges if it is one of them. It
@@ -28,6 +32,8 @@
 	q.mu.Lock()
 	ends, served := q.ends, q.served
 	q.ends, q.served = nil, nil
+	q.recent = append(q.recent, ends...)
+	q.recent = q.recent[max(0, len(q.recent)-mostRecent):]
 	q.mu.Unlock()
 	if len(ends)+len(served) > 0 {
 		q.report(ctx, ends, served, now)
@@ -44,18 +50,54 @@
 	for _, s := range served {
 		m.Served = append(m.Served, &schema.Served{Digest: s.digest[:], Age: int64(now.Sub(s.at))})
 	}
+	for _, h := range q.allCounters() {
+		if h.Name == q.cfg.Self.Name {
+			q.counted(ends, served, now)
+			continue
+		}
+		go q.reportTo(ctx, h, m, now)
+	}
+}
+
+// allCounters returns the hosts that count, of all regions.
+func (q *Quarantines) allCounters() []vetchtrail.Host {
+	var out []vetchtrail.Host
 	for _, region := range q.cfg.Regions() {
-		for _, h := range q.countersOf(region) {
-			if h.Name == q.cfg.Self.Name {
-				q.counted(ends, served, now)
-				continue
-			}
-			go q.reportTo(ctx, h, m, now)
+		out = append(out, q.countersOf(region)...)
+	}
+	return out
+}
+
+// process is a host's process: another one under its name has counted nothing.
+type process struct {
+	name        string
+	incarnation uint64
+}
+
+// introduce tells counters that were none when this host saw ends, or did not hear of them: hosts of a region that
+// have not met count each for itself, and what each saw is too little to judge by.
+func (q *Quarantines) introduce(ctx context.Context, now time.Time) {
+	counters := q.allCounters()
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.recent = slices.DeleteFunc(q.recent, func(e quarantine.End) bool { return now.Sub(e.At) > recentFor })
+	met := map[process]bool{}
+	for _, h := range counters {
+		key := process{name: h.Name, incarnation: h.Incarnation}
+		met[key] = true
+		if q.met[key] || h.Name == q.cfg.Self.Name || len(q.recent) == 0 {
+			continue
 		}
+		m := &schema.Ends{From: q.cfg.Self.Name}
+		for _, e := range q.recent {
+			m.Ends = append(m.Ends, fromEnd(e, now))
+		}
+		go q.reportTo(ctx, h, m, now)
 	}
+	q.met = met
 }
 
-// reportTo tells one counter, again if it does not answer.
+// reportTo tells one counter, again if it does not answer. One that doesn't at all is told when it is met again.
 func (q *Quarantines) reportTo(ctx context.Context, h vetchtrail.Host, m *schema.Ends, made time.Time) {
 	for try := range tellTries {
 		if try > 0 {
@@ -73,6 +115,9 @@
 			return
 		}
 	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	delete(q.met, process{name: h.Name, incarnation: h.Incarnation})
 }
 
 // older returns a report that is sent some time after it was made.
--- a/process/quarantines/fleet_test.go
+++ b/process/quarantines/fleet_test.go
@@ -44,8 +44,12 @@
 	endpoints [regionsOf][]*backend
 	kept      quarantine.Kept
 	cut       [regionsOf]bool
+	apart     bool      // hosts know no other
 	calm      time.Time // when the last trouble of the whole fleet ended
 	bytes     int       // of messages
+	// loses says which swaps of holds are lost, where nothing else is: the way there, or the way back. Nil: some
+	// messages of any kind are.
+	loses func(from, to string) (there, back bool)
 
 	ends     []time.Time // of endpoints, under the deadly request
 	arrivals []arrival   // of the deadly request at endpoints
@@ -149,6 +153,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	f.locked(func() {
 		h.up, h.since, h.asleep, h.q, h.stop = true, time.Now(), 0, q, stop
+		h.host.Incarnation++
 	})
 	go q.Run(ctx)
 	go h.readLists(ctx, q)
@@ -198,7 +203,7 @@
 	defer h.fleet.mu.Unlock()
 	var out []vetchtrail.Host
 	for _, other := range h.fleet.hosts {
-		if other.host.Region == region && (other.up || now.Sub(other.gone) < deadAfter) && h.reaches(other) {
+		if other.host.Region == region && (other.up || now.Sub(other.gone) < deadAfter) && h.reaches(other) && (other == h || !h.fleet.apart) {
 			out = append(out, other.host)
 		}
 	}
@@ -217,11 +222,16 @@
 func send[M proto.Message](ctx context.Context, h *virtual, addr netip.AddrPort, m M, take func(*Quarantines, M) (*schema.Holds, error)) (*schema.Holds, error) {
 	f := h.fleet
 	var to *virtual
-	var reached bool
+	reached, back := false, true
 	f.locked(func() {
 		f.bytes += proto.Size(m)
 		to = f.hosts[slices.IndexFunc(f.hosts, func(o *virtual) bool { return o.host.Peers == addr })]
-		reached = to.up && h.reaches(to) && f.rnd.IntN(20) > 0
+		reached = to.up && h.reaches(to)
+		if f.loses == nil {
+			reached = reached && f.rnd.IntN(20) > 0
+		} else if _, swap := any(m).(*schema.Holds); swap && reached {
+			reached, back = f.lost(h, to)
+		}
 	})
 	if !reached {
 		<-ctx.Done()
@@ -240,10 +250,20 @@
 	if f.draw(10) == 0 {
 		reply, err = take(q, proto.Clone(m).(M))
 	}
+	if !back {
+		<-ctx.Done()
+		return nil, errNotReached
+	}
 	wait(ctx, delay)
 	return reply, err
 }
 
+// lost says of a swap of holds whether it gets there and its answer back. The lock is held.
+func (f *fleet) lost(from, to *virtual) (there, back bool) {
+	lostThere, lostBack := f.loses(from.host.Name, to.host.Name)
+	return !lostThere, !lostBack
+}
+
 // Ended implements Peers.
 func (h *virtual) Ended(ctx context.Context, addr netip.AddrPort, m *schema.Ends) (*schema.Holds, error) {
 	if h.fleet.broken == "hosts count for themselves" {
--- a/process/quarantines/quarantines.go
+++ b/process/quarantines/quarantines.go
@@ -79,6 +79,8 @@
 	suspected     suspected
 	served        []served                              // not told of yet
 	ends          []quarantine.End                      // of this host's endpoints, not told of yet
+	recent        []quarantine.End                      // the last of them, told of or not
+	met           map[process]bool                      // counters that were told of those
 	kept          map[vetchtrail.Digest]vetchtrail.Hold // as the platform keeps them
 }
 
--- a/process/quarantines/spread.go
+++ b/process/quarantines/spread.go
@@ -44,6 +44,7 @@
 			q.holds.Tidy(now)
 			go q.sync(ctx, now)
 			go q.keep(ctx, now)
+			q.introduce(ctx, now)
 			sync.Reset(q.syncPause())
 		case <-judge.C:
 		case <-q.wake:
