Operators see who says that an endpoint leaves; fields that nobody reads are told of

A field of an answer that is not read, nor known to say nothing, has one line and is counted by its name, 64 at most. `vetchtrail status` tells whose word it is that an endpoint leaves, since when its answers say so, and for how long it wants nothing from the host that was asked.

--- a/answer.go
+++ b/answer.go
@@ -39,6 +39,8 @@
 	// Noticed tells what an endpoint said in an answer of whether it wants requests; err: it said
 	// what can't be read.
 	Noticed(e Endpoint, n Notice, err error)
+	// Unknown tells of a field of an answer that nobody reads.
+	Unknown(e Endpoint, field string)
 }
 
 // Timing is when things happened to a request at an endpoint.
--- a/cmd/vetchtrail/status.go
+++ b/cmd/vetchtrail/status.go
@@ -33,10 +33,10 @@
 		for _, d := range s.GetDataCentres() {
 			_, _ = fmt.Fprintf(w, "%s\t%s\t%d\t%t\t%s\n", d.GetName(), d.GetRegion(), d.GetRevision(), d.GetReachable(), ago(d.GetHeard()))
 		}
-		_, _ = fmt.Fprintln(w, "\nENDPOINT\tSERVICE\tSTATE\tRUNNING\tQUEUED\tOURS\tLIMIT\tREPORTED\tRATE\tSINCE\tSENT")
+		_, _ = fmt.Fprintln(w, "\nENDPOINT\tSERVICE\tSTATE\tRUNNING\tQUEUED\tOURS\tLIMIT\tREPORTED\tRATE\tSINCE\tSENT\tLEAVES BY\tSINCE\tWANTS NOTHING FOR")
 		for _, e := range s.GetEndpoints() {
-			_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%d\t%d\t%d\t%s\t%s\n", e.GetName(), e.GetService(), e.GetState(),
-				e.GetRunning(), e.GetQueued(), e.GetOwn(), e.GetLimit(), ago(e.GetReported()), rate(e))
+			_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%d\t%d\t%d\t%s\t%s\t%s\n", e.GetName(), e.GetService(), e.GetState(),
+				e.GetRunning(), e.GetQueued(), e.GetOwn(), e.GetLimit(), ago(e.GetReported()), rate(e), wants(e, time.Now()))
 		}
 	})
 }
@@ -50,6 +50,22 @@
 	return fmt.Sprintf("%g/s\t%s\t%d", e.GetRate(), ago(e.GetRateSince()), e.GetPermits())
 }
 
+// wants words whether an endpoint wants requests: whose word it is that it leaves, since when its answers say so, and
+// for how long it wants nothing from the host that was asked.
+func wants(e *schema.EndpointStatus, now time.Time) string {
+	by, since, pause := e.GetLeavingBy(), "-", "-"
+	if by == "" {
+		by = "-"
+	}
+	if e.GetLeavingSince() != 0 {
+		since = ago(e.GetLeavingSince())
+	}
+	if e.GetPausedUntil() != 0 {
+		pause = time.Unix(0, e.GetPausedUntil()).Sub(now).Round(time.Millisecond).String()
+	}
+	return by + "\t" + since + "\t" + pause
+}
+
 func printHosts(w *tabwriter.Writer, s *schema.StatusReply) {
 	_, _ = fmt.Fprintln(w, "HOST\tREGION\tDATA CENTRE\tSTATE\tREVISION\tCALLERS\tHEARD")
 	for _, h := range s.GetHosts() {
--- a/connection/dialect/dialect.go
+++ b/connection/dialect/dialect.go
@@ -117,5 +117,15 @@
 	return out
 }
 
+// told are the fields of answers that are read here or elsewhere, or say nothing of the endpoint. Its keys are as
+// fasthttp writes names.
+var told = map[string]bool{
+	HeaderID: true, HeaderNotStarted: true, HeaderRate: true, HeaderLeaving: true, headerRetryAfter: true, "Content-Type": true, "Cache-Control": true,
+	"Content-Encoding": true,
+}
+
+// Knows implements vetchtrail.Dialect.
+func (Plain) Knows(name string) bool { return told[name] }
+
 // Sign implements vetchtrail.Dialect.
 func (Plain) Sign(set func(name, value string), r *vetchtrail.Request) { set(HeaderID, r.ID) }
--- a/connection/endpoint/endpoint.go
+++ b/connection/endpoint/endpoint.go
@@ -226,6 +226,7 @@
 		}
 		t.tellLimit(reading.Rate)
 		t.tellNotice(reading.Notice)
+		t.tellUnknown()
 		t.body = newBody(t.conn.in, &t.resp.Header, t.req.Method)
 		if reading.Kind != vetchtrail.ReadingForeign {
 			return reading, nil
@@ -258,6 +259,22 @@
 	t.of.cfg.Observer.Noticed(t.to, n, r.Err)
 }
 
+// tellUnknown tells of fields that nobody reads: a new word of endpoints is seen on the first day it is said.
+func (t *attempt) tellUnknown() {
+	if t.of.cfg.Observer == nil {
+		return
+	}
+	knows := t.of.cfg.Dialect.Knows
+	if t.req.Route == "" {
+		knows = dialect.Plain{}.Knows
+	}
+	for name := range t.resp.Header.All() {
+		if !hopByHop[string(name)] && !knows(string(name)) {
+			t.of.cfg.Observer.Unknown(t.to, string(name))
+		}
+	}
+}
+
 // readHead reads a head, passing over those that only announce another.
 func (t *attempt) readHead() error {
 	for {
--- a/dialect.go
+++ b/dialect.go
@@ -21,6 +21,8 @@
 	Tell(set func(name, value string), e Endpoint, r *Request, now time.Time)
 	// Read says what an answer of an endpoint is.
 	Read(status int, get Fields, r *Request) Reading
+	// Knows says whether a field of an answer is read, or known to say nothing of the endpoint.
+	Knows(name string) bool
 	// Sign sets the fields of an answer that is the system's own.
 	Sign(set func(name, value string), r *Request)
 }
--- a/process/daemon/operators.go
+++ b/process/daemon/operators.go
@@ -142,6 +142,7 @@
 		Name: row.Name, Service: row.Service, Running: int32(row.Report.Running), Queued: int32(row.Report.Queued),
 		Own: int32(row.View.Own), Limit: int32(row.View.Limit), State: state, Reported: stamp(row.Report.At),
 		Limited: row.View.Limited, Rate: row.View.Rate, RateSince: stamp(row.LimitedSince),
+		LeavingBy: string(row.LeavingBy), LeavingSince: stamp(row.LeavingSince), PausedUntil: stamp(row.PausedUntil),
 	}
 }
 
--- a/process/load/notice.go
+++ b/process/load/notice.go
@@ -38,8 +38,37 @@
 
 // leaves says whether an endpoint is known to leave: it gets nothing new.
 func (s *state) leaves(now time.Time) bool {
+	return s.leavingBy(now) != ""
+}
+
+// LeavingBy says whose word it is that an endpoint leaves.
+type LeavingBy string
+
+// Sources of the word that an endpoint leaves; empty: none says so.
+const (
+	ByAnswers  LeavingBy = "its answers"
+	ByList     LeavingBy = "list" // the configuration, or the platform's entry
+	ByReport   LeavingBy = "load report"
+	ByPlatform LeavingBy = "list of hosts"
+	ByMisled   LeavingBy = "another process" // that has its address
+)
+
+// leavingBy returns the first source by which an endpoint leaves.
+func (s *state) leavingBy(now time.Time) LeavingBy {
 	d := &s.leaving
-	return s.Draining || now.Before(d.leaves) || now.Before(d.reported) || now.Before(d.listed) || now.Before(d.misled)
+	switch {
+	case now.Before(d.leaves):
+		return ByAnswers
+	case s.Draining:
+		return ByList
+	case now.Before(d.reported):
+		return ByReport
+	case now.Before(d.listed):
+		return ByPlatform
+	case now.Before(d.misled):
+		return ByMisled
+	}
+	return ""
 }
 
 // NoticeNews is what of a notice a host didn't know.
@@ -123,6 +152,9 @@
 	return time.Unix(0, k.born)
 }
 
+// Unknown implements vetchtrail.Observer: the table makes nothing of it.
+func (t *Table) Unknown(vetchtrail.Endpoint, string) {}
+
 // absentee is what an endpoint said in a life that is not listed now: its entry may have lapsed while the
 // platform's store was away, or be of an older copy, or not come here yet.
 type absentee struct {
--- a/process/load/notice_test.go
+++ b/process/load/notice_test.go
@@ -233,3 +233,41 @@
 		})
 	}
 }
+
+// TestWantsRow: operators see whose word it is that an endpoint leaves, since when, and until when it wants nothing.
+func TestWantsRow(t *testing.T) {
+	e := vetchtrail.Endpoint{Name: "e000", Service: "s", Slots: 4}
+	later := now.Add(time.Minute)
+	cases := map[string]struct {
+		says func(tab *Table)
+		by   LeavingBy
+		row  Row
+	}{
+		"nothing": {func(*Table) {}, "", Row{}},
+		"its answers, after the list of hosts": {func(tab *Table) {
+			tab.Leave("e000", later)
+			tab.HearNotice("e000", time.Time{}, vetchtrail.Notice{Leaving: true, Asked: now, Heard: now})
+		}, ByAnswers, Row{LeavingSince: now}},
+		"the list of hosts": {func(tab *Table) { tab.Leave("e000", later) }, ByPlatform, Row{}},
+		"a load report":     {func(tab *Table) { tab.Report("e000", vetchtrail.LoadReport{At: now, Leaving: true}, later) }, ByReport, Row{}},
+		"the list": {func(tab *Table) {
+			drained := e
+			drained.Draining = true
+			tab.Configure([]Placed{{Endpoint: drained}})
+		}, ByList, Row{}},
+		"wants nothing for a time": {func(tab *Table) {
+			tab.HearNotice("e000", time.Time{}, vetchtrail.Notice{Until: later, Asked: now, Heard: now})
+		}, "", Row{PausedUntil: later}},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			tab := New()
+			tab.Configure([]Placed{{Endpoint: e}})
+			c.says(tab)
+			row := tab.Rows(now)[0]
+			assert.Equal(t, row.LeavingBy, c.by)
+			assert.Equal(t, row.LeavingSince, c.row.LeavingSince)
+			assert.Equal(t, row.PausedUntil, c.row.PausedUntil)
+		})
+	}
+}
--- a/process/load/summary.go
+++ b/process/load/summary.go
@@ -14,6 +14,9 @@
 	Report vetchtrail.LoadReport
 	// LimitedSince is since when it names a rate; zero: it does not.
 	LimitedSince time.Time
+	LeavingBy    LeavingBy
+	LeavingSince time.Time // when its answers said so first; zero: they did not
+	PausedUntil  time.Time // until when it wants nothing from this host; zero: it does
 }
 
 // Rows returns the state of all endpoints.
@@ -22,7 +25,13 @@
 	defer t.mu.Unlock()
 	out := make([]Row, 0, len(t.endpoints))
 	for _, s := range t.endpoints {
-		row := Row{Endpoint: s.Endpoint, View: s.view(t, now), Report: s.report}
+		row := Row{Endpoint: s.Endpoint, View: s.view(t, now), Report: s.report, LeavingBy: s.leavingBy(now)}
+		if row.LeavingBy == ByAnswers {
+			row.LeavingSince = s.leaving.said
+		}
+		if now.Before(s.leaving.pause) {
+			row.PausedUntil = s.leaving.pause
+		}
 		if s.rate.Named {
 			row.LimitedSince = s.limited
 		}
--- a/process/notices/notices.go
+++ b/process/notices/notices.go
@@ -4,6 +4,7 @@
 
 import (
 	"log/slog"
+	"sync"
 	"time"
 
 	"vetchtrail"
@@ -32,11 +33,14 @@
 	vetchtrail.Observer
 	cfg   Config
 	lines logs.Sparse // by endpoint
+
+	mu      sync.Mutex
+	unknown map[string]bool // names of fields that nobody reads
 }
 
 // New returns notices of which none was heard.
 func New(c Config) *Notices {
-	return &Notices{Observer: c.Observer, cfg: c}
+	return &Notices{Observer: c.Observer, cfg: c, unknown: map[string]bool{}}
 }
 
 // Noticed implements vetchtrail.Observer.
@@ -73,3 +77,26 @@
 		n.cfg.Log.Info("endpoint said to another host that it leaves", "endpoint", news.Endpoint, "from", from, "ago", now.Sub(said.Heard))
 	}
 }
+
+const (
+	// mostUnknown bounds the fields that are told of and counted by name.
+	mostUnknown = 64
+	// longestField is the longest name of a field that is told whole, in bytes.
+	longestField = 64
+)
+
+// Unknown implements vetchtrail.Observer. A field has one line, and is counted by its name.
+func (n *Notices) Unknown(e vetchtrail.Endpoint, field string) {
+	field = field[:min(len(field), longestField)]
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if !n.unknown[field] {
+		if len(n.unknown) >= mostUnknown {
+			countUnknown("other")
+			return
+		}
+		n.unknown[field] = true
+		n.cfg.Log.Warn("endpoint says what nobody reads", "endpoint", e.Name, "service", e.Service, "field", field)
+	}
+	countUnknown(field)
+}
--- a/process/notices/notices_test.go
+++ b/process/notices/notices_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"log/slog"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -54,3 +55,23 @@
 		})
 	}
 }
+
+// TestUnknown: a field that nobody reads has one line; whatever its name, the names are bounded and can be
+// counted by.
+func TestUnknown(t *testing.T) {
+	var out bytes.Buffer
+	table := load.New()
+	n := New(Config{Observer: table, Table: table, Log: slog.New(slog.NewTextHandler(&out, nil))})
+	e := vetchtrail.Endpoint{Name: "e"}
+	for range 3 {
+		n.Unknown(e, "Server-Mood")
+	}
+	n.Unknown(e, strings.Repeat("x", 1000)+"\"\n\\")
+	n.Unknown(e, "a\"b\n\\c\xff")
+	assert.Equal(t, strings.Count(out.String(), "\n"), 3, "%s", out.String())
+	for i := range 3 * mostUnknown {
+		n.Unknown(e, strconv.Itoa(i))
+	}
+	assert.Equal(t, len(n.unknown), mostUnknown)
+	assert.Equal(t, strings.Count(out.String(), "\n"), mostUnknown)
+}
