Load reports tell how long an endpoint has been up: what it said before its start is void

Endpoints of the project's own deployments start again under their name, and nothing told their lives apart: one that had said that it leaves would have been left alone for an hour after it came back. Hosts that fetch the report tell the others, of such endpoints only.

--- a/endpoint.go
+++ b/endpoint.go
@@ -38,4 +38,7 @@
 	Queued  int       // requests it holds back
 	Leaving bool
 	Slots   int // as the endpoint tells them; 0: it doesn't
+	// Started is when the endpoint's process started, by the clock of the host that fetched the report;
+	// zero: not told.
+	Started time.Time
 }
--- a/process/load/load.go
+++ b/process/load/load.go
@@ -113,6 +113,7 @@
 	backOff  time.Time       // until when, by its own refusal or as it is down
 	backWhy  vetchtrail.Reason
 	leaving  departure            // what is known of its leaving beside the configuration
+	worded   bool                 // its answers once said something of it
 	says     bool                 // its newest report says that it is leaving
 	rate     vetchtrail.RateLimit // what it last said of the requests that it takes
 	limited  time.Time            // since when it names a rate, or did last; zero: never in its life
--- a/process/load/notice.go
+++ b/process/load/notice.go
@@ -32,6 +32,7 @@
 	leaves  time.Time // until when the word that it leaves stands; zero: none said so
 	asked   time.Time // when the request was sent whose answer said something last
 	said    time.Time // when one said first that it leaves
+	heard   time.Time // when one said anything last
 	learned time.Time // when this host learned that
 	pause   time.Time // until when it wants nothing from this host; zero: it named no time
 }
@@ -91,7 +92,7 @@
 	var news NoticeNews
 	if s, ok := t.shorts[short]; ok && !s.another(born) {
 		news = s.leaving.hear(n, now)
-		news.Endpoint = s.Name
+		news.Endpoint, s.worded = s.Name, true
 		if news.Paused {
 			s.warmth = math.Min(s.warmth, coldStart) // it is in need: all come back at once when the time is over
 		}
@@ -114,7 +115,7 @@
 		a.leaves = vetchtrail.Later(a.leaves, n.Heard.Add(wordFor))
 	}
 	a.pause = vetchtrail.Later(a.pause, n.Until)
-	a.asked = vetchtrail.Later(a.asked, n.Asked)
+	a.asked, a.heard = vetchtrail.Later(a.asked, n.Asked), vetchtrail.Later(a.heard, n.Heard)
 	return news
 }
 
@@ -123,7 +124,8 @@
 	if a.leaves.IsZero() || !b.leaves.IsZero() && b.said.Before(a.said) {
 		a.said, a.learned = b.said, b.learned
 	}
-	a.leaves, a.pause, a.asked = vetchtrail.Later(a.leaves, b.leaves), vetchtrail.Later(a.pause, b.pause), vetchtrail.Later(a.asked, b.asked)
+	a.leaves, a.pause = vetchtrail.Later(a.leaves, b.leaves), vetchtrail.Later(a.pause, b.pause)
+	a.asked, a.heard = vetchtrail.Later(a.asked, b.asked), vetchtrail.Later(a.heard, b.heard)
 	return a
 }
 
--- a/process/load/notice_test.go
+++ b/process/load/notice_test.go
@@ -271,3 +271,29 @@
 		})
 	}
 }
+
+// TestStartedAgain: an endpoint whose load report tells that its process started after the word wants requests again; a
+// report that tells nothing of its start, or an earlier one, lifts nothing.
+func TestStartedAgain(t *testing.T) {
+	cases := map[string]struct {
+		started time.Time
+		bars    vetchtrail.Reason
+	}{
+		"not told":         {time.Time{}, vetchtrail.ReasonDraining},
+		"before the word":  {now.Add(-time.Hour), vetchtrail.ReasonDraining},
+		"after it":         {now.Add(time.Second), ""},
+		"as it was heard":  {now, vetchtrail.ReasonDraining},
+		"long after words": {now.Add(time.Minute), ""},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			tab := New()
+			tab.Configure([]Placed{{Endpoint: vetchtrail.Endpoint{Name: "e000", Service: "s", Slots: 4}}})
+			tab.HearNotice("e000", time.Time{}, vetchtrail.Notice{Leaving: true, Until: now.Add(time.Hour), Asked: now, Heard: now})
+			assert.Assert(t, tab.Report("e000", vetchtrail.LoadReport{At: now.Add(2 * time.Minute), Started: c.started}, time.Time{}))
+			why, _ := tab.Bars("e000", now.Add(2*time.Minute))
+			assert.Equal(t, why, c.bars)
+			assert.Assert(t, tab.Fetched()[0].Said, "others are not told of its start")
+		})
+	}
+}
--- a/process/load/report.go
+++ b/process/load/report.go
@@ -40,6 +40,9 @@
 		s.backOff = time.Time{} // it answers again
 	}
 	s.hearLeaving(r.Leaving, leavingUntil)
+	if r.Started.After(s.leaving.heard) && !s.leaving.ends().IsZero() {
+		s.leaving.answers = answers{} // they were another process's
+	}
 	t.wake(s.Service)
 	return true
 }
@@ -87,6 +90,7 @@
 type Fetched struct {
 	Endpoint string
 	Report   vetchtrail.LoadReport
+	Said     bool // it once said in an answer that it leaves or wants nothing
 }
 
 // Newer returns the reports that were true after a moment, whoever fetched them, and those
@@ -97,7 +101,7 @@
 	var out []Fetched
 	for _, s := range t.endpoints {
 		if s.reported && (s.says || s.report.At.After(after)) {
-			out = append(out, Fetched{Endpoint: s.Name, Report: s.report})
+			out = append(out, Fetched{Endpoint: s.Name, Report: s.report, Said: s.worded})
 		}
 	}
 	return out
@@ -111,7 +115,7 @@
 	var out []Fetched
 	for _, s := range t.endpoints {
 		if s.polled || s.says {
-			out = append(out, Fetched{Endpoint: s.Name, Report: s.report})
+			out = append(out, Fetched{Endpoint: s.Name, Report: s.report, Said: s.worded})
 		}
 	}
 	return out
--- a/process/membership/exchange.go
+++ b/process/membership/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"net/netip"
 	"strconv"
 	"time"
@@ -193,12 +194,21 @@
 		to.sent[f.Endpoint] = f.Report.At
 		out = append(out, &schema.Load{
 			Endpoint: load.Short(f.Endpoint), Running: uint32(f.Report.Running), Queued: uint32(f.Report.Queued),
-			AgeMillis: millis(now.Sub(f.Report.At)), Leaving: f.Report.Leaving,
+			AgeMillis: millis(now.Sub(f.Report.At)), Leaving: f.Report.Leaving, UpMillis: upMillis(f, now),
 		})
 	}
 	return out
 }
 
+// upMillis is how long ago the process of an endpoint started that said something that ends with its life: only of
+// those, as all others' would cost more than their loads.
+func upMillis(f load.Fetched, now time.Time) uint32 {
+	if !f.Said || f.Report.Started.IsZero() {
+		return 0
+	}
+	return uint32(min(max(1, now.Sub(f.Report.Started).Milliseconds()), math.MaxUint32))
+}
+
 // ratesFor are the rates that endpoints name, and those that were lifted, which a host was not sent
 // yet: one that calls none of these endpoints for a while hears of them before it does.
 func (m *Membership) ratesFor(to *member, now time.Time) []*schema.EndpointRate {
@@ -309,10 +319,14 @@
 }
 
 func reportOf(l *schema.Load, now time.Time) vetchtrail.LoadReport {
-	return vetchtrail.LoadReport{
+	r := vetchtrail.LoadReport{
 		At:      now.Add(-time.Duration(l.GetAgeMillis()) * time.Millisecond),
 		Running: int(l.GetRunning()), Queued: int(l.GetQueued()), Leaving: l.GetLeaving(),
 	}
+	if up := l.GetUpMillis(); up > 0 {
+		r.Started = now.Add(-time.Duration(up) * time.Millisecond)
+	}
+	return r
 }
 
 // mergeMember takes a line if its incarnation or counter is newer. It returns
--- a/process/membership/leaves_test.go
+++ b/process/membership/leaves_test.go
@@ -86,3 +86,22 @@
 	}
 	assert.Equal(t, len(a.leavesWithin(a.self.Region, at.Add(2*leavesFresh))), 0, "told of for ever")
 }
+
+// TestStartTold: hosts are told when an endpoint that said that it leaves has started again, by who fetched its report.
+func TestStartTold(t *testing.T) {
+	listed := []load.Placed{{Endpoint: vetchtrail.Endpoint{Name: "e", Service: "s", Slots: 4}}}
+	second := func(n int) time.Time { return now.Add(time.Duration(n) * time.Second) }
+	a, b := newMember("a", "dc", 1), newMember("b", "dc", 2)
+	for _, m := range []*Membership{a, b} {
+		m.cfg.Load.Configure(listed)
+		m.cfg.Load.HearNotice("e", time.Time{}, vetchtrail.Notice{Leaving: true, Asked: now, Heard: now})
+	}
+	swap(a, b, second(1))
+	swap(a, b, second(2))
+	a.cfg.Load.Report("e", vetchtrail.LoadReport{At: second(3), Started: second(3)}, time.Time{})
+	why, _ := b.cfg.Load.Bars("e", second(3))
+	assert.Equal(t, why, vetchtrail.ReasonDraining)
+	swap(a, b, second(4))
+	why, _ = b.cfg.Load.Bars("e", second(4))
+	assert.Equal(t, why, vetchtrail.Reason(""))
+}
--- a/process/poll/poll.go
+++ b/process/poll/poll.go
@@ -27,6 +27,7 @@
 	maxReport  = 1 << 20 // bytes
 	listEvery  = time.Second
 	leavingFor = 10 * time.Minute
+	longestUp  = 100 * 365 * 24 * time.Hour // beyond it a time since the start is none
 )
 
 // Duties says whether a duty is this host's.
@@ -65,6 +66,7 @@
 	Running int   `json:"running"`
 	Queued  int   `json:"queued"`
 	Leaving bool  `json:"leaving"`
+	Up      int64 `json:"up"` // milliseconds since its process started; 0: not told
 }
 
 // Run polls until ctx ends.
@@ -125,7 +127,7 @@
 		}
 		return
 	}
-	if r.Running < 0 || r.Queued < 0 {
+	if r.Running < 0 || r.Queued < 0 || r.Up < 0 || r.Up > longestUp.Milliseconds() {
 		p.cfg.Log.Warn("load report out of range", "endpoint", e.Name)
 		return
 	}
@@ -133,9 +135,13 @@
 	if now := time.Now(); r.At == 0 || at.After(now) {
 		at = now
 	}
+	now, started := time.Now(), time.Time{}
+	if r.Up > 0 {
+		started = now.Add(-time.Duration(r.Up) * time.Millisecond)
+	}
 	p.cfg.Table.Report(e.Name, vetchtrail.LoadReport{
-		At: at, Running: r.Running, Queued: r.Queued, Leaving: r.Leaving,
-	}, time.Now().Add(leavingFor))
+		At: at, Running: r.Running, Queued: r.Queued, Leaving: r.Leaving, Started: started,
+	}, now.Add(leavingFor))
 }
 
 // listed is a line of the platform's list.
--- a/standin/engine/mortal.go
+++ b/standin/engine/mortal.go
@@ -57,6 +57,7 @@
 	s.ClearCache()
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.words, s.started = Words{}, time.Now()
 	s.streams, s.reports, s.waiting, s.running = map[string]*stream{}, nil, nil, 0
 }
 
--- a/standin/engine/words.go
+++ b/standin/engine/words.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"time"
 
 	"github.com/valyala/fasthttp"
 
@@ -12,8 +13,13 @@
 type Words struct {
 	Leaving string `json:"leaving"` // in all: whether it leaves; empty: nothing
 	Away    string `json:"away"`    // it turns all away for so many seconds; empty: it doesn't
+	// Anew says that it says so as a process that has just started.
+	Anew bool `json:"anew"`
 }
 
+// up is how long the engine has been up, in milliseconds. The caller holds the lock.
+func (s *Server) up() int64 { return max(1, time.Since(s.started).Milliseconds()) }
+
 // handleWords sets what the engine says.
 func (s *Server) handleWords(ctx *fasthttp.RequestCtx) {
 	var w Words
@@ -24,6 +30,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.words = w
+	if w.Anew {
+		s.started = time.Now()
+	}
 }
 
 // say puts into an answer what the engine says of itself.
