--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -29,6 +29,7 @@
 	Engines  int     `default:"2" help:"Model engines of a region."`
 	Callers  int     `default:"2" help:"Callers that keep to a host."`
 	Rates    bool    `default:"true" negatable:"" help:"Engines name rates in their answers."`
+	Words    bool    `default:"true" negatable:"" help:"Engines say that they leave, or turn hosts away for a time."`
 	Deadly   bool    `default:"true" negatable:"" help:"A caller sends a request under which engines end."`
 	Slot     int     `default:"200" help:"Third number of the loopback addresses, apart from other deployments' on the machine."`
 	Binaries string  `default:"target" type:"existingdir" help:"Directory of vetchtraild, vetchtrail and standin."`
@@ -87,7 +88,7 @@
 	}
 	report, err := soak.Run(ctx, soak.Config{
 		Seed: seed, Length: time.Duration(a.Minutes * float64(time.Minute)), Rate: a.Rate, Callers: a.Callers, Spec: spec,
-		Binaries: a.Binaries, Directory: dir, Progress: os.Stderr, Deadly: a.Deadly, Rates: a.Rates,
+		Binaries: a.Binaries, Directory: dir, Progress: os.Stderr, Deadly: a.Deadly, Rates: a.Rates, Words: a.Words,
 	})
 	if err != nil {
 		return false, err
--- a/scenario/soak_test.go
+++ b/scenario/soak_test.go
@@ -27,7 +27,7 @@
 			assert.NilError(t, err)
 			report, err := soak.Run(context.Background(), soak.Config{
 				Seed: seed, Length: length, Rate: rate, Callers: callers, Spec: spec, Binaries: binaries, Directory: t.TempDir(),
-				Deadly: seed == freshSeed, Rates: seed == freshSeed, // the others are kept as they were
+				Deadly: seed == freshSeed, Rates: seed == freshSeed, Words: seed == freshSeed, // the others are kept as they were
 			})
 			assert.NilError(t, err)
 			assert.Equal(t, len(report.Violations), 0, "%v", report.Violations)
--- a/soak/rates.go
+++ b/soak/rates.go
@@ -35,12 +35,7 @@
 
 // nameRates has one engine after the other name a rate, until ctx ends; then none does.
 func (c *checker) nameRates(ctx context.Context, rnd *rand.Rand) {
-	var engines []string
-	for _, e := range c.d.Document.Endpoints {
-		if e.Service == c.d.Spec.Model.Name {
-			engines = append(engines, e.Name)
-		}
-	}
+	engines := c.engines()
 	for ctx.Err() == nil {
 		n := named{engine: engines[rnd.IntN(len(engines))], rate: []float64{0.5, 1, 2, 5}[rnd.IntN(4)]}
 		length := rateShortest + time.Duration(rnd.Float64()*float64(rateLongest-rateShortest))
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -32,6 +32,8 @@
 	Deadly bool
 	// Rates has engines name rates in their answers, one after the other.
 	Rates bool
+	// Words has engines say that they leave, or turn hosts away for a time, one after the other.
+	Words bool
 }
 
 // Bounds of a run: of the machine's processes, and of what one person waits for.
@@ -172,6 +174,9 @@
 	if r.cfg.Rates {
 		faults.Go(func() { r.checks.nameRates(naming, rand.New(rand.NewPCG(r.cfg.Seed, 1<<21))) })
 	}
+	if r.cfg.Words {
+		faults.Go(func() { r.checks.sayWords(naming, rand.New(rand.NewPCG(r.cfg.Seed, 1<<22))) })
+	}
 	errs := make(chan error, len(r.report.Events)+1)
 	for _, e := range r.report.Events {
 		faults.Go(func() {
--- a/standin/engine/words.go
+++ b/standin/engine/words.go
@@ -20,8 +20,14 @@
 // up is how long the engine has been up, in milliseconds. The caller holds the lock.
 func (s *Server) up() int64 { return max(1, time.Since(s.started).Milliseconds()) }
 
-// handleWords sets what the engine says.
+// handleWords sets what the engine says, or tells it.
 func (s *Server) handleWords(ctx *fasthttp.RequestCtx) {
+	if ctx.IsGet() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		writeJSON(ctx, s.words)
+		return
+	}
 	var w Words
 	if err := json.Unmarshal(ctx.PostBody(), &w); err != nil {
 		ctx.Error(err.Error(), fasthttp.StatusBadRequest)
