Comments say what a change guards against; figures go into messages. What is kept of room has its own file

No line of code changed but that process/load/load.go (415 lines) is parted: room.go has the requests in flight, notice.go what bars an endpoint.

--- a/connection/peer/client.go
+++ b/connection/peer/client.go
@@ -196,8 +196,7 @@
 func (c *Client) Forward(ctx context.Context, h vetchtrail.Host, r *vetchtrail.Request, a vetchtrail.Answer) vetchtrail.Outcome {
 	o := c.forward(ctx, h, r, a)
 	if o.HostLost && ctx.Err() != nil {
-		// The caller left, which says nothing of the host: 36 callers of 10,000 took
-		// a host out of use for two seconds each by leaving.
+		// The caller left, which says nothing of the host and must not take it out of use.
 		o.Reason, o.HostLost = vetchtrail.ReasonCallerGone, false
 	}
 	return o
--- a/process/lists/follow.go
+++ b/process/lists/follow.go
@@ -17,12 +17,11 @@
 	// takeoverHeld is how long a host that took over goes on reading.
 	takeoverHeld = 5 * time.Second
 	// cutFan is how many hosts read for each one before them that is known to be turned
-	// away: where a third of the hosts is, one in 500 times all six are.
+	// away: where a third of the hosts is, all of these seldom are.
 	cutFan = 6
 	// pacePart is the part of the time within which an endpoint that leaves has to be
 	// known everywhere that passes between two readings; the rest is for the way to the
-	// other hosts and for a takeover. With 0.24, which is 1.2 s instead of 2 s, 0.2 in 100
-	// more was served on 18 hosts, for a third more calls (15 pairs).
+	// other hosts and for a takeover. A smaller part costs calls and serves little more.
 	pacePart = 0.4
 	// settleTime is for how long after its start a host knows too few others to take
 	// itself for the first of its region: heartbeats reach some hundred hosts in four
--- a/process/lists/lists.go
+++ b/process/lists/lists.go
@@ -103,9 +103,8 @@
 }
 
 // lateAnswer is how long a call of the platform may wait before this host is taken to be
-// turned away by it: a watch that hears of nothing takes a second. With 0.6 s the other hosts
-// read as well whenever nothing changed for so long, which was three times as many calls on a
-// day on which the platform forgot its history.
+// turned away by it: a watch that hears of nothing takes a second, and with less the other hosts would
+// read as well whenever nothing changes for so long.
 const lateAnswer = 1300 * time.Millisecond
 
 // Asking implements vetchtrail.Following.
--- a/process/lists/start.go
+++ b/process/lists/start.go
@@ -13,13 +13,12 @@
 	askEvery = 60 * time.Millisecond
 	// askTime bounds such a question: two ways between regions. The first packet of a
 	// connection that nobody answers goes again after a second: it is better to begin anew.
-	// With questions of a second to one seed after the other, 65 of
-	// 68 hosts that started at once were ready 1.0 to 1.5 s after their start.
+	// Hosts that start at once would else wait for each other's listeners.
 	askTime = 400 * time.Millisecond
 	// asksAtOnce bounds the questions of a starting host that are under way.
 	asksAtOnce = 12
-	// fetchTime bounds the fetching of lists: with 3,000 endpoints a seed with a link of 200
-	// Mbit/s lends them to a hundred hosts in some 1.2 s.
+	// fetchTime bounds the fetching of lists: a seed with a narrow link may lend those of thousands of
+	// endpoints to a hundred hosts at once.
 	fetchTime = 2500 * time.Millisecond
 )
 
@@ -54,9 +53,8 @@
 	return reply.GetSeen() > 0
 }
 
-// fetch takes lists and the configuration from a host, unless that is under way from another:
-// with 3,000 endpoints the lists are some 300 KB. When each of a dozen questions fetched them,
-// 300 hosts that started at once took 9 s to serve.
+// fetch takes lists and the configuration from a host, unless that is under way from another: lists of
+// thousands of endpoints fetched by each of a dozen questions fill the links when all hosts start at once.
 func (l *Lists) fetch(ctx context.Context, h vetchtrail.Host) {
 	if l.held.Load() != nil || !l.fetching.CompareAndSwap(false, true) {
 		return
--- a/process/load/borne.go
+++ b/process/load/borne.go
@@ -11,9 +11,8 @@
 
 // borne is how predictions of the time to the first of a stream are borne out: the part of
 // it that passes in the median. Predictions are means, of which a few long waits make up
-// most, and each host of many adds what it doesn't know of the others' requests: with 295
-// hosts the short streams of a region at its peak were predicted to begin after 0.62 s and
-// began after 0.19 s, both in the median (818 streams of some of its hosts).
+// most, and each host of many adds what it doesn't know of the others' requests: with hundreds of hosts
+// streams begin several times sooner than predicted.
 type borne struct{ part float64 }
 
 // observe learns from a stream that began: a median by stochastic approximation (Robbins
--- a/process/load/load.go
+++ b/process/load/load.go
@@ -53,8 +53,7 @@
 	// taken as its fault: with some hundred answers a second, one wrong verdict in
 	// some ten seconds, for two seconds. failsLeast and failsMost bound how often the
 	// others are taken to fail: one that answers two of three requests well is of more
-	// use than none. With six in a row 1,345 answers were failures where 4,186 had been,
-	// of 37,000 on 90 endpoints of which nine began to fail all requests at once.
+	// use than none.
 	failsChance = 0.001
 	failsLeast  = 0.3
 	failsMost   = 0.5
@@ -121,12 +120,6 @@
 	left     float64              // of its rate when its keeper was last asked, in requests
 }
 
-// ownMark is the number of requests in flight from a moment on.
-type ownMark struct {
-	at  time.Time
-	own int
-}
-
 // means are a service's, over all its endpoints.
 type means struct {
 	service average          // seconds a request occupies a slot
@@ -241,29 +234,6 @@
 	t.far = far
 }
 
-// Bars implements vetchtrail.Endpoints. What was placed before an endpoint said that it leaves, or that it wants
-// nothing for a time, would reach it all the same.
-func (t *Table) Bars(name string, now time.Time) (why vetchtrail.Reason, until time.Time) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	s, ok := t.endpoints[name]
-	switch {
-	case !ok || s.leaves(now):
-		return vetchtrail.ReasonDraining, time.Time{}
-	case now.Before(s.leaving.pause):
-		return vetchtrail.ReasonPaused, s.leaving.pause
-	}
-	return "", time.Time{}
-}
-
-// Leaves says whether an endpoint that is listed is known to leave.
-func (t *Table) Leaves(name string, now time.Time) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	s, ok := t.endpoints[name]
-	return ok && s.leaves(now)
-}
-
 // Known returns an endpoint that requests were placed on, whatever became of it.
 func (t *Table) Known(name string) (vetchtrail.Endpoint, bool) {
 	t.mu.Lock()
@@ -349,67 +319,3 @@
 	}
 	return v
 }
-
-// allowedNow is the limit, less while the endpoint is cold.
-func (t *Table) allowedNow(s *state) int {
-	if t.off.Has(vetchtrail.WarmUp) {
-		return max(1, int(s.limit))
-	}
-	return max(1, int(s.limit*s.warmth))
-}
-
-// ownAt returns the requests in flight at a moment, as far back as is kept.
-func (s *state) ownAt(at time.Time) int {
-	oldest := max(0, s.marks-ownHistory)
-	for i := s.marks - 1; i >= oldest; i-- {
-		if m := s.history[i%ownHistory]; !m.at.After(at) {
-			return m.own
-		}
-	}
-	if oldest > 0 {
-		return s.history[oldest%ownHistory].own
-	}
-	return 0
-}
-
-func (s *state) mark(now time.Time, by int) {
-	s.own += by
-	s.history[s.marks%ownHistory] = ownMark{at: now, own: s.own}
-	s.marks++
-}
-
-// Acquire takes room for a request at an endpoint. It returns false when the
-// endpoint is out of use, at its limit, or cold and given enough.
-func (t *Table) Acquire(name string, r *vetchtrail.Request, now time.Time) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	s, ok := t.endpoints[name]
-	if !ok || s.leaves(now) || now.Before(s.leaving.pause) || now.Before(s.ejected) || now.Before(s.backOff) || s.own >= t.allowedNow(s) {
-		return false
-	}
-	if !s.cold.take(now) {
-		return false
-	}
-	s.mark(now, 1)
-	t.expect(s, r, now)
-	return true
-}
-
-// Freed returns a channel that is closed when a service may have room.
-func (t *Table) Freed(service string) <-chan struct{} {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	c, ok := t.freed[service]
-	if !ok {
-		c = make(chan struct{})
-		t.freed[service] = c
-	}
-	return c
-}
-
-func (t *Table) wake(service string) {
-	if c, ok := t.freed[service]; ok {
-		close(c)
-		delete(t.freed, service)
-	}
-}
--- a/process/load/notice.go
+++ b/process/load/notice.go
@@ -42,6 +42,29 @@
 	return s.leavingBy(now) != ""
 }
 
+// Bars implements vetchtrail.Endpoints. What was placed before an endpoint said that it leaves, or that it wants
+// nothing for a time, would reach it all the same.
+func (t *Table) Bars(name string, now time.Time) (why vetchtrail.Reason, until time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s, ok := t.endpoints[name]
+	switch {
+	case !ok || s.leaves(now):
+		return vetchtrail.ReasonDraining, time.Time{}
+	case now.Before(s.leaving.pause):
+		return vetchtrail.ReasonPaused, s.leaving.pause
+	}
+	return "", time.Time{}
+}
+
+// Leaves says whether an endpoint that is listed is known to leave.
+func (t *Table) Leaves(name string, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s, ok := t.endpoints[name]
+	return ok && s.leaves(now)
+}
+
 // LeavingBy says whose word it is that an endpoint leaves.
 type LeavingBy string
 
--- a/process/load/prefill.go
+++ b/process/load/prefill.go
@@ -133,9 +133,7 @@
 // holder is the endpoint that most likely holds a session's prompt beside s: the one
 // of this region that this host sent the session to last, or else the home of the
 // session here, or its home among all. A home that was too busy for a session has
-// never read it: asked all the same, it gave nothing, and the prompt was read again.
-// Shared tokens read again fell by 15 in 100 (1.68 to 1.43 million in 50 s, mean of 25
-// runs of 18 endpoints under five sets of faults).
+// never read it: asked all the same, it gives nothing, and the prompt is read again.
 func (t *Table) holder(s *state, r *vetchtrail.Request, session uint64, now time.Time) netip.AddrPort {
 	if s.MoveToken == 0 || t.off.Has(vetchtrail.PromptMoves) {
 		return netip.AddrPort{}
--- a/process/membership/exchange.go
+++ b/process/membership/exchange.go
@@ -174,9 +174,7 @@
 // loads are the reports to pass on: those that this host fetched itself where each endpoint
 // has hosts whose duty that is. Where answers alone tell of loads, those of others too: a
 // host of a hundred in its region hears of an endpoint from its own answers once in ten
-// seconds. With 295 hosts half of the decisions were made by a word of 0.25 s and a tenth by
-// one of over 2.2 s; with this, one day served 0.732 instead of 0.714 of its worth and
-// 2,057 runs were preempted instead of 2,904.
+// seconds, and would decide by old words.
 func (m *Membership) loads(now time.Time) []load.Fetched {
 	if m.cfg.WholeRegion {
 		return m.cfg.Load.Newer(now.Add(-relayedFor))
--- a/process/membership/introduce.go
+++ b/process/membership/introduce.go
@@ -16,9 +16,8 @@
 
 // introduce returns hosts of another data centre for one of that data centre whose members
 // are not those that this host holds of it: only some hosts are listed by the platform, and
-// a host's settings name peers of a few data centres only. With 295 hosts, those of a data
-// centre without a seed knew none of each other after four seconds. The caller holds the
-// lock.
+// a host's settings name peers of a few data centres only: those of a data centre without a seed would not
+// know each other. The caller holds the lock.
 func (m *Membership) introduce(in *schema.Digests) []string {
 	held, ok := m.remotes[in.GetDigest().GetDataCentre()]
 	if !ok || in.GetDigest().GetMembersHash() == held.digest.GetMembersHash() {
--- a/process/membership/named.go
+++ b/process/membership/named.go
@@ -18,11 +18,9 @@
 // often as its capacity is of the greatest, and so many that some are left when one is lost.
 // Hosts of the same capacity are all named.
 //
-// Callers draw among the hosts that they were named. Where two of a data centre's twelve
-// have twenty times the others' links, naming all alike sent a request of 60,000 prompt
-// tokens through a narrow link for 0.17 s, and split what is known of endpoints' loads over
-// six times as many hosts. With 68 such hosts under five sets of faults the worth of what was
-// answered in time rose by 1.2 in 100 of what was asked (0.668 to 0.680 on one of them).
+// Callers draw among the hosts that they were named. Where few of a data centre's hosts have many times the
+// others' links, naming all alike would send long prompts through narrow links, and split what is known of
+// endpoints' loads over more hosts.
 func (m *Membership) Named(region, dataCentre string, homes []string, now time.Time) []vetchtrail.Host {
 	serving := m.Serving(region, dataCentre, homes, now)
 	m.mu.Lock()
--- a/process/membership/remote.go
+++ b/process/membership/remote.go
@@ -103,8 +103,7 @@
 
 // Returned counts a forward's end and learns from it. Only the loss of the host that
 // it was passed to says anything of the way there: an endpoint that is lost behind it
-// must not take its whole data centre out of use (230 of 1,900 requests were refused
-// for that in the five seconds after two endpoints had gone silent).
+// must not take its whole data centre out of use.
 func (m *Membership) Returned(dataCentre, service string, o vetchtrail.Outcome, now time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/process/quotas/ask.go
+++ b/process/quotas/ask.go
@@ -25,8 +25,8 @@
 	// lostTime is for how long a keeper that did not answer is asked nothing: by then the
 	// others know whether it lives.
 	lostTime = 2 * time.Second
-	// strictLostTime is the same where no other keeper is asked meanwhile: with 2 s a host used 0.88 of
-	// an endpoint's rate when one question in a hundred was lost, with this 0.96.
+	// strictLostTime is the same where no other keeper is asked meanwhile: the host uses nothing for so long
+	// after each question that is lost.
 	strictLostTime = 500 * time.Millisecond
 	// aloneTime is for how long a host uses its equal part after it reached no keeper.
 	aloneTime = 200 * time.Millisecond
@@ -59,9 +59,9 @@
 	return quota.Grant{}, false
 }
 
-// asked is how many keepers are asked in turn. Where nothing may be exceeded that is one: with one
-// message in thirty late or lost, some host was always asking the second while the others asked the
-// first, and both granted the whole (14 requests a second of a rate of 7).
+// asked is how many keepers are asked in turn. Where nothing may be exceeded that is one: with messages
+// late or lost, some host would always be asking the second while the others ask the first, and both
+// grant the whole.
 func (q *Quotas) asked() int {
 	if q.cfg.Strict {
 		return 1
--- a/process/settings/capacity.go
+++ b/process/settings/capacity.go
@@ -3,11 +3,10 @@
 import "math"
 
 const (
-	// requestBits is what a request and its answer take of a host's link in the mean: 11 KB
-	// each way with prompts of 3,300 tokens (bytes between regions by requests passed on).
+	// requestBits is what a request and its answer take of a host's link in the mean, each way, with
+	// prompts of some thousand tokens.
 	requestBits = 11 * 1024 * 8
-	// requestTime is what a request takes of a host's processor, in seconds: 0.2 ms, as 68
-	// hosts used 0.0045 of a core for 21 requests a second each.
+	// requestTime is what a request takes of a host's processor, in seconds.
 	requestTime = 0.0002
 )
 
--- a/process/settings/settings.go
+++ b/process/settings/settings.go
@@ -169,9 +169,7 @@
 	// take, the fewer are served at a peak.
 	costWeight = 0.2
 	// readWeight is what a second costs in which an endpoint reads parts of a prompt
-	// that another holds: all its streams pause meanwhile, some 20 at a peak. Of 6, 10,
-	// 15 and 20 the worth of answers was the highest at 20 (0.680, 0.685, 0.685 and
-	// 0.691 of what could be had, the mean of 25 runs each).
+	// that another holds: all its streams pause meanwhile, some 20 at a peak.
 	readWeight = 20
 	maxWeight  = 1000
 )
--- a/request/dispatch/hold.go
+++ b/request/dispatch/hold.go
@@ -13,7 +13,7 @@
 // an endpoint: as it comes, before each attempt, as its turn in a line comes, at the host that
 // it is passed to, and just before its first byte leaves. A request that fails comes again as a
 // new one, at any host: what is counted within one try alone, such as its attempts, bounds
-// nothing then (one request ended 70 of six endpoints in 14 s).
+// nothing then.
 func (d *Dispatcher) held(r *vetchtrail.Request) (vetchtrail.Hold, bool) {
 	if d.cfg.Quarantine == nil {
 		return vetchtrail.Hold{}, false
--- a/request/dispatch/permit.go
+++ b/request/dispatch/permit.go
@@ -9,8 +9,7 @@
 
 // permit gets leave for a request to go to an endpoint. All ways to one ask here: first tries and
 // further ones, what was passed on, what waited in a line, what is taken up again. What a host counts
-// by itself bounds nothing that all hosts share: an endpoint that named 2 requests a second got 420 to
-// 560 in 4 s from three hosts.
+// by itself bounds nothing that all hosts share.
 func (d *Dispatcher) permit(ctx context.Context, r *vetchtrail.Request, e vetchtrail.Endpoint) (retryAt time.Time, ok bool) {
 	r.Permit = vetchtrail.Permit{}
 	if d.cfg.Permits == nil {
--- a/request/policy/admission.go
+++ b/request/policy/admission.go
@@ -15,8 +15,7 @@
 	endShareBack = 0.7
 	// yieldShare is how much earlier, as the pace of an endpoint's streams falls, less
 	// urgent streams are told to come back than more urgent ones: what they make an
-	// endpoint read slows those. Without it the more urgent were refused as often, and
-	// answered 1 in 100 less; 0.75 gained half as much.
+	// endpoint read slows those, which would be refused as often.
 	yieldShare = 0.5
 	// crowdedGoals is how many times the time to its goal a first try's answer may be
 	// expected to take to begin: of those expected later, over half do begin late, as the
@@ -43,16 +42,13 @@
 
 // crowded says whether a first try would so likely begin after its goal that it does
 // better to give way: those behind it begin in time, and its caller comes back when
-// the peak may be over. Without it 16 in 10,000 requests fewer were answered, and the
-// worst seconds were worth 0.6 in 100 less (the mean of 25 runs).
+// the peak may be over.
 func crowded(s *scored, wait time.Duration, r *vetchtrail.Request) bool {
 	return !s.off.Has(vetchtrail.Shedding) && r.Fresh && r.Stream && !r.Goal.IsZero() && float64(wait) > crowdedGoals*float64(r.Goal.Sub(s.now))
 }
 
 // unheard says whether a stream would begin so late that its caller has left by then: it
-// would cost its prompt and its place, and the streams beside it their pace, for nothing. Of
-// 1,724 long streams that began after 2 s or never, in 22 s of a shortage, a tenth was placed
-// where more than 2 s were predicted.
+// would cost its prompt and its place, and the streams beside it their pace, for nothing.
 func unheard(s *scored, wait time.Duration, r *vetchtrail.Request) bool {
 	return !s.off.Has(vetchtrail.Shedding) && !r.BeginBy.IsZero() && !r.Begun && s.now.Add(wait).After(r.BeginBy)
 }
--- a/request/quarantine/judge.go
+++ b/request/quarantine/judge.go
@@ -14,8 +14,7 @@
 	holdAgain = 1
 	// othersEach is for how many other ends of the same time, which nobody explains, one more
 	// is asked for, and othersMost how many more at most: where endpoints end for other reasons
-	// as well, a request that is tried again meets several by chance. Without it 7 of 10,000
-	// requests were held back on twelve endpoints of which one ended by chance each 2 s.
+	// as well, a request that is tried again meets several by chance.
 	othersEach = 2
 	othersMost = 3
 	// othersBefore is how long before the first end against a request those others count.
@@ -25,10 +24,8 @@
 // Way is a way to tell the requests under which endpoints end from those beside them.
 type Way uint8
 
-// Ways. TestWays compares them: 10 plays each (VETCHTRAIL_PLAYS) of 10,000 requests on endpoints of 32. With one to
-// five deadly requests the first held them back after 3.1 to 4.3 ends in the mean, 8 at most
-// (6 each where endpoints ended in mid-answer), and nobody else; the second after 2.8 to 3.6 in
-// the mean, 4 at most, and up to 11 others in a play.
+// Ways. TestWays compares them: the first takes about one end more than the second and holds back nobody else, the
+// second some others in a play.
 const (
 	// WayExplained holds back the request that was at most of the ends, and takes these ends
 	// for explained: they count against nobody else. An endpoint that ends takes dozens of
--- a/request/quota/equal.go
+++ b/request/quota/equal.go
@@ -32,8 +32,8 @@
 }
 
 // Learn takes which part of the quota the region may use, as its keeper last told, where so many
-// regions share it. A host alone uses no more than its share of that: hosts of regions that others ask
-// more of kept to an equal part of the whole, 2.9 in 100 over a quota's bound with all.
+// regions share it. A host alone uses no more than its share of that: else hosts of regions that others ask
+// more of would exceed the quota with an equal part of the whole.
 func (e *Equal) Learn(part float64, regions int) { e.part = part * float64(regions) }
 
 // share is how much of an equal part the host may use.
@@ -46,8 +46,8 @@
 
 // Spend counts units that the host used by a keeper's grant: they are not there for it a
 // second time when it reaches no keeper. What the host owes of its part stays owed: where every
-// second question is lost a host uses grants and its part in turn, and each grant forgave what it
-// owed, by which all hosts together ran 2.7 in 100 more than a quota's bound.
+// second question is lost a host uses grants and its part in turn, and would exceed the quota if each grant
+// forgave what it owed.
 func (e *Equal) Spend(units float64) {
 	e.bucket.level = min(e.bucket.level, max(0, e.bucket.level-units))
 }
