--- a/process/load/load.go
+++ b/process/load/load.go
@@ -78,7 +78,7 @@
 	off       vetchtrail.Mechanisms    // that are not used
 	far       map[string][]*state      // endpoints of other regions, for each service: only where prompts are kept
 	absent    map[lifeKey]absentee     // words of lives of endpoints that are not listed now
-	learned   time.Time                // when a word of leaving was learned last
+	leavers   []leaver                 // whose words of leaving were learned, in the order of that
 }
 
 // state is one endpoint's.
@@ -183,6 +183,7 @@
 			if ok {
 				s.takeOver(old[e.Name], e.Born)
 			}
+			t.noteLeaver(keyOf(Short(e.Name), e.Born), &s.leaving.answers)
 		}
 		s.cold.configure(e.ColdUntil, e.ColdRate)
 		s.Endpoint, s.region = e.Endpoint, e.RegionID
--- a/process/load/notice.go
+++ b/process/load/notice.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"net/netip"
+	"slices"
 	"time"
 
 	"vetchtrail"
@@ -116,15 +117,15 @@
 	if s, ok := t.shorts[short]; ok && !s.another(born) {
 		news = s.leaving.hear(n, now)
 		news.Endpoint, s.worded = s.Name, true
+		if news.Leaves {
+			t.noteLeaver(keyOf(short, s.Born), &s.leaving.answers)
+		}
 		if news.Paused {
 			s.warmth = math.Min(s.warmth, coldStart) // it is in need: all come back at once when the time is over
 		}
 	} else {
 		news = t.hearAbsent(keyOf(short, born), n, now)
 	}
-	if news.Leaves {
-		t.learned = vetchtrail.Later(t.learned, now)
-	}
 	return news
 }
 
@@ -194,6 +195,9 @@
 func (t *Table) hearAbsent(key lifeKey, n vetchtrail.Notice, now time.Time) NoticeNews {
 	a := t.absent[key]
 	news := a.hear(n, now)
+	if news.Leaves {
+		t.noteLeaver(key, &a.answers)
+	}
 	t.keep(key, a)
 	return news
 }
@@ -244,25 +248,55 @@
 	Said  time.Time // when one said so first
 }
 
+// leaver is a life of an endpoint of which it was learned at a moment that it leaves.
+type leaver struct {
+	lifeKey
+	learned time.Time
+}
+
+// mostLeavers bounds the lives that are remembered in the order in which they said that they leave.
+const mostLeavers = 2 * mostAbsent
+
+// noteLeaver remembers a life that said that it leaves, if it did, as the one that was learned of last. The caller
+// holds the lock.
+func (t *Table) noteLeaver(key lifeKey, a *answers) {
+	if a.leaves.IsZero() {
+		return
+	}
+	if n := len(t.leavers); n > 0 {
+		a.learned = vetchtrail.Later(a.learned, t.leavers[n-1].learned)
+	}
+	if len(t.leavers) >= mostLeavers {
+		t.leavers = slices.Delete(t.leavers, 0, mostLeavers/2)
+	}
+	t.leavers = append(t.leavers, leaver{lifeKey: key, learned: a.learned})
+}
+
+// saidBy returns what a life said; nil: it is forgotten. The caller holds the lock.
+func (t *Table) saidBy(key lifeKey) *answers {
+	if s, ok := t.shorts[key.short]; ok && keyOf(key.short, s.Born) == key {
+		return &s.leaving.answers
+	}
+	if a, ok := t.absent[key]; ok {
+		return &a.answers
+	}
+	return nil
+}
+
 // Leavers returns the endpoints of which this host learned after a moment that their answers say that
 // they leave.
 func (t *Table) Leavers(after, now time.Time) []Leaver {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if !t.learned.After(after) {
-		return nil
-	}
 	var out []Leaver
-	add := func(short uint32, born time.Time, a *answers) {
-		if a.learned.After(after) && now.Before(a.leaves) {
-			out = append(out, Leaver{Short: short, Born: born, Said: a.said})
+	for _, l := range slices.Backward(t.leavers) {
+		if !l.learned.After(after) {
+			break
+		}
+		a := t.saidBy(l.lifeKey)
+		if a != nil && a.learned.Equal(l.learned) && now.Before(a.leaves) {
+			out = append(out, Leaver{Short: l.short, Born: l.start(), Said: a.said})
 		}
-	}
-	for short, s := range t.shorts {
-		add(short, s.Born, &s.leaving.answers)
-	}
-	for key, a := range t.absent {
-		add(key.short, key.start(), &a.answers)
 	}
 	return out
 }
--- a/process/load/notice_test.go
+++ b/process/load/notice_test.go
@@ -297,3 +297,26 @@
 		})
 	}
 }
+
+// BenchmarkFillLeaving: what a decision sees of endpoints of which a tenth said that they leave; nothing is allocated.
+// With 267 endpoints it took 30.2 us with none and 30.4 to 32.9 with a tenth (two runs); without the words 25.7 to 28.5 us
+// (three runs), since then 29.6 to 30.9 with none leaving.
+func BenchmarkFillLeaving(b *testing.B) {
+	for _, share := range []int{0, 10} {
+		b.Run(fmt.Sprintf("one-in=%d", share), func(b *testing.B) {
+			t := table(267)
+			n := 0
+			for name := range t.endpoints {
+				if n++; share > 0 && n%share == 0 {
+					t.HearNotice(name, time.Time{}, vetchtrail.Notice{Leaving: true, Asked: now, Heard: now})
+				}
+			}
+			r, v := &vetchtrail.Request{Service: "s"}, vetchtrail.View{}
+			b.ReportAllocs()
+			for b.Loop() {
+				v.Endpoints = v.Endpoints[:0]
+				t.Fill(&v, r, now)
+			}
+		})
+	}
+}
