--- a/process/membership/digest.go
+++ b/process/membership/digest.go
@@ -275,7 +275,7 @@
 	return hashOf(held.GetMembers()) == held.GetMembersHash()
 }
 
-// defaultDelay is taken for a link until it was measured.
+// defaultDelay is taken for a link over which nothing was answered yet.
 const defaultDelay = 30 * time.Millisecond
 
 // digest returns a digest with its age, without its members if they were told.
