Endpoints: a host keeps half as much of each, and little of those that it does not call

Cause: the table held 2.8 KB for each endpoint, 2 KB of it the times of 64 requests, also for those that it never sent one, and as much for each endpoint of other regions, of which it only asks where a prompt may be kept. With 9,712 endpoints that is 27 MB a host, made anew each second for the far ones. Ruled out: the callers' connections (there are none before the traffic). Change: the times grow with use; a far endpoint is a hash, an address and a region.

--- a/process/load/load.go
+++ b/process/load/load.go
@@ -8,6 +8,8 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"vetchtrail"
 )
 
@@ -76,7 +78,7 @@
 	means     map[string]*means        // for each service
 	freed     map[string]chan struct{} // for each service, closed when room is made
 	off       vetchtrail.Mechanisms    // that are not used
-	far       map[string][]*state      // endpoints of other regions, for each service: only where prompts are kept
+	far       map[string][]farEndpoint // of other regions, for each service: only where prompts are kept
 	absent    map[lifeKey]absentee     // words of lives of endpoints that are not listed now
 	leavers   []leaver                 // whose words of leaving were learned, in the order of that
 }
@@ -85,11 +87,12 @@
 type state struct {
 	vetchtrail.Endpoint
 	region   vetchtrail.RegionID
+	hash     uint64 // of its name
 	report   vetchtrail.LoadReport
 	reported bool
 	polled   bool // the report was fetched by this host
 	own      int
-	history  [ownHistory]ownMark
+	history  []ownMark // a ring once it is full
 	marks    int
 	limit    float64
 	service  average   // seconds a request occupies a slot
@@ -176,8 +179,8 @@
 		s, ok := old[e.Name]
 		if !ok || s.Addr != e.Addr || s.Service != e.Service || s.another(e.Born) {
 			s = &state{
-				limit: float64(e.Slots), service: average{value: firstService}, pace: average{value: 1},
-				warmth: 1, reading: map[string]unread{}, sessions: sessions{}, streams: map[string]bool{},
+				hash: xxhash.Sum64String(e.Name), limit: float64(e.Slots), service: average{value: firstService},
+				pace: average{value: 1}, warmth: 1,
 			}
 			t.recall(s, e.Endpoint)
 			if ok {
@@ -223,18 +226,6 @@
 	t.off = off
 }
 
-// SetFar replaces the endpoints that this host does not call, from which those
-// that it does can take kept prompts.
-func (t *Table) SetFar(endpoints []Placed) {
-	far := map[string][]*state{}
-	for _, e := range endpoints {
-		far[e.Service] = append(far[e.Service], &state{Endpoint: e.Endpoint, region: e.RegionID})
-	}
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.far = far
-}
-
 // Known returns an endpoint that requests were placed on, whatever became of it.
 func (t *Table) Known(name string) (vetchtrail.Endpoint, bool) {
 	t.mu.Lock()
--- a/process/load/prefill.go
+++ b/process/load/prefill.go
@@ -5,8 +5,6 @@
 	"net/netip"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"vetchtrail"
 )
 
@@ -64,7 +62,7 @@
 		if !s.inUse(now) {
 			continue
 		}
-		if w := weighSession(s, session); at < 0 || w > best {
+		if w := weighSession(s.hash, session); at < 0 || w > best {
 			best, at = w, i
 		}
 	}
@@ -76,8 +74,9 @@
 	return !s.leaves(now) && !now.Before(s.ejected)
 }
 
-func weighSession(s *state, session uint64) uint64 {
-	return mix(xxhash.Sum64String(s.Name) ^ session*0x9e3779b97f4a7c15)
+// weighSession is the weight of an endpoint for a session, by the hash of the endpoint's name.
+func weighSession(hash, session uint64) uint64 {
+	return mix(hash ^ session*0x9e3779b97f4a7c15)
 }
 
 // mix spreads the bits of x (the finalizer of splitmix64).
@@ -122,8 +121,14 @@
 			tokens = own
 		}
 		t.means[s.Service].reading.observeKept(tokens, own, r.PromptTokens())
+		if s.sessions == nil {
+			s.sessions = sessions{}
+		}
 		s.sessions.use(session.ID, now)
 	}
+	if s.reading == nil {
+		s.reading = map[string]unread{}
+	}
 	s.reading[r.ID] = unread{
 		tokens: tokens, before: s.backlog(r.Priority, t.means[s.Service], now), priority: r.Priority, sent: now,
 	}
@@ -148,9 +153,8 @@
 	if t.off.Has(vetchtrail.FarMoves) {
 		return netip.AddrPort{}
 	}
-	far := t.far[s.Service]
-	if home := homeOf(far, session, now); home >= 0 && r.Allowed.Has(far[home].region) {
-		return far[home].Addr
+	if home, ok := farHome(t.far[s.Service], session); ok && r.Allowed.Has(home.region) {
+		return home.addr
 	}
 	return netip.AddrPort{}
 }
@@ -254,6 +258,9 @@
 		return // no room was taken for it: a stream that is only fetched again
 	}
 	if r.Stream {
+		if s.streams == nil {
+			s.streams = map[string]bool{}
+		}
 		s.streams[r.ID] = true
 	}
 	delete(s.reading, r.ID)
--- a/process/load/room.go
+++ b/process/load/room.go
@@ -36,7 +36,12 @@
 
 func (s *state) mark(now time.Time, by int) {
 	s.own += by
-	s.history[s.marks%ownHistory] = ownMark{at: now, own: s.own}
+	m := ownMark{at: now, own: s.own}
+	if len(s.history) < ownHistory {
+		s.history = append(s.history, m)
+	} else {
+		s.history[s.marks%ownHistory] = m
+	}
 	s.marks++
 }
 
