Heartbeats: what a host was told of loads is one number, not one for each endpoint

Cause: each host remembered for each other of its data centre the newest report of each endpoint that it had sent there: hosts times endpoints, 166 x 4,380 here, some 40 MB when all have been told of all. And each message looked at all endpoints for reports that are new enough, eight times a second. Ruled out: sending less of them (the loads' part in decisions is as before). Change: reports have an order in which they were taken; a host is told those after the last that it was told, as is done for endpoints that leave. A message that was lost is told again, which it was not before.

--- /dev/null
+++ b/process/load/heard_test.go
@@ -0,0 +1,53 @@
+package load
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"vetchtrail"
+)
+
+func heardAll(t *Table) []Heard {
+	out, _ := t.HeardAfter(0, time.Time{})
+	return out
+}
+
+// TestHeardAfter: each report is told of once, the newest of an endpoint only, and none that is too old, but for
+// those of endpoints that say that they leave.
+func TestHeardAfter(t *testing.T) {
+	report := func(tab *Table, name string, age time.Duration, leaving bool) {
+		tab.Report(name, vetchtrail.LoadReport{At: now.Add(-age), Leaving: leaving}, now.Add(time.Hour))
+	}
+	cases := map[string]struct {
+		first, then func(tab *Table)
+		all, news   []string // told at first, and after the rest
+	}{
+		"nothing new":       {func(tab *Table) { report(tab, "e001", 0, false) }, func(*Table) {}, []string{"e001"}, nil},
+		"another":           {func(tab *Table) { report(tab, "e001", 0, false) }, func(tab *Table) { report(tab, "e002", 0, false) }, []string{"e001"}, []string{"e002"}},
+		"a newer one":       {func(tab *Table) { report(tab, "e001", time.Second, false) }, func(tab *Table) { report(tab, "e001", 0, false) }, []string{"e001"}, []string{"e001"}},
+		"two of one":        {func(tab *Table) { report(tab, "e001", 2, false); report(tab, "e001", 1, false) }, func(*Table) {}, []string{"e001"}, nil},
+		"too old":           {func(tab *Table) { report(tab, "e001", time.Minute, false) }, func(tab *Table) { report(tab, "e002", time.Minute, false) }, nil, nil},
+		"too old, leaving":  {func(tab *Table) { report(tab, "e001", time.Minute, true) }, func(*Table) {}, []string{"e001"}, nil},
+		"older after newer": {func(tab *Table) { report(tab, "e001", 0, false) }, func(tab *Table) { report(tab, "e002", time.Second, false) }, []string{"e001"}, []string{"e002"}},
+	}
+	names := func(in []Heard) []string {
+		var out []string
+		for _, h := range in {
+			out = append(out, h.Endpoint)
+		}
+		return out
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			tab := table(4)
+			c.first(tab)
+			all, place := tab.HeardAfter(0, now.Add(-2*time.Second))
+			assert.DeepEqual(t, names(all), c.all)
+			c.then(tab)
+			news, _ := tab.HeardAfter(place, now.Add(-2*time.Second))
+			assert.DeepEqual(t, names(news), c.news)
+		})
+	}
+}
--- a/process/load/load.go
+++ b/process/load/load.go
@@ -81,6 +81,8 @@
 	far       map[string][]farEndpoint // of other regions, for each service: only where prompts are kept
 	absent    map[lifeKey]absentee     // words of lives of endpoints that are not listed now
 	leavers   []leaver                 // whose words of leaving were learned, in the order of that
+	heard     []heard                  // reports, in the order in which they were taken
+	taken     uint64                   // reports
 }
 
 // state is one endpoint's.
@@ -90,7 +92,8 @@
 	hash     uint64 // of its name
 	report   vetchtrail.LoadReport
 	reported bool
-	polled   bool // the report was fetched by this host
+	polled   bool   // the report was fetched by this host
+	taken    uint64 // how many reports of all endpoints were taken up to its newest
 	own      int
 	history  []ownMark // a ring once it is full
 	marks    int
--- a/process/load/notice_test.go
+++ b/process/load/notice_test.go
@@ -293,7 +293,7 @@
 			assert.Assert(t, tab.Report("e000", vetchtrail.LoadReport{At: now.Add(2 * time.Minute), Started: c.started}, time.Time{}))
 			why, _ := tab.Bars("e000", now.Add(2*time.Minute))
 			assert.Equal(t, why, c.bars)
-			assert.Assert(t, tab.Fetched()[0].Said, "others are not told of its start")
+			assert.Assert(t, heardAll(tab)[0].Said, "others are not told of its start")
 		})
 	}
 }
--- a/process/load/report.go
+++ b/process/load/report.go
@@ -36,6 +36,7 @@
 		return false
 	}
 	s.report, s.reported, s.polled = r, true, polled
+	t.noteHeard(s)
 	if s.backWhy == vetchtrail.ReasonUnreachable {
 		s.backOff = time.Time{} // it answers again
 	}
@@ -85,38 +86,3 @@
 		s.warmth = coldStart
 	}
 }
-
-// Fetched is a report that this host fetched itself.
-type Fetched struct {
-	Endpoint string
-	Report   vetchtrail.LoadReport
-	Said     bool // it once said in an answer that it leaves or wants nothing
-}
-
-// Newer returns the reports that were true after a moment, whoever fetched them, and those
-// of leaving endpoints.
-func (t *Table) Newer(after time.Time) []Fetched {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	var out []Fetched
-	for _, s := range t.endpoints {
-		if s.reported && (s.says || s.report.At.After(after)) {
-			out = append(out, Fetched{Endpoint: s.Name, Report: s.report, Said: s.worded})
-		}
-	}
-	return out
-}
-
-// Fetched returns the newest reports that this host fetched itself, and those
-// of leaving endpoints whoever fetched them: these are passed on by all.
-func (t *Table) Fetched() []Fetched {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	var out []Fetched
-	for _, s := range t.endpoints {
-		if s.polled || s.says {
-			out = append(out, Fetched{Endpoint: s.Name, Report: s.report, Said: s.worded})
-		}
-	}
-	return out
-}
--- a/process/membership/exchange.go
+++ b/process/membership/exchange.go
@@ -135,7 +135,7 @@
 		return h
 	}
 	h.WantFull, to.missing = to.missing, false
-	h.Loads = m.loadsFor(to, now)
+	h.Loads = m.loadsFor(&to.told, now)
 	h.Rates = m.ratesFor(to, now)
 	h.Leaves = m.leavesFor(&to.told, now)
 	h.Digests = m.digestsFor(to, now)
@@ -171,27 +171,25 @@
 // what others told of them: streams run for some seconds, and what waits changes sooner.
 const relayedFor = 2 * time.Second
 
-// loads are the reports to pass on: those that this host fetched itself where each endpoint
-// has hosts whose duty that is. Where answers alone tell of loads, those of others too: a
-// host of a hundred in its region hears of an endpoint from its own answers once in ten
-// seconds, and would decide by old words.
-func (m *Membership) loads(now time.Time) []load.Fetched {
+// loadsFor are the reports that this host took since it last told a host of them: those that it
+// fetched itself where each endpoint has hosts whose duty that is. Where answers alone tell of loads,
+// those of others too: a host of a hundred in its region hears of an endpoint from its own answers once
+// in ten seconds, and would decide by old words. What was told is one number a host: remembered for each
+// endpoint it would grow as hosts times endpoints.
+func (m *Membership) loadsFor(to *told, now time.Time) []*schema.Load {
+	var after time.Time
 	if m.cfg.WholeRegion {
-		return m.cfg.Load.Newer(now.Add(-relayedFor))
+		after = now.Add(-relayedFor)
 	}
-	return m.cfg.Load.Fetched()
-}
-
-// loadsFor are the reports for a host that it was not sent yet.
-func (m *Membership) loadsFor(to *member, now time.Time) []*schema.Load {
+	var reports []load.Heard
+	reports, to.loads = m.cfg.Load.HeardAfter(to.loads, after)
 	var out []*schema.Load
-	for _, f := range m.loads(now) {
-		if !f.Report.At.After(to.sent[f.Endpoint]) {
+	for _, f := range reports {
+		if !m.cfg.WholeRegion && !f.Fetched && !f.Report.Leaving {
 			continue
 		}
-		to.sent[f.Endpoint] = f.Report.At
 		out = append(out, &schema.Load{
-			Endpoint: load.Short(f.Endpoint), Running: uint32(f.Report.Running), Queued: uint32(f.Report.Queued),
+			Endpoint: f.Short, Running: uint32(f.Report.Running), Queued: uint32(f.Report.Queued),
 			AgeMillis: millis(now.Sub(f.Report.At)), Leaving: f.Report.Leaving, UpMillis: upMillis(f, now),
 		})
 	}
@@ -200,7 +198,7 @@
 
 // upMillis is how long ago the process of an endpoint started that said something that ends with its life: only of
 // those, as all others' would cost more than their loads.
-func upMillis(f load.Fetched, now time.Time) uint32 {
+func upMillis(f load.Heard, now time.Time) uint32 {
 	if !f.Said || f.Report.Started.IsZero() {
 		return 0
 	}
@@ -342,7 +340,7 @@
 	b, ok := m.members[line.GetName()]
 	switch {
 	case !ok || line.GetIncarnation() > b.Incarnation:
-		b = &member{sent: map[string]time.Time{}, digests: map[string]relayed{}}
+		b = &member{digests: map[string]relayed{}}
 		m.members[line.GetName()] = b
 	case line.GetIncarnation() < b.Incarnation || line.GetCounter() <= b.counter:
 		return true
--- a/process/membership/membership.go
+++ b/process/membership/membership.go
@@ -89,7 +89,6 @@
 	vetchtrail.Host
 	counter uint64
 	said    vetchtrail.HostState // by the host itself
-	sent    map[string]time.Time // newest load report sent to it, by endpoint
 	digests map[string]relayed   // newest digest sent to it, by data centre
 	told    told
 	missing bool // it told less of something than we hold
@@ -113,6 +112,7 @@
 type told struct {
 	hosts    map[string]uint64          // incarnations by name
 	members  map[string]uint32          // hashes of members by data centre
+	loads    uint64                     // how many reports this host had taken
 	rates    map[string]load.NamedLimit // that endpoints named
 	leaves   time.Time                  // until when what this host had learned of endpoints that leave
 	messages int
@@ -124,7 +124,7 @@
 // next counts a message and forgets now and then.
 func (t *told) next() {
 	if t.messages%fullEvery == 0 {
-		t.hosts, t.members, t.rates, t.leaves = map[string]uint64{}, map[string]uint32{}, map[string]load.NamedLimit{}, time.Time{}
+		*t = told{hosts: map[string]uint64{}, members: map[string]uint32{}, rates: map[string]load.NamedLimit{}, messages: t.messages}
 	}
 	t.messages++
 }
--- a/process/membership/rank_test.go
+++ b/process/membership/rank_test.go
@@ -116,7 +116,7 @@
 			} else {
 				m.cfg.Load.ReportShort(load.Short("e"), r, time.Time{})
 			}
-			to := &member{sent: map[string]time.Time{}}
+			to := &told{}
 			assert.Equal(t, len(m.loadsFor(to, now)), c.want)
 			assert.Equal(t, len(m.loadsFor(to, now)), 0, "it was told")
 		})
