Heartbeats: a host exchanges them with some hosts that stay the same, not with all in turn

Cause: partners were drawn from all hosts of the data centre, so that each exchange among 166 hosts needed a new connection, and each host held one with each other for half a minute: hosts squared. Ruled out: fewer exchanges (a host has to be heard of within 2 s). Change: partners are drawn from two hosts for each doubling of the data centre, by rendezvous hashing over the live ones; one that is lost is replaced by the next. Up to 8 hosts nothing differs. TestLeavesSpread as before: 0.5, 1.5 and 2 s.

--- a/process/membership/exchange.go
+++ b/process/membership/exchange.go
@@ -64,7 +64,8 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.counter++
-	var live, silent []netip.AddrPort
+	var silent []netip.AddrPort
+	var live []*member
 	for name, b := range m.members {
 		switch {
 		case now.Sub(b.Heard) > forgetAfter:
@@ -73,11 +74,10 @@
 		case b.state(now) == vetchtrail.HostDead:
 			silent = append(silent, b.Peers)
 		default:
-			live = append(live, b.Peers)
+			live = append(live, b)
 		}
 	}
-	m.rnd.Shuffle(len(live), func(i, j int) { live[i], live[j] = live[j], live[i] })
-	out := live[:min(Fanout, len(live))]
+	out := m.drawNear(live)
 	silent = append(silent, m.unknownSeeds()...)
 	silent = append(silent, m.toMeet()...)
 	if len(silent) > 0 {
--- a/process/membership/leaves_spread_test.go
+++ b/process/membership/leaves_spread_test.go
@@ -65,7 +65,8 @@
 	hosts     []*Membership
 	byAddr    map[netip.AddrPort]*Membership
 	endpoints []vetchtrail.Endpoint
-	bytes     int // of words on endpoints that leave
+	bytes     int                        // of words on endpoints that leave
+	met       map[[2]netip.AddrPort]bool // pairs of hosts that exchanged heartbeats; nil: not noted
 }
 
 func newGossip(hosts, endpoints int) *gossip {
@@ -98,6 +99,9 @@
 	for _, m := range f.hosts {
 		for _, addr := range m.targets(f.now) {
 			to := f.byAddr[addr]
+			if f.met != nil {
+				f.met[[2]netip.AddrPort{m.self.Peers, addr}] = true
+			}
 			there := m.heartbeat(addr, f.now)
 			to.merge(there, f.now)
 			back := to.heartbeat(m.self.Peers, f.now)
