Membership: duties are ranked without copies, a digest is made where one is sent, addresses are read once

Cause: which host has a duty was looked at some dozen times a second, each time copying all hosts of the region, reading the addresses of those of other data centres from text and hashing each name in each comparison of a sort; seeds not yet known were looked for among all hosts of the fleet, read from text again, three times a second; and each host summed up all endpoints once a second for a digest that only a few hosts send. Change: a ranking works each host's place out once and copies the first ones only; a data centre's hosts are read once for each digest with other members; unknown seeds are struck off; the digest is made when there is somebody to send it to. The short form of a host's incarnation is kept instead of being worked out twice a line. No figures before and after were taken of this by itself; the tests of ranks, duties and introductions pass unchanged but for the name of the order's function.

--- a/process/membership/digest.go
+++ b/process/membership/digest.go
@@ -71,8 +71,12 @@
 // duty, and with a seed of those not known yet.
 func (m *Membership) SwapOnce(ctx context.Context, p Peers) {
 	now := time.Now()
+	targets := m.swapTargets(now)
+	if len(targets) == 0 {
+		return // the digest sums up all endpoints, and few hosts have the duty
+	}
 	own := m.ownDigest(now)
-	for _, t := range m.swapTargets(now) {
+	for _, t := range targets {
 		go func() {
 			if err := m.swapWith(ctx, p, t, own); err != nil {
 				m.cfg.Log.Debug("digest not swapped", "peer", t.addr, "error", err)
--- a/process/membership/exchange.go
+++ b/process/membership/exchange.go
@@ -4,6 +4,7 @@
 	"context"
 	"math"
 	"net/netip"
+	"slices"
 	"strconv"
 	"time"
 
@@ -70,7 +71,7 @@
 		switch {
 		case now.Sub(b.Heard) > forgetAfter:
 			delete(m.members, name)
-			delete(m.shorts, shortOf(b.Name, b.Incarnation))
+			delete(m.shorts, b.short)
 		case b.state(now) == vetchtrail.HostDead:
 			silent = append(silent, b.Peers)
 		default:
@@ -87,23 +88,21 @@
 }
 
 func (m *Membership) unknownSeeds() []netip.AddrPort {
-	known := map[netip.AddrPort]bool{m.self.Peers: true}
+	unknown := make(map[netip.AddrPort]bool, len(m.seeds))
+	for _, s := range m.seeds {
+		unknown[s] = true
+	}
+	delete(unknown, m.self.Peers)
 	for _, b := range m.members {
-		known[b.Peers] = true
+		delete(unknown, b.Peers)
 	}
 	for _, d := range m.remotes {
-		for _, line := range d.digest.GetMembers() {
-			addr, _ := netip.ParseAddrPort(line.GetPeers())
-			known[addr] = true
-		}
-	}
-	var out []netip.AddrPort
-	for _, s := range m.seeds {
-		if !known[s] {
-			out = append(out, s)
+		hosts := d.all()
+		for i := range hosts {
+			delete(unknown, hosts[i].Peers)
 		}
 	}
-	return out
+	return slices.DeleteFunc(slices.Clone(m.seeds), func(s netip.AddrPort) bool { return !unknown[s] })
 }
 
 // heartbeat makes the message for a host.
@@ -124,12 +123,14 @@
 	if to != nil {
 		to.told.next()
 	}
-	h.Members = append(h.Members, lineFor(to, m.selfNow(), m.counter))
+	self := m.selfNow()
+	h.Members = make([]*schema.Member, 0, 1+len(m.members))
+	h.Members = append(h.Members, lineFor(to, &self, m.selfShort(), m.counter))
 	for _, b := range m.members {
-		if to != nil && b.Name == to.Name || b.state(now) == vetchtrail.HostDead {
+		if b == to || b.state(now) == vetchtrail.HostDead {
 			continue
 		}
-		h.Members = append(h.Members, lineFor(to, b.Host, b.counter))
+		h.Members = append(h.Members, lineFor(to, &b.Host, b.short, b.counter))
 	}
 	if to == nil {
 		return h
@@ -143,15 +144,15 @@
 }
 
 // lineFor is short if the member was told of the host in full before.
-func lineFor(to *member, h vetchtrail.Host, counter uint64) *schema.Member {
+func lineFor(to *member, h *vetchtrail.Host, short uint32, counter uint64) *schema.Member {
 	if to == nil {
-		return lineOf(h, counter)
+		return lineOf(*h, counter)
 	}
-	if incarnation, ok := to.told.hosts[h.Name]; ok && incarnation == h.Incarnation {
-		return &schema.Member{Short: shortOf(h.Name, h.Incarnation), Counter: counter, State: uint32(h.State), Revision: h.Revision}
+	if to.told.hosts[short] {
+		return &schema.Member{Short: short, Counter: counter, State: uint32(h.State), Revision: h.Revision}
 	}
-	to.told.hosts[h.Name] = h.Incarnation
-	return lineOf(h, counter)
+	to.told.hosts[short] = true
+	return lineOf(*h, counter)
 }
 
 func lineOf(h vetchtrail.Host, counter uint64) *schema.Member {
@@ -347,18 +348,19 @@
 	}
 	b.Host = hostOf(line)
 	b.Region, b.DataCentre = m.self.Region, m.self.DataCentre
-	m.shorts[shortOf(b.Name, b.Incarnation)] = b.Name
+	b.short = shortOf(b.Name, b.Incarnation)
+	m.shorts[b.short] = b.Name
 	b.hear(line, now)
 	return true
 }
 
 // mergeShort takes a short line of a host that is known.
 func (m *Membership) mergeShort(line *schema.Member, now time.Time) bool {
-	if line.GetShort() == shortOf(m.self.Name, m.self.Incarnation) {
+	if line.GetShort() == m.selfShort() {
 		return true
 	}
 	b, ok := m.members[m.shorts[line.GetShort()]]
-	if !ok || shortOf(b.Name, b.Incarnation) != line.GetShort() {
+	if !ok || b.short != line.GetShort() {
 		return false
 	}
 	if line.GetCounter() > b.counter {
--- a/process/membership/membership.go
+++ b/process/membership/membership.go
@@ -72,6 +72,8 @@
 	mu      sync.Mutex
 	rnd     *rand.Rand
 	self    vetchtrail.Host
+	short   uint32 // form of this host's incarnation
+	shortOf uint64 // the incarnation
 	born    time.Time
 	counter uint64
 	members map[string]*member
@@ -88,6 +90,7 @@
 type member struct {
 	vetchtrail.Host
 	counter uint64
+	short   uint32               // form of its incarnation
 	said    vetchtrail.HostState // by the host itself
 	digests map[string]relayed   // newest digest sent to it, by data centre
 	told    told
@@ -110,7 +113,7 @@
 // told is what another host was told in full, so that it is told less again.
 // It is told in full again when it asks, when a message failed, and now and then.
 type told struct {
-	hosts    map[string]uint64          // incarnations by name
+	hosts    map[uint32]bool            // by the short forms of their incarnations
 	members  map[string]uint32          // hashes of members by data centre
 	loads    uint64                     // how many reports this host had taken
 	rates    map[string]load.NamedLimit // that endpoints named
@@ -124,7 +127,7 @@
 // next counts a message and forgets now and then.
 func (t *told) next() {
 	if t.messages%fullEvery == 0 {
-		*t = told{hosts: map[string]uint64{}, members: map[string]uint32{}, rates: map[string]load.NamedLimit{}, messages: t.messages}
+		*t = told{hosts: map[uint32]bool{}, members: map[string]uint32{}, rates: map[string]load.NamedLimit{}, messages: t.messages}
 	}
 	t.messages++
 }
@@ -163,6 +166,14 @@
 	return h
 }
 
+// selfShort is the short form of this host's incarnation. The caller holds the lock.
+func (m *Membership) selfShort() uint32 {
+	if m.shortOf != m.self.Incarnation {
+		m.short, m.shortOf = shortOf(m.self.Name, m.self.Incarnation), m.self.Incarnation
+	}
+	return m.short
+}
+
 // SetState sets what this host says of itself.
 func (m *Membership) SetState(s vetchtrail.HostState) {
 	m.mu.Lock()
--- a/process/membership/named.go
+++ b/process/membership/named.go
@@ -71,16 +71,11 @@
 	return lines[len(lines)-1]
 }
 
-// before orders hosts for a duty: by rendezvous hashing, in which a host goes first as often
-// as its capacity is of all (Schindelhauer and Schomaker 2005). Duties that many ask for are
-// then not kept behind a narrow link.
-func before(duty string, a, b vetchtrail.Host) int {
-	return cmp.Compare(lateness(duty, a), lateness(duty, b))
-}
-
-// lateness is the time at which a host would come first if each came at a rate of its
-// capacity: the least goes first.
-func lateness(duty string, h vetchtrail.Host) float64 {
+// lateness orders hosts for a duty, the least first: the time at which a host would come first if each
+// came at a rate of its capacity. That is rendezvous hashing in which a host goes first as often as its
+// capacity is of all (Schindelhauer and Schomaker 2005). Duties that many ask for are then not kept behind
+// a narrow link.
+func lateness(duty string, h *vetchtrail.Host) float64 {
 	u := (float64(weigh(duty, h.Name)>>11) + 0.5) / (1 << 53)
-	return -math.Log(u) / capacityOf(h)
+	return -math.Log(u) / capacityOf(*h)
 }
--- a/process/membership/named_test.go
+++ b/process/membership/named_test.go
@@ -74,7 +74,7 @@
 	first := func(duty string, of []vetchtrail.Host) string {
 		best := of[0]
 		for _, h := range of[1:] {
-			if before(duty, h, best) < 0 {
+			if lateness(duty, &h) < lateness(duty, &best) {
 				best = h
 			}
 		}
--- a/process/membership/rank.go
+++ b/process/membership/rank.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -13,16 +14,16 @@
 func (m *Membership) Rank(duty string, now time.Time) (region, dataCentre int) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	mine := lateness(duty, m.self)
-	for _, h := range m.regionHosts(now) {
+	mine := lateness(duty, &m.self)
+	m.eachInRegion(now, func(h *vetchtrail.Host) {
 		if lateness(duty, h) >= mine {
-			continue
+			return
 		}
 		region++
 		if h.DataCentre == m.self.DataCentre {
 			dataCentre++
 		}
-	}
+	})
 	return region, dataCentre
 }
 
@@ -30,9 +31,9 @@
 func (m *Membership) Ranked(duty string, n int, now time.Time) []vetchtrail.Host {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	live := m.regionHosts(now)
-	slices.SortFunc(live, func(a, b vetchtrail.Host) int { return before(duty, a, b) })
-	return live[:min(n, len(live))]
+	r := ranking{duty: duty}
+	m.eachInRegion(now, r.add)
+	return r.first(n)
 }
 
 // RankedIn returns the first n live hosts of a region for a duty, this one too if it is in
@@ -40,43 +41,66 @@
 func (m *Membership) RankedIn(region, duty string, n int, now time.Time) []vetchtrail.Host {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	var live []vetchtrail.Host
+	r := ranking{duty: duty}
 	if region == m.self.Region {
-		live = append(m.regionHosts(now), m.selfNow())
+		self := m.selfNow()
+		r.add(&self)
+		m.eachInRegion(now, r.add)
 	} else {
-		live = m.remoteHosts(region, now)
+		m.eachRemote(region, now, r.add)
+	}
+	return r.first(n)
+}
+
+// ranking orders hosts for a duty. It holds no copies of them, and works each one's place out once: duties
+// are looked at several times a second among all hosts of a region.
+type ranking struct {
+	duty  string
+	hosts []placed
+}
+
+type placed struct {
+	late float64
+	host *vetchtrail.Host
+}
+
+func (r *ranking) add(h *vetchtrail.Host) { r.hosts = append(r.hosts, placed{lateness(r.duty, h), h}) }
+
+// first returns copies of the first n.
+func (r *ranking) first(n int) []vetchtrail.Host {
+	slices.SortFunc(r.hosts, func(a, b placed) int { return cmp.Compare(a.late, b.late) })
+	out := make([]vetchtrail.Host, 0, min(n, len(r.hosts)))
+	for _, p := range r.hosts[:min(n, len(r.hosts))] {
+		out = append(out, *p.host)
 	}
-	slices.SortFunc(live, func(a, b vetchtrail.Host) int { return before(duty, a, b) })
-	return live[:min(n, len(live))]
+	return out
 }
 
-// regionHosts returns the other hosts of the region that do duties, as far as they can be
+// eachInRegion calls f for the other hosts of the region that do duties, as far as they can be
 // reached. The caller holds the lock.
-func (m *Membership) regionHosts(now time.Time) []vetchtrail.Host {
-	var out []vetchtrail.Host
+func (m *Membership) eachInRegion(now time.Time, f func(h *vetchtrail.Host)) {
 	for _, b := range m.members {
 		if b.works(now) {
-			out = append(out, b.Host)
+			f(&b.Host)
 		}
 	}
-	return append(out, m.remoteHosts(m.self.Region, now)...)
+	m.eachRemote(m.self.Region, now, f)
 }
 
-// remoteHosts returns the hosts of other data centres in a region that do duties, as far as
+// eachRemote calls f for the hosts of other data centres in a region that do duties, as far as
 // they can be reached. The caller holds the lock.
-func (m *Membership) remoteHosts(region string, now time.Time) []vetchtrail.Host {
-	var out []vetchtrail.Host
+func (m *Membership) eachRemote(region string, now time.Time, f func(h *vetchtrail.Host)) {
 	for _, d := range m.remotes {
 		if d.digest.GetRegion() != region || now.Sub(d.at) >= reachableFor {
 			continue
 		}
-		for _, line := range d.digest.GetMembers() {
-			if s := vetchtrail.HostState(line.GetState()); s == vetchtrail.HostReady || s == vetchtrail.HostStarting {
-				out = append(out, d.host(line))
+		hosts := d.all()
+		for i := range hosts {
+			if s := hosts[i].State; s == vetchtrail.HostReady || s == vetchtrail.HostStarting {
+				f(&hosts[i])
 			}
 		}
 	}
-	return out
 }
 
 // HeardPart returns the part of the hosts of this host's region, itself among them, that it
--- a/process/membership/remote.go
+++ b/process/membership/remote.go
@@ -12,13 +12,31 @@
 // remote is another data centre.
 type remote struct {
 	digest *schema.Digest
-	direct bool      // the digest was given to this host itself
-	at     time.Time // when the digest was made, by this host's clock
+	hosts  []vetchtrail.Host // its members as last read
+	read   []*schema.Member  // from which they were
+	direct bool              // the digest was given to this host itself
+	at     time.Time         // when the digest was made, by this host's clock
 	delay  time.Duration
 	own    map[string]int // this host's forwards in flight, by service
 	warmth float64
 }
 
+// all returns the data centre's hosts. They are read from its digest once for each digest with other
+// members, as most digests have the members of the one before.
+func (d *remote) all() []vetchtrail.Host {
+	lines := d.digest.GetMembers()
+	if len(lines) == 0 {
+		return nil
+	}
+	if len(d.read) != len(lines) || &d.read[0] != &lines[0] {
+		d.hosts, d.read = make([]vetchtrail.Host, 0, len(lines)), lines
+		for _, line := range lines {
+			d.hosts = append(d.hosts, d.host(line))
+		}
+	}
+	return d.hosts
+}
+
 // DataCentre is another data centre for operators and decisions.
 type DataCentre struct {
 	Name      string
