Endpoints are placed when lists or configuration are others, not each second

Change: the lists share entries that didn't change, so that the same slice says that nothing did; between changes only the parts of endpoints that are cold are set.

--- a/process/daemon/daemon.go
+++ b/process/daemon/daemon.go
@@ -104,6 +104,7 @@
 	endpoints   *endpoint.Caller
 	timing      atomic.Pointer[settings.Timing]
 	inForce     atomic.Uint64 // revision that all parts of the host hold; what others are told
+	placing     placing
 
 	leave   chan struct{} // closed when the host is to leave
 	leaving sync.Once
--- a/process/daemon/hosted.go
+++ b/process/daemon/hosted.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"net/netip"
+	"slices"
+	"sync"
 	"time"
 
 	"github.com/sourcegraph/conc"
@@ -113,9 +115,19 @@
 	}
 }
 
+// placing is what was placed last.
+type placing struct {
+	mu     sync.Mutex
+	listed []*vetchtrail.Endpoint
+	rules  uint64                 // revision of the configuration
+	cold   []*vetchtrail.Endpoint // of those in use, that were cold then
+}
+
 // place gives the endpoints that this host may call to the table: those of its
-// region.
+// region. A look at each of them is taken only when the lists or the configuration are others.
 func (d *Daemon) place(now time.Time) {
+	d.placing.mu.Lock()
+	defer d.placing.mu.Unlock()
 	l := d.lists.Listing()
 	if l == nil {
 		d.inForce.Store(d.changes.Revision())
@@ -123,6 +135,15 @@
 	}
 	held := d.changes.Rules()
 	defer d.inForce.Store(held.Revision())
+	p := &d.placing
+	if p.rules == held.Revision() && sameSlice(p.listed, l.Endpoints) {
+		p.cold = slices.DeleteFunc(p.cold, func(e *vetchtrail.Endpoint) bool { return !now.Before(e.ColdUntil) })
+		for _, e := range p.cold {
+			d.table.SetColdRate(e.Name, d.coldPart(e, now))
+		}
+		return
+	}
+	p.listed, p.rules, p.cold = l.Endpoints, held.Revision(), nil
 	var placed, far []load.Placed
 	for _, e := range l.Endpoints {
 		g, _ := held.Region(e.Region)
@@ -130,6 +151,9 @@
 			far = append(far, load.Placed{Endpoint: *e, RegionID: g.ID})
 			continue
 		}
+		if now.Before(e.ColdUntil) {
+			p.cold = append(p.cold, e)
+		}
 		here := *e
 		here.ColdRate = d.coldPart(e, now)
 		placed = append(placed, load.Placed{Endpoint: here, RegionID: g.ID})
@@ -139,6 +163,12 @@
 	d.endpoints.Keep(l.Endpoints)
 }
 
+// sameSlice says whether two slices are of the same elements in the same place. Lists that did not change
+// share theirs.
+func sameSlice[T any](a, b []T) bool {
+	return len(a) == len(b) && len(a) > 0 && &a[0] == &b[0]
+}
+
 // coldPart is this host's part of the requests a second that a cold endpoint
 // bears; negative: it has none.
 func (d *Daemon) coldPart(e *vetchtrail.Endpoint, now time.Time) float64 {
--- a/process/daemon/hosted_test.go
+++ b/process/daemon/hosted_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"log/slog"
 	"net"
+	"runtime"
 	"testing"
 	"time"
 
@@ -92,3 +94,38 @@
 	b.lists.Take(vetchtrail.Listing{Revision: 41, Seen: 41, At: time.Now()})
 	assert.Equal(t, b.lists.Listing().Revision, uint64(41))
 }
+
+// TestPlacedOnce: the endpoints are looked at one by one only where the lists or the configuration are others. What
+// is done each second, and for each answer of a lender that knows nothing newer, does not grow with them.
+func TestPlacedOnce(t *testing.T) {
+	const most = 16 << 10 // bytes that are made, for either size
+	for _, endpoints := range []int{1000, 2000} {
+		t.Run(fmt.Sprint(endpoints, " endpoints"), func(t *testing.T) {
+			feed := silentFeed{make(chan vetchtrail.Listing, 1)}
+			d := startHosted(t, "a", 11, feed)
+			l := vetchtrail.Listing{Revision: 40, Seen: 40, At: time.Now()}
+			for n := range endpoints {
+				l.Endpoints = append(l.Endpoints, &vetchtrail.Endpoint{
+					Name: fmt.Sprintf("e%05d", n), Service: "s", Region: []string{"r", "q"}[n%2], DataCentre: "d", Addr: addr(13, 80), Slots: 2,
+				})
+			}
+			feed.tells <- l
+			becomesReady(t, d)
+			assert.Equal(t, len(d.table.Endpoints()), endpoints/2)
+			var before, after runtime.MemStats
+			runtime.ReadMemStats(&before)
+			const times = 20
+			for range times {
+				l.Seen++
+				d.lists.Take(l)
+			}
+			runtime.ReadMemStats(&after)
+			made := (after.TotalAlloc - before.TotalAlloc) / times
+			t.Logf("%d bytes", made)
+			assert.Assert(t, made < most, "%d bytes", made)
+			l.Seen, l.Revision, l.Endpoints = l.Seen+1, l.Seen+1, l.Endpoints[1:]
+			d.lists.Take(l)
+			assert.Equal(t, len(d.table.Endpoints()), (endpoints-1)/2)
+		})
+	}
+}
--- a/process/load/load.go
+++ b/process/load/load.go
@@ -210,6 +210,16 @@
 	}
 }
 
+// SetColdRate sets this host's part of the requests a second that a cold endpoint bears.
+func (t *Table) SetColdRate(name string, rate float64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if s, ok := t.endpoints[name]; ok {
+		s.ColdRate = rate
+		s.cold.configure(s.ColdUntil, rate)
+	}
+}
+
 // another says whether an endpoint's life that began at a moment is another than the one that
 // is known: what it held is gone, and what is on its way to the earlier life isn't in this one.
 func (s *state) another(born time.Time) bool {
