--- a/process/journal/journal.go
+++ b/process/journal/journal.go
@@ -26,37 +26,47 @@
 // Journal is safe for use by many.
 type Journal struct {
 	log     *slog.Logger
-	ring    chan vetchtrail.Record
 	dropped atomic.Uint64
+	wake    chan struct{} // there are lines to write
 
+	// What follows grows with use: most of a fleet's hosts take few requests.
 	mu     sync.Mutex
-	recent [kept]vetchtrail.Record
+	lines  []vetchtrail.Record // waiting to be written
+	recent []vetchtrail.Record // a ring once there are kept of them
 	count  int
 }
 
 // New returns an empty journal. Run writes its lines.
 func New(c Config) *Journal {
-	return &Journal{log: c.Log, ring: make(chan vetchtrail.Record, ringSize)}
+	return &Journal{log: c.Log, wake: make(chan struct{}, 1)}
 }
 
 // Note takes a record without waiting. A line that finds the ring full is not
 // written; it stays among the recent ones.
 func (j *Journal) Note(r vetchtrail.Record) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
 	if !r.Lost {
 		j.remember(r)
 	}
-	select {
-	case j.ring <- r:
+	if len(j.lines) >= ringSize {
+		j.dropped.Add(1)
 		return
+	}
+	j.lines = append(j.lines, r)
+	select {
+	case j.wake <- struct{}{}:
 	default:
 	}
-	j.dropped.Add(1)
 }
 
+// remember keeps a record for operators. The caller holds the lock.
 func (j *Journal) remember(r vetchtrail.Record) {
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	j.recent[j.count%kept] = r
+	if len(j.recent) < kept {
+		j.recent = append(j.recent, r)
+	} else {
+		j.recent[j.count%kept] = r
+	}
 	j.count++
 }
 
@@ -80,23 +90,23 @@
 func (j *Journal) Run(ctx context.Context) {
 	for {
 		select {
-		case r := <-j.ring:
-			j.write(&r)
+		case <-j.wake:
+			j.writeAll()
 		case <-ctx.Done():
-			j.drain()
+			j.writeAll()
 			return
 		}
 	}
 }
 
-func (j *Journal) drain() {
-	for {
-		select {
-		case r := <-j.ring:
-			j.write(&r)
-		default:
-			return
-		}
+// writeAll writes the lines that wait.
+func (j *Journal) writeAll() {
+	j.mu.Lock()
+	lines := j.lines
+	j.lines = nil
+	j.mu.Unlock()
+	for i := range lines {
+		j.write(&lines[i])
 	}
 }
 
