Endpoints: placing them copies less, and memory that whole lists took is given back

Change: the near endpoints are copied once into a slice of their number, the far ones not at all; 3 s after the lists grew by a thousand the idle memory is given back. TestKept and TestPlacedOnce as before.

--- a/process/daemon/hosted.go
+++ b/process/daemon/hosted.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"runtime/debug"
 	"slices"
 	"sync"
 	"time"
@@ -121,6 +122,9 @@
 	listed []*vetchtrail.Endpoint
 	rules  uint64                 // revision of the configuration
 	cold   []*vetchtrail.Endpoint // of those in use, that were cold then
+	// endpoints are how many were listed when memory was last given back, and givesBack is when it will be.
+	endpoints int
+	givesBack time.Time
 }
 
 // place gives the endpoints that this host may call to the table: those of its
@@ -144,23 +148,60 @@
 		return
 	}
 	p.listed, p.rules, p.cold = l.Endpoints, held.Revision(), nil
-	var placed, far []load.Placed
+	here, _ := held.Region(d.set.Region)
+	near := 0
+	for _, e := range l.Endpoints {
+		if e.Region == d.set.Region {
+			near++
+		}
+	}
+	placed := make([]load.Placed, 0, near)
 	for _, e := range l.Endpoints {
-		g, _ := held.Region(e.Region)
 		if e.Region != d.set.Region {
-			far = append(far, load.Placed{Endpoint: *e, RegionID: g.ID})
 			continue
 		}
 		if now.Before(e.ColdUntil) {
 			p.cold = append(p.cold, e)
 		}
-		here := *e
-		here.ColdRate = d.coldPart(e, now)
-		placed = append(placed, load.Placed{Endpoint: here, RegionID: g.ID})
+		placed = append(placed, load.Placed{Endpoint: *e, RegionID: here.ID})
+		placed[len(placed)-1].ColdRate = d.coldPart(e, now)
 	}
 	d.table.Configure(placed)
-	d.table.SetFar(far)
+	d.table.SetFar(func(yield func(load.Placed) bool) {
+		for _, e := range l.Endpoints {
+			if e.Region == d.set.Region {
+				continue
+			}
+			if g, _ := held.Region(e.Region); !yield(load.Placed{Endpoint: *e, RegionID: g.ID}) {
+				return
+			}
+		}
+	})
 	d.endpoints.Keep(l.Endpoints)
+	p.grown(len(l.Endpoints), now)
+}
+
+const (
+	// muchGrown is how many more endpoints are listed than before when reading them has taken much more memory than
+	// keeping them does.
+	muchGrown = 1000
+	// giveBackAfter is how long after that the memory is given back: lists may come in several steps.
+	giveBackAfter = 3 * time.Second
+)
+
+// grown has memory given back that whole lists took once to be read: the runtime would keep it for minutes, on each
+// host of a fleet that starts.
+func (p *placing) grown(endpoints int, now time.Time) {
+	if endpoints-p.endpoints < muchGrown {
+		p.endpoints = min(p.endpoints, endpoints)
+		return
+	}
+	p.endpoints = endpoints
+	if now.Before(p.givesBack) {
+		return
+	}
+	p.givesBack = now.Add(giveBackAfter)
+	time.AfterFunc(giveBackAfter, debug.FreeOSMemory)
 }
 
 // sameSlice says whether two slices are of the same elements in the same place. Lists that did not change
--- a/process/load/far.go
+++ b/process/load/far.go
@@ -1,6 +1,7 @@
 package load
 
 import (
+	"iter"
 	"net/netip"
 
 	"github.com/cespare/xxhash/v2"
@@ -18,9 +19,9 @@
 
 // SetFar replaces the endpoints that this host does not call, from which those
 // that it does can take kept prompts.
-func (t *Table) SetFar(endpoints []Placed) {
+func (t *Table) SetFar(endpoints iter.Seq[Placed]) {
 	far := map[string][]farEndpoint{}
-	for _, e := range endpoints {
+	for e := range endpoints {
 		if e.MoveToken > 0 && !e.Draining {
 			far[e.Service] = append(far[e.Service], farEndpoint{hash: xxhash.Sum64String(e.Name), addr: e.Addr, region: e.RegionID})
 		}
--- a/process/load/kept_test.go
+++ b/process/load/kept_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"runtime"
+	"slices"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -25,7 +26,7 @@
 			tab := New()
 			tab.Configure(placed)
 			near := meter.Heap()
-			tab.SetFar(placed)
+			tab.SetFar(slices.Values(placed))
 			far := meter.Heap()
 			runtime.KeepAlive(placed)
 			t.Logf("%d bytes for each near, %d for each far", int(near-before)/n, int(far-near)/n)
--- a/process/load/prefill_test.go
+++ b/process/load/prefill_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -25,7 +26,7 @@
 		}})
 	}
 	t.Configure(near)
-	t.SetFar([]Placed{{RegionID: 2, Endpoint: vetchtrail.Endpoint{Name: "far", Service: "s", Slots: 8, Addr: addrOf(9), MoveToken: moveToken}}})
+	t.SetFar(slices.Values([]Placed{{RegionID: 2, Endpoint: vetchtrail.Endpoint{Name: "far", Service: "s", Slots: 8, Addr: addrOf(9), MoveToken: moveToken}}}))
 	return t
 }
 
