Heartbeats tell no load of an endpoint's earlier life

Seen when the change was read again: reports are remembered in the order in which they were taken, also one of a state that was replaced since, so that a later life could be told with the load of the one before, by the same short name. Change: a report whose state is no longer the endpoint's is passed over. TestHeardAfter, "another life", fails without.

--- a/process/load/heard.go
+++ b/process/load/heard.go
@@ -53,7 +53,8 @@
 		if h.place <= place || h.newest <= oldest {
 			break
 		}
-		if s := h.from; s.taken == h.place && (s.says || s.report.At.After(after)) {
+		// One that was replaced meanwhile was of an earlier life, of which the later one must not be told.
+		if s := h.from; s.taken == h.place && t.endpoints[s.Name] == s && (s.says || s.report.At.After(after)) {
 			out = append(out, s.heardNow())
 		}
 	}
--- a/process/load/heard_test.go
+++ b/process/load/heard_test.go
@@ -24,12 +24,19 @@
 		first, then func(tab *Table)
 		all, news   []string // told at first, and after the rest
 	}{
-		"nothing new":       {func(tab *Table) { report(tab, "e001", 0, false) }, func(*Table) {}, []string{"e001"}, nil},
-		"another":           {func(tab *Table) { report(tab, "e001", 0, false) }, func(tab *Table) { report(tab, "e002", 0, false) }, []string{"e001"}, []string{"e002"}},
-		"a newer one":       {func(tab *Table) { report(tab, "e001", time.Second, false) }, func(tab *Table) { report(tab, "e001", 0, false) }, []string{"e001"}, []string{"e001"}},
-		"two of one":        {func(tab *Table) { report(tab, "e001", 2, false); report(tab, "e001", 1, false) }, func(*Table) {}, []string{"e001"}, nil},
-		"too old":           {func(tab *Table) { report(tab, "e001", time.Minute, false) }, func(tab *Table) { report(tab, "e002", time.Minute, false) }, nil, nil},
-		"too old, leaving":  {func(tab *Table) { report(tab, "e001", time.Minute, true) }, func(*Table) {}, []string{"e001"}, nil},
+		"nothing new":      {func(tab *Table) { report(tab, "e001", 0, false) }, func(*Table) {}, []string{"e001"}, nil},
+		"another":          {func(tab *Table) { report(tab, "e001", 0, false) }, func(tab *Table) { report(tab, "e002", 0, false) }, []string{"e001"}, []string{"e002"}},
+		"a newer one":      {func(tab *Table) { report(tab, "e001", time.Second, false) }, func(tab *Table) { report(tab, "e001", 0, false) }, []string{"e001"}, []string{"e001"}},
+		"two of one":       {func(tab *Table) { report(tab, "e001", 2, false); report(tab, "e001", 1, false) }, func(*Table) {}, []string{"e001"}, nil},
+		"too old":          {func(tab *Table) { report(tab, "e001", time.Minute, false) }, func(tab *Table) { report(tab, "e002", time.Minute, false) }, nil, nil},
+		"too old, leaving": {func(tab *Table) { report(tab, "e001", time.Minute, true) }, func(*Table) {}, []string{"e001"}, nil},
+		"another life": {func(tab *Table) { report(tab, "e001", 0, false) }, func(tab *Table) {
+			report(tab, "e002", 0, false)
+			tab.Configure([]Placed{{Endpoint: vetchtrail.Endpoint{Name: "e002", Service: "s", Slots: 4, Born: now}}})
+			tab.HearNotice("e002", now, vetchtrail.Notice{})
+			report(tab, "e002", time.Second, false)
+			tab.Configure([]Placed{{Endpoint: vetchtrail.Endpoint{Name: "e002", Service: "s", Slots: 4, Born: now.Add(time.Second)}}})
+		}, []string{"e001"}, nil},
 		"older after newer": {func(tab *Table) { report(tab, "e001", 0, false) }, func(tab *Table) { report(tab, "e002", time.Second, false) }, []string{"e001"}, []string{"e002"}},
 	}
 	names := func(in []Heard) []string {
