Digests of other data centres are passed on by all who hold a newer one

Cause: only the host that had swapped for a digest handed it on, to those that it met within the 3 s in which a digest is of use: the others took the data centre for unreachable. It holds while a data centre has a few hosts. Change: whoever holds a newer digest than a partner was handed passes it on, with its age; not more often than every 2 s, unless it tells of a newer configuration or other members.

--- a/process/membership/digest.go
+++ b/process/membership/digest.go
@@ -228,7 +228,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	known := m.introduce(in)
-	whole := m.mergeDigest(in.GetDigest(), now, now, true)
+	whole := m.mergeDigest(in.GetDigest(), now, now)
 	return &schema.Digests{From: m.cfg.Self.Name, Digest: own, WantMembers: !whole, Introduced: known, Leaves: leaves}
 }
 
@@ -237,7 +237,7 @@
 	m.learnLeaves(in.GetFrom(), in.GetLeaves())
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.mergeDigest(in.GetDigest(), now, now, true)
+	m.mergeDigest(in.GetDigest(), now, now)
 	m.meet(in.GetIntroduced())
 	if r, ok := m.remotes[in.GetDigest().GetDataCentre()]; ok {
 		r.delay = now.Sub(sent) / 2
@@ -245,9 +245,8 @@
 }
 
 // mergeDigest takes a digest if it is newer. It returns false if the digest
-// came without its members and they are not held. Direct: it was swapped for by
-// this host itself. The caller holds the lock.
-func (m *Membership) mergeDigest(d *schema.Digest, at, now time.Time, direct bool) bool {
+// came without its members and they are not held. The caller holds the lock.
+func (m *Membership) mergeDigest(d *schema.Digest, at, now time.Time) bool {
 	name := d.GetDataCentre()
 	if name == m.self.DataCentre || name == "" {
 		return true
@@ -265,7 +264,7 @@
 	if len(d.GetMembers()) == 0 && ok {
 		d.Members = r.digest.GetMembers() // those told before
 	}
-	r.digest, r.at, r.direct = d, at, direct
+	r.digest, r.at = d, at
 	return hashOf(d.GetMembers()) == d.GetMembersHash()
 }
 
--- /dev/null
+++ b/process/membership/digests_spread_test.go
@@ -0,0 +1,52 @@
+package membership
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"vetchtrail"
+	"vetchtrail/process/load"
+)
+
+// TestDigestsReachAll: every host of a data centre can reach the others by digests that are new, though one host
+// swaps for each: also where it is one of hundreds.
+func TestDigestsReachAll(t *testing.T) {
+	const (
+		settle = 12 * time.Second
+		length = 10 * time.Second
+	)
+	for _, hosts := range []int{20, 80, 160} {
+		t.Run(fmt.Sprint(hosts, " hosts"), func(t *testing.T) {
+			f := newGossip(hosts, 10)
+			other := newMember("x", "other", 250)
+			other.cfg.Load.Configure([]load.Placed{{Endpoint: vetchtrail.Endpoint{Name: "far", Service: "s", Slots: 4}}})
+			late, looks := 0, 0
+			for n := range int((settle + length) / Tick) {
+				f.tick()
+				if n%int(SwapTick/Tick) == 0 {
+					for _, m := range f.hosts {
+						if m.OnDuty("digest other", 1, f.now) {
+							m.mu.Lock()
+							m.mergeDigest(other.ownDigest(f.now), f.now, f.now)
+							m.mu.Unlock()
+						}
+					}
+				}
+				if n < int(settle/Tick) {
+					continue
+				}
+				for _, m := range f.hosts {
+					looks++
+					if c := m.DataCentres(f.now); len(c) != 1 || !c[0].Reachable {
+						late++
+					}
+				}
+			}
+			t.Logf("%d of %d looks found no new digest", late, looks)
+			assert.Assert(t, late*100 <= looks, "%d of %d looks", late, looks)
+		})
+	}
+}
--- a/process/membership/exchange.go
+++ b/process/membership/exchange.go
@@ -255,15 +255,15 @@
 	}
 }
 
-// digestsFor are the digests that this host was given by other data centres
-// itself.
+// digestsFor are the newest digests of other data centres, whoever swapped for them: told by that host alone, they
+// reach those that it meets, which in a data centre of hundreds are few in the time in which a digest is of use.
 func (m *Membership) digestsFor(to *member, now time.Time) []*schema.Digest {
 	var out []*schema.Digest
 	for name, d := range m.remotes {
-		if !d.direct || !to.digests[name].due(d.digest, now) {
+		if !to.digests[name].due(d, now) {
 			continue
 		}
-		to.digests[name] = relayed{at: now, newest: d.digest.GetNewest(), members: d.digest.GetMembersHash()}
+		to.digests[name] = relayed{at: now, made: d.at, newest: d.digest.GetNewest(), members: d.digest.GetMembersHash()}
 		out = append(out, to.told.digest(d.digest, millis(now.Sub(d.at))))
 	}
 	return out
@@ -295,7 +295,7 @@
 		whole = m.mergeMember(line, now) && whole
 	}
 	for _, d := range h.GetDigests() {
-		whole = m.mergeDigest(d, now.Add(-time.Duration(d.GetAgeMillis())*time.Millisecond), now, false) && whole
+		whole = m.mergeDigest(d, now.Add(-time.Duration(d.GetAgeMillis())*time.Millisecond), now) && whole
 	}
 	if from, ok := m.members[h.GetFrom()]; ok {
 		from.missing = from.missing || !whole
--- a/process/membership/membership.go
+++ b/process/membership/membership.go
@@ -100,14 +100,18 @@
 // relayed is a digest as it was handed on.
 type relayed struct {
 	at      time.Time
+	made    time.Time // when the digest was
 	newest  uint64
 	members uint32
 }
 
-// due says whether a digest is to be handed on again: after a while, or when it
+// due says whether a newer digest is to be handed on: after a while, or when it
 // tells of a newer configuration or of other members.
-func (r relayed) due(d *schema.Digest, now time.Time) bool {
-	return now.Sub(r.at) >= RelayEvery || d.GetNewest() > r.newest || d.GetMembersHash() != r.members
+func (r relayed) due(d *remote, now time.Time) bool {
+	if !d.at.After(r.made) {
+		return false
+	}
+	return now.Sub(r.at) >= RelayEvery || d.digest.GetNewest() > r.newest || d.digest.GetMembersHash() != r.members
 }
 
 // told is what another host was told in full, so that it is told less again.
--- a/process/membership/membership_test.go
+++ b/process/membership/membership_test.go
@@ -366,8 +366,8 @@
 				Revision: func() uint64 { return 1 }, Log: slog.New(slog.NewTextHandler(io.Discard, nil)),
 			})
 			now := time.Now()
-			m.mergeDigest(c.first, now, now, true)
-			m.mergeDigest(c.older, now.Add(-time.Second), now, false)
+			m.mergeDigest(c.first, now, now)
+			m.mergeDigest(c.older, now.Add(-time.Second), now)
 			held := m.remotes["b"].digest
 			assert.Equal(t, len(held.GetServices()), c.services)
 			assert.Equal(t, held.GetRevision(), uint64(2))
--- a/process/membership/remote.go
+++ b/process/membership/remote.go
@@ -14,7 +14,6 @@
 	digest *schema.Digest
 	hosts  []vetchtrail.Host // its members as last read
 	read   []*schema.Member  // from which they were
-	direct bool              // the digest was given to this host itself
 	at     time.Time         // when the digest was made, by this host's clock
 	delay  time.Duration
 	own    map[string]int // this host's forwards in flight, by service
