--- a/process/membership/digest.go
+++ b/process/membership/digest.go
@@ -264,7 +264,7 @@
 	if len(d.GetMembers()) == 0 && ok {
 		d.Members = r.digest.GetMembers() // those told before
 	}
-	r.digest, r.at = d, at
+	r.digest, r.at, r.passed = d, at, 0
 	return hashOf(d.GetMembers()) == d.GetMembersHash()
 }
 
--- a/process/membership/digests_spread_test.go
+++ b/process/membership/digests_spread_test.go
@@ -24,6 +24,7 @@
 			other := newMember("x", "other", 250)
 			other.cfg.Load.Configure([]load.Placed{{Endpoint: vetchtrail.Endpoint{Name: "far", Service: "s", Slots: 4}}})
 			late, looks := 0, 0
+			f.digests = 0
 			for n := range int((settle + length) / Tick) {
 				f.tick()
 				if n%int(SwapTick/Tick) == 0 {
@@ -36,6 +37,7 @@
 					}
 				}
 				if n < int(settle/Tick) {
+					f.digests = 0
 					continue
 				}
 				for _, m := range f.hosts {
@@ -45,8 +47,10 @@
 					}
 				}
 			}
-			t.Logf("%d of %d looks found no new digest", late, looks)
+			each := float64(f.digests) / float64(hosts) / length.Seconds()
+			t.Logf("%d of %d looks found no new digest, %.1f passed on a second and host", late, looks, each)
 			assert.Assert(t, late*100 <= looks, "%d of %d looks", late, looks)
+			assert.Assert(t, each <= passEach+1, "%.1f digests a second and host", each)
 		})
 	}
 }
--- a/process/membership/exchange.go
+++ b/process/membership/exchange.go
@@ -263,6 +263,7 @@
 		if !to.digests[name].due(d, now) {
 			continue
 		}
+		d.passed++
 		to.digests[name] = relayed{at: now, made: d.at, newest: d.digest.GetNewest(), members: d.digest.GetMembersHash()}
 		out = append(out, to.told.digest(d.digest, millis(now.Sub(d.at))))
 	}
--- a/process/membership/leaves_spread_test.go
+++ b/process/membership/leaves_spread_test.go
@@ -66,6 +66,7 @@
 	byAddr    map[netip.AddrPort]*Membership
 	endpoints []vetchtrail.Endpoint
 	bytes     int                        // of words on endpoints that leave
+	digests   int                        // that were passed on
 	met       map[[2]netip.AddrPort]bool // pairs of hosts that exchanged heartbeats; nil: not noted
 }
 
@@ -106,6 +107,7 @@
 			to.merge(there, f.now)
 			back := to.heartbeat(m.self.Peers, f.now)
 			m.merge(back, f.now)
+			f.digests += len(there.GetDigests()) + len(back.GetDigests())
 			for _, l := range append(there.GetLeaves(), back.GetLeaves()...) {
 				f.bytes += proto.Size(l) + 2
 			}
--- a/process/membership/remote.go
+++ b/process/membership/remote.go
@@ -15,6 +15,7 @@
 	hosts  []vetchtrail.Host // its members as last read
 	read   []*schema.Member  // from which they were
 	at     time.Time         // when the digest was made, by this host's clock
+	passed int               // to how many hosts it was passed on
 	delay  time.Duration
 	own    map[string]int // this host's forwards in flight, by service
 	warmth float64
