--- a/process/membership/digests_spread_test.go
+++ b/process/membership/digests_spread_test.go
@@ -50,7 +50,7 @@
 			each := float64(f.digests) / float64(hosts) / length.Seconds()
 			t.Logf("%d of %d looks found no new digest, %.1f passed on a second and host", late, looks, each)
 			assert.Assert(t, late*100 <= looks, "%d of %d looks", late, looks)
-			assert.Assert(t, each <= passEach+1, "%.1f digests a second and host", each)
+			assert.Assert(t, each <= PassEach+1, "%.1f digests a second and host", each)
 		})
 	}
 }
--- a/process/membership/membership.go
+++ b/process/membership/membership.go
@@ -105,9 +105,9 @@
 	members uint32
 }
 
-// passEach is to how many hosts each one passes a digest on: three digests are new enough at a time, and all
+// PassEach is to how many hosts each one passes a digest on: three digests are new enough at a time, and all
 // but a few of a hundred hosts are told of each.
-const passEach = 4
+const PassEach = 4
 
 // due says whether a newer digest is to be handed on: after a while, as long as few were told of it, or when it
 // tells of a newer configuration or of other members.
@@ -115,7 +115,7 @@
 	if !d.at.After(r.made) {
 		return false
 	}
-	return now.Sub(r.at) >= RelayEvery && d.passed < passEach || d.digest.GetNewest() > r.newest || d.digest.GetMembersHash() != r.members
+	return now.Sub(r.at) >= RelayEvery && d.passed < PassEach || d.digest.GetNewest() > r.newest || d.digest.GetMembersHash() != r.members
 }
 
 // told is what another host was told in full, so that it is told less again.
--- a/process/membership/near.go
+++ b/process/membership/near.go
@@ -7,16 +7,16 @@
 	"slices"
 )
 
-// nearEach is how many hosts a host exchanges heartbeats with for each doubling of its data centre. A graph
+// NearEach is how many hosts a host exchanges heartbeats with for each doubling of its data centre. A graph
 // in which each node is joined to so many others at random is connected, and no two are further apart than a few steps.
-const nearEach = 2
+const NearEach = 2
 
 // drawNear returns some hosts to exchange heartbeats with, drawn from a part of the live ones that stays the same
 // while they live. Drawn from all, each exchange in a data centre of hundreds needs a new connection, and each host
 // holds one with each other. The caller holds the lock.
 func (m *Membership) drawNear(live []*member) []netip.AddrPort {
 	near := live
-	if most := nearEach * bits.Len(uint(len(live))); len(live) > most {
+	if most := NearEach * bits.Len(uint(len(live))); len(live) > most {
 		near = m.nearest(live)[:most]
 	}
 	m.rnd.Shuffle(len(near), func(i, j int) { near[i], near[j] = near[j], near[i] })
--- a/standin/capacity/model.go
+++ b/standin/capacity/model.go
@@ -128,11 +128,11 @@
 	polls := engines / hosts / every
 	// A message to a host holds what is newer than the last one to it.
 	polled := engines / hosts
-	toEach := messages / max(hosts-1, 1)
+	partners := min(hosts-1, 2*membership.NearEach*math.Ceil(math.Log2(hosts))) // chosen here, or by whom this host is
+	toEach := messages / max(partners, 1)
 	fresh := min(1, 1/every/max(toEach, 1e-9))
 	swaps := (s.DataCentres - 1) / hosts / membership.SwapTick.Seconds()
-	direct := (s.DataCentres - 1) / hosts * 2 // begun here, or answered here
-	relays := min(toEach, 1/membership.RelayEvery.Seconds()) * (hosts - 1) * direct
+	relays := (s.DataCentres - 1) * min(messages, min(membership.PassEach, hosts-1)/membership.SwapTick.Seconds())
 	changes := s.Changes / daySeconds
 	return []Row{
 		{
@@ -153,7 +153,7 @@
 			CPU:   polls * m.PollCPU.At(polled) / 2 / 1e9, // of both sides
 		},
 		{
-			Role: "region representative", Mechanism: "one host a data centre swaps digests and hands them on, a second stands by", Messages: 2 * swaps,
+			Role: "region representative", Mechanism: "one host a data centre swaps digests, a second stands by; each host passes one on to four", Messages: 2 * swaps,
 			Bytes:  2*swaps*(m.DigestBytes.Slope+m.ExchangeWire.At(0)/2) + relays*m.DigestBytes.Slope,
 			CPU:    swaps*m.ExchangeCPU.At(m.DigestBytes.Slope)/1e9 + relays*m.DigestCPU.Slope/1e9,
 			Memory: s.DataCentres * hosts * 256,
