Digests: members go to the hosts that lack them

Cause: members went to one partner in 2 s, so that a host that knew none passed nothing on until its turn. Change: a host says in its heartbeat of which data centres it lacks the members, to one partner at a time; the answer has them. Who has older ones asks after 2 s. Nothing is remembered of what others hold.

--- a/process/membership/digest.go
+++ b/process/membership/digest.go
@@ -257,7 +257,7 @@
 		r = &remote{own: map[string]int{}, warmth: 1, delay: defaultDelay}
 		m.remotes[name] = r
 	case !at.After(r.at):
-		return r.fillMembers(d)
+		return r.fillMembers(d, now)
 	case now.Sub(r.at) > reachableFor:
 		r.warmth = coldRegion // it was cut off or down: its caches are cold
 	}
@@ -265,21 +265,29 @@
 		d.Members = r.digest.GetMembers() // those told before
 	}
 	r.digest, r.at, r.passed = d, at, 0
-	r.whole = hashOf(d.GetMembers()) == d.GetMembersHash()
+	r.setWhole(hashOf(d.GetMembers()) == d.GetMembersHash(), now)
 	return r.whole
 }
 
 // fillMembers takes the members of an older digest if they are those that the held
 // one came without. It returns false if they are still missing.
-func (r *remote) fillMembers(d *schema.Digest) bool {
+func (r *remote) fillMembers(d *schema.Digest, now time.Time) bool {
 	held := r.digest
 	if hashOf(held.GetMembers()) != held.GetMembersHash() && d.GetMembersHash() == held.GetMembersHash() && len(d.GetMembers()) > 0 {
 		held.Members = d.GetMembers()
 	}
-	r.whole = hashOf(held.GetMembers()) == held.GetMembersHash()
+	r.setWhole(hashOf(held.GetMembers()) == held.GetMembersHash(), now)
 	return r.whole
 }
 
+// setWhole notes whether the members of the newest digest are held.
+func (r *remote) setWhole(whole bool, now time.Time) {
+	if r.whole && !whole || r.since.IsZero() {
+		r.since = now
+	}
+	r.whole = whole
+}
+
 // defaultDelay is taken for a link over which nothing was answered yet.
 const defaultDelay = 30 * time.Millisecond
 
--- a/process/membership/exchange.go
+++ b/process/membership/exchange.go
@@ -109,9 +109,12 @@
 func (m *Membership) heartbeat(to netip.AddrPort, now time.Time) *schema.Heartbeat {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+
 	for _, b := range m.members {
 		if b.Peers == to {
-			return m.message(b, now)
+			h := m.message(b, now)
+			h.Lacks = m.lacksNow(now) // answered at once; in an answer it would be at the next meeting
+			return h
 		}
 	}
 	return m.message(nil, now)
@@ -260,21 +263,35 @@
 func (m *Membership) digestsFor(to *member, now time.Time) []*schema.Digest {
 	var out []*schema.Digest
 	for name, d := range m.remotes {
-		sent := to.digests[name]
-		wants := sent.wants(d, now)
-		if !wants && !sent.due(d, now) {
+		sent, wanted := to.digests[name], d.whole && slices.Contains(to.lacks, name)
+		if !wanted && !sent.due(d, now) {
 			continue
 		}
 		next := withoutMembers(d.digest)
 		next.AgeMillis = millis(now.Sub(d.at))
-		sent.at, sent.made, sent.newest = now, d.at, d.digest.GetNewest()
-		d.passed++
-		if wants {
-			next.Members, sent.members, d.told = d.digest.GetMembers(), d.digest.GetMembersHash(), now
+		if wanted {
+			next.Members = d.digest.GetMembers()
 		}
-		to.digests[name] = sent
+		to.digests[name] = relayed{at: now, made: d.at, newest: d.digest.GetNewest()}
+		d.passed++
 		out = append(out, next)
 	}
+	to.lacks = nil
+	return out
+}
+
+// lacksNow are the data centres whose members this host asks for, of one host at a time: those that it has none of, and
+// those that have had others for a while. They are as long as all the hosts of a data centre, and change all the time
+// while a fleet starts.
+func (m *Membership) lacksNow(now time.Time) []string {
+	var out []string
+	for name, d := range m.remotes {
+		lacks := !d.whole && (len(d.digest.GetMembers()) == 0 || now.Sub(d.since) >= RelayEvery)
+		if lacks && now.Sub(d.asked) >= Tick {
+			d.asked = now
+			out = append(out, name)
+		}
+	}
 	return out
 }
 
@@ -307,7 +324,7 @@
 		m.mergeDigest(d, now.Add(-time.Duration(d.GetAgeMillis())*time.Millisecond), now)
 	}
 	if from, ok := m.members[h.GetFrom()]; ok {
-		from.holds(h.GetDigests())
+		from.lacks = h.GetLacks()
 		from.missing = from.missing || !whole
 		if h.GetWantFull() {
 			from.forgetTold()
@@ -325,17 +342,6 @@
 	m.learnLeaves(h.GetFrom(), h.GetLeaves())
 }
 
-// holds notes which members of other data centres a host holds, which it need not be told then.
-func (b *member) holds(digests []*schema.Digest) {
-	for _, d := range digests {
-		if len(d.GetMembers()) > 0 {
-			known := b.digests[d.GetDataCentre()]
-			known.members = d.GetMembersHash()
-			b.digests[d.GetDataCentre()] = known
-		}
-	}
-}
-
 func reportOf(l *schema.Load, now time.Time) vetchtrail.LoadReport {
 	r := vetchtrail.LoadReport{
 		At:      now.Add(-time.Duration(l.GetAgeMillis()) * time.Millisecond),
--- a/process/membership/leaves_spread_test.go
+++ b/process/membership/leaves_spread_test.go
@@ -106,7 +106,7 @@
 			}
 			there := m.heartbeat(addr, f.now)
 			to.merge(there, f.now)
-			back := to.heartbeat(m.self.Peers, f.now)
+			back := to.message(to.members[m.self.Name], f.now)
 			m.merge(back, f.now)
 			f.digests += len(there.GetDigests()) + len(back.GetDigests())
 			for _, d := range append(there.GetDigests(), back.GetDigests()...) {
--- a/process/membership/membership.go
+++ b/process/membership/membership.go
@@ -94,15 +94,15 @@
 	said    vetchtrail.HostState // by the host itself
 	digests map[string]relayed   // newest digest sent to it, by data centre
 	told    told
-	missing bool // it told less of something than we hold
+	missing bool     // it told less of something than we hold
+	lacks   []string // data centres whose members it said to lack
 }
 
 // relayed is a digest as it was handed on.
 type relayed struct {
-	at      time.Time
-	made    time.Time // when the digest was
-	newest  uint64
-	members uint32
+	at     time.Time
+	made   time.Time // when the digest was
+	newest uint64
 }
 
 // PassEach is to how many hosts each one passes a digest on: three digests are new enough at a time, and all
@@ -118,12 +118,6 @@
 	return now.Sub(r.at) >= RelayEvery && d.passed < PassEach || d.digest.GetNewest() > r.newest
 }
 
-// wants says whether its members are to be told with it: they are as long as all the hosts of a data centre, so
-// that they go to one host in a while, each of which passes them on. A fleet that starts would be busy with them.
-func (r relayed) wants(d *remote, now time.Time) bool {
-	return d.whole && d.digest.GetMembersHash() != r.members && now.Sub(d.told) >= RelayEvery
-}
-
 // told is what another host was told in full, so that it is told less again.
 // It is told in full again when it asks, when a message failed, and now and then.
 type told struct {
--- a/process/membership/remote.go
+++ b/process/membership/remote.go
@@ -17,7 +17,8 @@
 	at     time.Time         // when the digest was made, by this host's clock
 	whole  bool              // its members are those of the digest
 	passed int               // to how many hosts it was passed on
-	told   time.Time         // when one was passed on with its members last
+	since  time.Time         // when it had not all the digest's members first
+	asked  time.Time         // when a host was asked for them last
 	delay  time.Duration
 	own    map[string]int // this host's forwards in flight, by service
 	warmth float64
