--- a/process/membership/exchange.go
+++ b/process/membership/exchange.go
@@ -258,43 +258,6 @@
 	}
 }
 
-// digestsFor are the newest digests of other data centres, whoever swapped for them: told by that host alone, they
-// reach those that it meets, which in a data centre of hundreds are few in the time in which a digest is of use.
-func (m *Membership) digestsFor(to *member, now time.Time) []*schema.Digest {
-	var out []*schema.Digest
-	for name, d := range m.remotes {
-		sent, wanted := to.digests[name], d.whole && slices.Contains(to.lacks, name)
-		if !wanted && !sent.due(d, now) {
-			continue
-		}
-		next := withoutMembers(d.digest)
-		next.AgeMillis = millis(now.Sub(d.at))
-		if wanted {
-			next.Members = d.digest.GetMembers()
-		}
-		to.digests[name] = relayed{at: now, made: d.at, newest: d.digest.GetNewest()}
-		d.passed++
-		out = append(out, next)
-	}
-	to.lacks = nil
-	return out
-}
-
-// lacksNow are the data centres whose members this host asks for, of one host at a time: those that it has none of, and
-// those that have had others for a while. They are as long as all the hosts of a data centre, and change all the time
-// while a fleet starts.
-func (m *Membership) lacksNow(now time.Time) []string {
-	var out []string
-	for name, d := range m.remotes {
-		lacks := !d.whole && (len(d.digest.GetMembers()) == 0 || now.Sub(d.since) >= RelayEvery)
-		if lacks && now.Sub(d.asked) >= Tick {
-			d.asked = now
-			out = append(out, name)
-		}
-	}
-	return out
-}
-
 func millis(d time.Duration) uint32 { return uint32(max(0, d.Milliseconds())) }
 
 // Exchanged takes a host's heartbeat and returns ours.
--- a/process/membership/membership.go
+++ b/process/membership/membership.go
@@ -73,7 +73,7 @@
 	rnd     *rand.Rand
 	self    vetchtrail.Host
 	short   uint32 // form of this host's incarnation
-	shortOf uint64 // the incarnation
+	shortAt uint64 // the incarnation that it is of
 	born    time.Time
 	counter uint64
 	members map[string]*member
@@ -98,26 +98,6 @@
 	lacks   []string // data centres whose members it said to lack
 }
 
-// relayed is a digest as it was handed on.
-type relayed struct {
-	at     time.Time
-	made   time.Time // when the digest was
-	newest uint64
-}
-
-// PassEach is to how many hosts each one passes a digest on: three digests are new enough at a time, and all
-// but a few of a hundred hosts are told of each.
-const PassEach = 4
-
-// due says whether a digest is to be handed on that is newer than what was: after a while, as long as few were
-// told of it, or when it tells of a newer configuration.
-func (r relayed) due(d *remote, now time.Time) bool {
-	if !d.at.After(r.made) {
-		return false
-	}
-	return now.Sub(r.at) >= RelayEvery && d.passed < PassEach || d.digest.GetNewest() > r.newest
-}
-
 // told is what another host was told in full, so that it is told less again.
 // It is told in full again when it asks, when a message failed, and now and then.
 type told struct {
@@ -181,8 +161,8 @@
 
 // selfShort is the short form of this host's incarnation. The caller holds the lock.
 func (m *Membership) selfShort() uint32 {
-	if m.shortOf != m.self.Incarnation {
-		m.short, m.shortOf = shortOf(m.self.Name, m.self.Incarnation), m.self.Incarnation
+	if m.shortAt != m.self.Incarnation {
+		m.short, m.shortAt = shortOf(m.self.Name, m.self.Incarnation), m.self.Incarnation
 	}
 	return m.short
 }
