Digests of small data centres go with their members, and a data centre of which no host is known is not reachable

Change: up to 16 members go with a digest whenever they are others than were handed on, as before; a data centre without a known host is not told as reachable.

--- a/process/membership/digests_spread_test.go
+++ b/process/membership/digests_spread_test.go
@@ -9,6 +9,7 @@
 
 	"vetchtrail"
 	"vetchtrail/process/load"
+	"vetchtrail/schema"
 )
 
 // digestsPlay is a data centre whose hosts start at once, with another as large that one host swaps for.
@@ -108,3 +109,33 @@
 	}
 	return true
 }
+
+// TestFewMembers: a host that is handed on a digest of a small data centre can pass requests there at once; and one
+// that knows no host there doesn't say that it reaches it.
+func TestFewMembers(t *testing.T) {
+	cases := map[string]struct {
+		hosts   int
+		reaches bool
+	}{
+		"a small data centre": {fewMembers, true},
+		"a large one":         {fewMembers + 1, false}, // until it has asked
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			a, b, x := newMember("a", "dc", 1), newMember("b", "dc", 2), newMember("x", "other", 9)
+			x.cfg.Load.Configure([]load.Placed{{Endpoint: vetchtrail.Endpoint{Name: "far", Service: "s", Slots: 4}}})
+			for n := range c.hosts - 1 {
+				x.merge(newMember(fmt.Sprint("y", n), "other", byte(n+10)).heartbeat(x.self.Peers, now), now)
+			}
+			swap(a, b, now)
+			a.swapped(&schema.Digests{Digest: x.ownDigest(now)}, now, now)
+			b.merge(a.heartbeat(b.self.Peers, now), now)
+			_, picked := b.Pick("other", "s", now)
+			assert.Equal(t, picked, c.reaches)
+			assert.Equal(t, b.DataCentres(now)[0].Reachable, c.reaches)
+			swap(b, a, now.Add(time.Second))
+			_, picked = b.Pick("other", "s", now.Add(time.Second))
+			assert.Assert(t, picked, "it asked for them")
+		})
+	}
+}
--- a/process/membership/relay.go
+++ b/process/membership/relay.go
@@ -12,8 +12,13 @@
 	at     time.Time
 	made   time.Time // when the digest was
 	newest uint64
+	told   uint32 // hash of the members that were handed on
 }
 
+// fewMembers is how many members go with a digest whenever they are others than were handed on: some hundred bytes.
+// More are told to who lacks them.
+const fewMembers = 16
+
 // PassEach is to how many hosts each one passes a digest on: three digests are new enough at a time, and all
 // but a few of a hundred hosts are told of each.
 const PassEach = 4
@@ -32,16 +37,18 @@
 func (m *Membership) digestsFor(to *member, now time.Time) []*schema.Digest {
 	var out []*schema.Digest
 	for name, d := range m.remotes {
-		sent, wanted := to.digests[name], d.whole && slices.Contains(to.lacks, name)
+		sent := to.digests[name]
+		others := len(d.digest.GetMembers()) <= fewMembers && sent.told != d.digest.GetMembersHash()
+		wanted := d.whole && (others || slices.Contains(to.lacks, name))
 		if !wanted && !sent.due(d, now) {
 			continue
 		}
 		next := withoutMembers(d.digest)
 		next.AgeMillis = millis(now.Sub(d.at))
 		if wanted {
-			next.Members = d.digest.GetMembers()
+			next.Members, sent.told = d.digest.GetMembers(), d.digest.GetMembersHash()
 		}
-		to.digests[name] = relayed{at: now, made: d.at, newest: d.digest.GetNewest()}
+		to.digests[name] = relayed{at: now, made: d.at, newest: d.digest.GetNewest(), told: sent.told}
 		d.passed++
 		out = append(out, next)
 	}
--- a/process/membership/remote.go
+++ b/process/membership/remote.go
@@ -57,7 +57,7 @@
 	for name, d := range m.remotes {
 		out = append(out, DataCentre{
 			Name: name, Region: d.digest.GetRegion(), Revision: d.digest.GetRevision(),
-			Heard: d.at, Reachable: now.Sub(d.at) < reachableFor,
+			Heard: d.at, Reachable: now.Sub(d.at) < reachableFor && len(d.digest.GetMembers()) > 0,
 		})
 	}
 	slices.SortFunc(out, func(a, b DataCentre) int { return strings.Compare(a.Name, b.Name) })
