Load reports with a fourth figure: the endpoint's slowdown

Cause: X-Server-Load has a fourth figure on some deployments, how long work takes at present in percent. parseLoad accepted three figures only and dropped the whole report. Change: three or four figures are accepted; the fourth is LoadReport.Slowdown (1: as usual, 0: not reported). Nothing uses the slowdown yet. Measured: nothing.

--- a/connection/endpoint/endpoint.go
+++ b/connection/endpoint/endpoint.go
@@ -231,6 +231,9 @@
 		if head.HasLoad && t.client.cfg.Observer != nil {
 			head.Load.TakenAt = time.Now()
 			t.client.cfg.Observer.LoadReported(t.endpoint, head.Load)
+			if head.Load.Slowdown > 0 || head.SlowdownErr != nil {
+				t.client.cfg.Observer.SlowdownReported(t.endpoint, head.SlowdownErr)
+			}
 		}
 		t.reportRateLimit(head.Rate)
 		t.reportAvailability(head.Availability)
--- a/dialect.go
+++ b/dialect.go
@@ -33,6 +33,9 @@
 	Kind    ResponseKind
 	Load    LoadReport // valid if HasLoad; TakenAt is not set
 	HasLoad bool       // the response states the endpoint's load
+	// SlowdownErr is set if the load report contains a slowdown that can't be parsed; the
+	// rest of the report is valid.
+	SlowdownErr error
 	// ColdStart is the remaining time of the endpoint's cold start; negative: not stated.
 	ColdStart    time.Duration
 	Rate         ParsedRateLimit    // the endpoint's rate limit
--- a/endpoint.go
+++ b/endpoint.go
@@ -40,6 +40,9 @@
 	Queued  int  // requests in its queue
 	Leaving bool // it will stop soon
 	Slots   int  // number of requests that it runs at once; 0: not reported
+	// Slowdown is how long its work takes at present as a multiple of the usual time; 1: as
+	// usual, 0: not reported.
+	Slowdown float64
 	// StartedAt is the start time of the process instance by the clock of the host that
 	// fetched the report; zero: not reported.
 	StartedAt time.Time
--- a/process/availability/availability.go
+++ b/process/availability/availability.go
@@ -37,6 +37,8 @@
 	cfg        Config
 	logLimiter logs.Throttle // by endpoint
 
+	slowdownLogLimiter logs.Throttle // by endpoint, for slowdowns that can't be parsed
+
 	mu            sync.Mutex
 	unknownFields map[string]bool // names that were logged
 }
@@ -67,6 +69,18 @@
 	}
 }
 
+// SlowdownReported implements vetchtrail.Observer.
+func (o *Observer) SlowdownReported(e vetchtrail.Endpoint, err error) {
+	if err == nil {
+		countSlowdown("valid")
+		return
+	}
+	countSlowdown("invalid")
+	if o.slowdownLogLimiter.Allow(e.Name, time.Now()) {
+		o.cfg.Log.Warn("endpoint's slowdown can't be parsed", "endpoint", e.Name, "error", err)
+	}
+}
+
 // RecordFromPeer records another host's message that an endpoint is leaving.
 func (o *Observer) RecordFromPeer(from string, m *schema.EndpointLeaves) {
 	now := time.Now()
--- a/process/availability/availability_test.go
+++ b/process/availability/availability_test.go
@@ -8,6 +8,8 @@
 	"testing"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/go-faster/errors"
 	"gotest.tools/v3/assert"
 
 	"vetchtrail"
@@ -75,3 +77,21 @@
 	assert.Equal(t, len(o.unknownFields), maxUnknownFields)
 	assert.Equal(t, strings.Count(out.String(), "\n"), maxUnknownFields)
 }
+
+// TestInvalidSlowdown guards against a log line for each response with a slowdown that can't be parsed, and against
+// one that isn't counted.
+func TestInvalidSlowdown(t *testing.T) {
+	var out bytes.Buffer
+	table := load.New()
+	o := New(Config{Observer: table, Table: table, Log: slog.New(slog.NewTextHandler(&out, nil))})
+	invalid := metrics.GetOrCreateCounter(SlowdownsMetric + `{result="invalid"}`)
+	valid := metrics.GetOrCreateCounter(SlowdownsMetric + `{result="valid"}`)
+	before, validBefore := invalid.Get(), valid.Get()
+	for range 5 {
+		o.SlowdownReported(vetchtrail.Endpoint{Name: "e"}, errors.New("not a number"))
+	}
+	o.SlowdownReported(vetchtrail.Endpoint{Name: "e"}, nil)
+	assert.Equal(t, invalid.Get()-before, uint64(5))
+	assert.Equal(t, valid.Get()-validBefore, uint64(1))
+	assert.Equal(t, strings.Count(out.String(), "endpoint's slowdown can't be parsed"), 1, "%s", out.String())
+}
--- a/process/availability/metrics.go
+++ b/process/availability/metrics.go
@@ -6,10 +6,11 @@
 	"github.com/VictoriaMetrics/metrics"
 )
 
-// Names of the metrics that count announcements of endpoints and unknown fields of responses.
+// Names of the metrics that count announcements of endpoints, and unknown fields and reported slowdowns in responses.
 const (
 	AnnouncementsMetric = "vetchtrail_endpoint_notices_total"
 	UnknownFieldsMetric = "vetchtrail_endpoint_fields_unknown_total"
+	SlowdownsMetric     = "vetchtrail_endpoint_slowdown_reports_total"
 )
 
 // countAnnouncement counts an announcement by its content.
@@ -28,3 +29,8 @@
 	}, field)
 	metrics.GetOrCreateCounter(UnknownFieldsMetric + `{field="` + label + `"}`).Inc()
 }
+
+// countSlowdown counts a slowdown in a load report by whether it could be parsed.
+func countSlowdown(result string) {
+	metrics.GetOrCreateCounter(SlowdownsMetric + `{result="` + result + `"}`).Inc()
+}
--- a/process/load/availability.go
+++ b/process/load/availability.go
@@ -187,6 +187,9 @@
 // UnknownField implements vetchtrail.Observer. The table has no use for unknown fields.
 func (t *Table) UnknownField(vetchtrail.Endpoint, string) {}
 
+// SlowdownReported implements vetchtrail.Observer. The slowdown itself comes with LoadReported.
+func (t *Table) SlowdownReported(vetchtrail.Endpoint, error) {}
+
 // unlistedInstance holds the announcements of a process instance that is not listed now. Its entry may have
 // expired while the platform's store was unavailable, or the listing is an older copy or doesn't contain it yet.
 type unlistedInstance struct {
--- a/response.go
+++ b/response.go
@@ -36,6 +36,9 @@
 	Silent(e Endpoint, now time.Time) bool
 	// LoadReported reports the load that an endpoint stated in a response.
 	LoadReported(e Endpoint, l LoadReport)
+	// SlowdownReported reports that a load report in a response contained a slowdown. If err
+	// is not nil, it can't be parsed and is ignored.
+	SlowdownReported(e Endpoint, err error)
 	// RateLimitReported reports the rate limit that a response advertises. If err is not
 	// nil, the response contained a value that can't be parsed.
 	RateLimitReported(e Endpoint, l RateLimit, err error)
