End no stream that nothing can replace

Cause: an attempt of a stream that may be resumed was ended when its endpoint was silent, also if no other attempt could continue it. Its caller got a broken response where waiting would have given a late one. Other places ended streams early as well: the rest of a begun stream was refused as too slow, or because its time in the queue was over; the HTTP library's write deadline covered a whole response of a caller's connection; a pause of 30 s ended unrouted and forwarded responses before their deadline.

Change: before each attempt the dispatcher determines whether another one could replace it; forwarded requests carry the result (field 35). When an endpoint is silent, it also takes the retry from the budget and checks that there is somewhere to go. Attempts at endpoints whose process has ended don't count towards the route's limit. Mechanism final-attempts.

Result: TestStallAtLastAttempt failed before (the stream ended after 0.8 s: the endpoint has gone silent) and passes.

--- a/connection/caller/conn_tracker.go
+++ b/connection/caller/conn_tracker.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"sync"
+	"time"
 )
 
 // connTracker is a listener that tracks its open connections, so that they can all be
@@ -44,6 +45,13 @@
 	return t, nil
 }
 
+// Write implements net.Conn. Each write gets the whole writeTimeout: the deadline that the HTTP
+// library sets before a response would break off streams that last longer.
+func (t *trackedConn) Write(b []byte) (int, error) {
+	_ = t.SetWriteDeadline(time.Now().Add(writeTimeout))
+	return t.TCPConn.Write(b)
+}
+
 // Close implements net.Conn.
 func (t *trackedConn) Close() error {
 	t.tracker.mu.Lock()
--- a/connection/caller/server.go
+++ b/connection/caller/server.go
@@ -31,7 +31,7 @@
 	idleTimeout    = 2 * time.Minute
 	readTimeout    = 30 * time.Second // for a whole request, from its first byte
 	maxHeaderBytes = 32 << 10
-	writeTimeout   = 30 * time.Second
+	writeTimeout   = 30 * time.Second // for one write to a caller that doesn't read
 )
 
 // Runner runs requests. The dispatcher implements it.
--- a/connection/endpoint/deliver.go
+++ b/connection/endpoint/deliver.go
@@ -74,11 +74,18 @@
 	return t.writeChunk(wholeBody)
 }
 
+// nextPartBy returns when the next part of the response to an unrouted request must have
+// arrived. That is never before the deadline, as no other attempt can replace a response that
+// has begun.
+func (t *attempt) nextPartBy(now time.Time) time.Time {
+	return vetchtrail.Later(now.Add(stallTimeout), t.req.Deadline)
+}
+
 // deliverChunks delivers a response as it arrives.
 func (t *attempt) deliverChunks() error {
 	chunk := make([]byte, readBufferBytes)
 	for {
-		_ = t.conn.SetDeadline(time.Now().Add(stallTimeout))
+		_ = t.conn.SetDeadline(t.nextPartBy(time.Now()))
 		n, err := t.body.Read(chunk)
 		if n > 0 {
 			if err := t.writeChunk(chunk[:n]); err != nil {
--- a/connection/endpoint/endpoint.go
+++ b/connection/endpoint/endpoint.go
@@ -34,8 +34,10 @@
 	// retried or refused if the response breaks. Responses to routed requests, except streams,
 	// are always read whole, and fail if they are larger.
 	maxBufferedResponse = 4 << 20
-	stallTimeout        = 30 * time.Second // between two parts of a response
-	unroutedRetryAfter  = time.Second      // Retry-After of unrouted requests if the endpoint sends none
+	// stallTimeout is the longest interval between two parts of the response to an unrouted
+	// request after its deadline. Such a response may last longer than that.
+	stallTimeout       = 30 * time.Second
+	unroutedRetryAfter = time.Second // Retry-After of unrouted requests if the endpoint sends none
 	// routedRetryAfter is the same for routed requests. Their endpoints have queues of some
 	// tens of milliseconds, and their callers retry soon.
 	routedRetryAfter = 100 * time.Millisecond
@@ -54,9 +56,12 @@
 
 // Config configures a Client.
 type Config struct {
-	Guard    Guard
-	Dialect  vetchtrail.Dialect  // for routed requests; nil: dialect.Default
-	Observer vetchtrail.Observer // nil: none
+	Guard Guard
+	// Replaceable is called when an endpoint is silent. It reports whether another attempt can
+	// replace the one that waits there, which then ends. nil: one always can.
+	Replaceable func(e vetchtrail.Endpoint, r *vetchtrail.Request) bool
+	Dialect     vetchtrail.Dialect  // for routed requests; nil: dialect.Default
+	Observer    vetchtrail.Observer // nil: none
 }
 
 // Client calls endpoints. It implements vetchtrail.EndpointCaller.
@@ -171,12 +176,24 @@
 
 // silenceCheck returns the function that a waiting read polls to detect a silent endpoint,
 // or nil for a request that waits until its deadline. Only attempts of routed requests that
-// may run twice have such a function, as another attempt can replace them.
+// may run twice have such a function. It reports true only if another attempt can replace
+// this one.
 func (t *attempt) silenceCheck() func() bool {
 	if !t.req.Repeatable || t.req.Route == "" || t.client.cfg.Observer == nil {
 		return nil
 	}
-	return func() bool { return t.client.cfg.Observer.Silent(t.endpoint, time.Now()) }
+	counted := false
+	return func() bool {
+		if !t.client.cfg.Observer.Silent(t.endpoint, time.Now()) {
+			return false
+		}
+		ended := !t.req.Final && (t.client.cfg.Replaceable == nil || t.client.cfg.Replaceable(t.endpoint, t.req))
+		if ended || !counted {
+			countSilent(t.req.Service, ended)
+		}
+		counted = true
+		return ended
+	}
 }
 
 // send writes the request.
--- a/connection/endpoint/events.go
+++ b/connection/endpoint/events.go
@@ -52,7 +52,7 @@
 	complete := false
 	var last time.Time
 	for {
-		_ = t.conn.SetDeadline(time.Now().Add(stallTimeout))
+		_ = t.conn.SetDeadline(t.nextPartBy(time.Now()))
 		event, err := readEvent(reader)
 		if isCleanEnd(err) && len(event) == 0 {
 			break
--- a/connection/peer/client.go
+++ b/connection/peer/client.go
@@ -41,7 +41,7 @@
 	// cancelled.
 	deadlineGrace = 500 * time.Millisecond
 	// stallTimeout is the longest interval between two messages of a forwarded response that
-	// has begun.
+	// has begun, after its deadline.
 	stallTimeout = 30 * time.Second
 )
 
@@ -219,7 +219,7 @@
 func (c *Client) forward(ctx context.Context, h vetchtrail.Host, r *vetchtrail.Request, w vetchtrail.ResponseWriter) vetchtrail.Outcome {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	deadlineTimer := time.AfterFunc(time.Until(r.Deadline)+deadlineGrace, cancel)
+	deadlineTimer := time.AfterFunc(time.Until(r.Deadline.Add(deadlineGrace)), cancel)
 	defer deadlineTimer.Stop()
 	m := schema.FromRequest(r, time.Now())
 	m.Hops++
@@ -228,7 +228,7 @@
 		return sendFailure(h, err)
 	}
 	defer func() { _ = stream.Close() }()
-	return receiveResponse(stream, h, w, deadlineTimer)
+	return receiveResponse(stream, h, r, w, deadlineTimer)
 }
 
 // forwardClient returns the client that forwards a request. Requests that may not run
@@ -251,7 +251,7 @@
 
 // receiveResponse writes the forwarded response to w and returns the outcome. Each message
 // restarts the timer, which cancels the call when it fires.
-func receiveResponse(stream schema.DRPCPeers_ForwardClient, h vetchtrail.Host, w vetchtrail.ResponseWriter, deadlineTimer *time.Timer) vetchtrail.Outcome {
+func receiveResponse(stream schema.DRPCPeers_ForwardClient, h vetchtrail.Host, r *vetchtrail.Request, w vetchtrail.ResponseWriter, deadlineTimer *time.Timer) vetchtrail.Outcome {
 	begun := false
 	failed := func(reason vetchtrail.Reason, err error) vetchtrail.Outcome {
 		o := failedOutcome(vetchtrail.OutcomeUnknown, vetchtrail.StepForward, reason, h, err)
@@ -277,10 +277,16 @@
 		if err != nil {
 			return failed(vetchtrail.ReasonCallerGone, err)
 		}
-		deadlineTimer.Reset(stallTimeout)
+		deadlineTimer.Reset(time.Until(nextMessageBy(r, time.Now())))
 	}
 }
 
+// nextMessageBy returns when the next message of a response that has begun must have arrived.
+// That is never before the deadline, until which the other host waits for its endpoint.
+func nextMessageBy(r *vetchtrail.Request, now time.Time) time.Time {
+	return vetchtrail.Later(now.Add(stallTimeout), r.Deadline.Add(deadlineGrace))
+}
+
 // failedOutcome is the outcome of a request whose forwarding failed. It reports the host
 // as lost unless the caller is the reason.
 func failedOutcome(kind vetchtrail.OutcomeKind, step vetchtrail.Step, reason vetchtrail.Reason, h vetchtrail.Host, err error) vetchtrail.Outcome {
--- a/connection/peer/peer_test.go
+++ b/connection/peer/peer_test.go
@@ -185,3 +185,18 @@
 		})
 	}
 }
+
+// TestNextMessageBy guards against a forwarded response that is ended for a stall before its
+// deadline, and against one that is never ended after it.
+func TestNextMessageBy(t *testing.T) {
+	now := time.Now()
+	cases := map[string]struct{ deadline, by time.Time }{
+		"before the deadline": {now.Add(time.Minute), now.Add(time.Minute + deadlineGrace)},
+		"past the deadline":   {now.Add(-time.Second), now.Add(stallTimeout)},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			assert.Equal(t, nextMessageBy(&vetchtrail.Request{Deadline: c.deadline}, now), c.by)
+		})
+	}
+}
--- a/process/daemon/daemon.go
+++ b/process/daemon/daemon.go
@@ -201,12 +201,14 @@
 		Guard: func(e vetchtrail.Endpoint, r *vetchtrail.Request) vetchtrail.Reason {
 			return d.dispatcher.CheckBeforeSend(e, r)
 		},
+		Replaceable: func(e vetchtrail.Endpoint, r *vetchtrail.Request) bool { return d.dispatcher.Replaceable(e, r) },
 	})
 	d.newQuarantines(switchedOff)
 	d.dispatcher = dispatch.New(dispatch.Config{
 		Self: d.self, Policy: p, Rules: d.changes.Rules, Endpoints: d.table, Membership: d.membership,
 		EndpointCaller: d.endpoints, Peers: d.peers, IssuedKeys: idempotencyKeys, Journal: d.journal, Seed: d.randomSeed(),
 		RetryBudget: d.budget(d.cfg.Retries), Quotas: d.quotas, Quarantine: d.quarantines, RateLimits: d.rateLimits, SwitchedOff: switchedOff,
+		RefusesConnection: d.endpoints.RefusesConnection,
 	})
 	d.callers = caller.New(caller.Config{
 		Runner: d.dispatcher, Rules: d.changes.Rules, Membership: d.membership, IssuedKeys: idempotencyKeys,
--- a/request.go
+++ b/request.go
@@ -54,6 +54,13 @@
 	LastEventID     string       // id of the last event that the caller received
 	CallerCanRetry  bool         // the caller still has most of its time, so it can retry after a refusal
 	ResponseStarted bool         // part of a response was sent to the caller: only the rest of that stream may follow
+	// Final reports that no other attempt could replace the current one. The attempt then goes on
+	// until its deadline, even if its endpoint is silent. The host that received the request from
+	// its caller sets it.
+	Final bool
+	// RetryTaken reports that the retry that replaces the current attempt has already been taken
+	// from the retry budget.
+	RetryTaken bool
 	// TransferFrom is the address from which the endpoint that runs it may transfer the cached
 	// parts of its prompt; not valid: none.
 	TransferFrom netip.AddrPort
@@ -67,9 +74,10 @@
 	contentHash ContentHash // see the method ContentHash; zero: not computed yet
 }
 
-// QueueDeadline returns until when the request may wait for capacity.
+// QueueDeadline returns until when the request may wait for capacity. The rest of a stream that
+// has begun may wait until the deadline, because its caller can't retry elsewhere.
 func (r *Request) QueueDeadline() time.Time {
-	if r.QueueUntil.IsZero() || r.Deadline.Before(r.QueueUntil) {
+	if r.QueueUntil.IsZero() || r.ResponseStarted || r.Deadline.Before(r.QueueUntil) {
 		return r.Deadline
 	}
 	return r.QueueUntil
--- a/request/budget/budget.go
+++ b/request/budget/budget.go
@@ -102,19 +102,31 @@
 	b.requests.add(b.bucket(now))
 }
 
+// HasRetry reports whether the budget allows a retry now. It counts nothing.
+func (b *Budget) HasRetry(now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.allows(b.bucket(now))
+}
+
 // TakeRetry counts a retry and returns true if the budget allows it. Otherwise it returns
 // false and counts nothing.
 func (b *Budget) TakeRetry(now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	bucket := b.bucket(now)
-	if float64(b.retries.sum(bucket)+1) > b.allowedRetries(bucket) {
+	if !b.allows(bucket) {
 		return false
 	}
 	b.retries.add(bucket)
 	return true
 }
 
+// allows reports whether one more retry is allowed. The caller holds the lock.
+func (b *Budget) allows(bucket int64) bool {
+	return float64(b.retries.sum(bucket)+1) <= b.allowedRetries(bucket)
+}
+
 // allowedRetries returns how many retries this host may make in the window that ends with
 // the given bucket.
 func (b *Budget) allowedRetries(bucket int64) float64 {
--- a/request/dispatch/dispatch.go
+++ b/request/dispatch/dispatch.go
@@ -65,7 +65,10 @@
 	Quotas         vetchtrail.QuotaLimiter   // nil: workspaces have no quotas
 	Quarantine     vetchtrail.Quarantine     // nil: no request is quarantined
 	RateLimits     vetchtrail.RateLimiter    // nil: advertised rate limits are not enforced
-	SwitchedOff    vetchtrail.Mechanisms     // mechanisms that are switched off
+	// RefusesConnection reports whether an endpoint refuses connections, as one does whose
+	// process has ended; nil: not checked.
+	RefusesConnection func(ctx context.Context, e vetchtrail.Endpoint) bool
+	SwitchedOff       vetchtrail.Mechanisms // mechanisms that are switched off
 }
 
 // Dispatcher runs requests. It is safe for concurrent use.
@@ -215,7 +218,7 @@
 	refusedHere   bool               // an endpoint of this data centre refused because of its load
 	waitExhausted bool               // the request may no longer wait for capacity here
 	reached       int                // attempts that reached any process
-	reachedTarget int                // attempts that reached the endpoint they were sent to
+	reachedTarget int                // attempts that reached the endpoint they were sent to, and whose process has not ended
 	last          vetchtrail.Outcome // overall outcome of the earlier attempts; without a step: there were none
 }
 
@@ -252,6 +255,9 @@
 		if !ok {
 			return d.replayFailure(history.overallOutcome(o), w)
 		}
+		if r.Hops == 0 {
+			r.Final, r.RetryTaken = d.isFinal(r, p, &history, n, time.Now()), false
+		}
 		o = d.runAttempt(ctx, r, p, n, w)
 		use.attemptEnded(o)
 		// After an attempt that may have reached an endpoint, the request no longer
@@ -264,7 +270,7 @@
 		if o.Kind == vetchtrail.OutcomeAnswered {
 			return o
 		}
-		history.add(p, o)
+		history.add(p, o, d.processEnded(ctx, r, p, o))
 		o = history.overallOutcome(o)
 		if !d.mayRetry(ctx, r, o, &history, n) {
 			return d.replayFailure(d.withRetryTime(r, p, o), w)
@@ -295,14 +301,15 @@
 	return o
 }
 
-// add records an attempt that was not answered.
-func (h *attemptHistory) add(p placement, o vetchtrail.Outcome) {
+// add records an attempt that was not answered. An attempt at an endpoint whose process has
+// ended doesn't count towards the route's limit.
+func (h *attemptHistory) add(p placement, o vetchtrail.Outcome, processEnded bool) {
 	if reached(o) {
 		h.reached++
 	}
 	// With ReasonOtherProcess, the request reached another process that now has the
 	// endpoint's address.
-	if reached(o) && o.Reason != vetchtrail.ReasonOtherProcess {
+	if reached(o) && o.Reason != vetchtrail.ReasonOtherProcess && !processEnded {
 		h.reachedTarget++
 	}
 	// A leaving host does not exclude its data centre: another host there may
@@ -352,6 +359,9 @@
 		return false
 	case history.reached == 0:
 		return true // no process received it, so a retry adds no load
+	case r.RetryTaken:
+		countRetry(r.Service, true)
+		return true
 	}
 	ok := !d.cfg.SwitchedOff.Has(vetchtrail.MechanismRetries) && d.budget(r.Service).TakeRetry(time.Now())
 	countRetry(r.Service, ok)
@@ -372,7 +382,7 @@
 	endpoint      vetchtrail.Endpoint // unset if dataCentre is set
 	host          vetchtrail.Host     // set if dataCentre is set
 	dataCentre    string              // empty: the target is the endpoint
-	predictedTTFT time.Duration       // predicted time to first token, at an endpoint
+	predictedTTFT time.Duration       // predicted time to first token
 }
 
 // name returns the name of the target's data centre or endpoint.
--- a/request/dispatch/placement.go
+++ b/request/dispatch/placement.go
@@ -87,7 +87,7 @@
 func (d *Dispatcher) acquire(ctx context.Context, r *vetchtrail.Request, dec vetchtrail.Decision) (placement, bool) {
 	if dec.Kind == vetchtrail.RunElsewhere {
 		h, ok := d.cfg.Membership.Pick(dec.Name, r.Service, time.Now())
-		return placement{host: h, dataCentre: dec.Name}, ok
+		return placement{host: h, dataCentre: dec.Name, predictedTTFT: dec.Wait}, ok
 	}
 	e, ok := d.cfg.Endpoints.Find(dec.Name)
 	if !ok {
--- /dev/null
+++ b/request/dispatch/silence_test.go
@@ -0,0 +1,167 @@
+package dispatch
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"net/http"
+	"net/netip"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"vetchtrail"
+	"vetchtrail/connection/endpoint"
+	"vetchtrail/request/budget"
+)
+
+// addressedInTurn calls endpoints over connections. The n-th attempt goes to the n-th
+// address, whatever its endpoint.
+type addressedInTurn struct {
+	client *endpoint.Client
+	addrs  []netip.AddrPort
+}
+
+func (a *addressedInTurn) Call(ctx context.Context, e vetchtrail.Endpoint, r *vetchtrail.Request, w vetchtrail.ResponseWriter) (vetchtrail.Outcome, vetchtrail.Timing) {
+	e.Addr, a.addrs = a.addrs[0], a.addrs[1:]
+	return a.client.Call(ctx, e, r, w)
+}
+
+// listenOnce returns the address of an endpoint that serves one connection after it has
+// read the head of a request.
+func listenOnce(t *testing.T, serve func(net.Conn)) netip.AddrPort {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		defer func() { _ = c.Close() }()
+		if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+			serve(c)
+		}
+	}()
+	return l.Addr().(*net.TCPAddr).AddrPort()
+}
+
+const (
+	streamStart = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+	firstChunk  = "f\r\nid: 1\ndata: a\n\n\r\n"
+	secondChunk = "f\r\nid: 2\ndata: b\n\n\r\n"
+	thirdChunk  = "f\r\nid: 3\ndata: c\n\n\r\n"
+	streamEnd   = "0\r\n\r\n"
+	// stall is longer than the silence after which an attempt ends that another can replace.
+	stall = 1500 * time.Millisecond
+)
+
+// TestStallAtLastAttempt guards against a stream that is ended because its endpoint is
+// silent, although no other attempt can continue it. The first endpoint breaks off, the
+// second one stalls at the last attempt that the route allows.
+func TestStallAtLastAttempt(t *testing.T) {
+	broken := listenOnce(t, func(c net.Conn) { _, _ = c.Write([]byte(streamStart + firstChunk)) })
+	stalling := listenOnce(t, func(c net.Conn) {
+		_, _ = c.Write([]byte(streamStart + firstChunk + secondChunk))
+		time.Sleep(stall)
+		_, _ = c.Write([]byte(thirdChunk + streamEnd))
+	})
+	d := newDispatcher(t, nil, 3)
+	d.cfg.EndpointCaller = &addressedInTurn{addrs: []netip.AddrPort{broken, stalling}, client: endpoint.New(endpoint.Config{
+		Guard: d.CheckBeforeSend, Observer: d.cfg.Endpoints.(vetchtrail.Observer),
+	})}
+	r := &vetchtrail.Request{
+		ID: "x", Service: "s", Route: "r", Method: "GET", Path: "/", Stream: true, Resumable: true, Repeatable: true, MaxAttempts: 2, EstimatedTokens: 10,
+		Deadline: time.Now().Add(10 * time.Second),
+	}
+	var got responseRecorder
+	o := d.Run(context.Background(), r, &got)
+	assert.Equal(t, o.Kind, vetchtrail.OutcomeAnswered, "%v", o)
+	assert.Equal(t, got.body.String(), "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n")
+}
+
+// TestReplaceable guards against attempts that end for silence without a replacement: those
+// that are final, those for which there is no other endpoint, and more than the retry budget
+// lets continue.
+func TestReplaceable(t *testing.T) {
+	cases := map[string]struct {
+		endpoints  int // in this data centre, in addition to the remote host
+		regions    vetchtrail.RegionSet
+		reached    int // earlier attempts
+		attempt    int
+		hops       int
+		retries    float64 // allowed by the budget
+		timeLeft   time.Duration
+		mechanisms vetchtrail.Mechanisms // that are switched off
+		final      bool                  // before the attempt
+		replaced   int                   // of two attempts at a silent endpoint
+	}{
+		"another endpoint":              {endpoints: 2, regions: 1, attempt: 1, retries: 100, timeLeft: time.Minute, replaced: 2},
+		"another data centre":           {endpoints: 1, regions: 3, attempt: 1, retries: 100, timeLeft: time.Minute, replaced: 2},
+		"no other endpoint":             {endpoints: 1, regions: 1, attempt: 1, retries: 100, timeLeft: time.Minute},
+		"last attempt of the route":     {endpoints: 2, regions: 1, reached: 1, attempt: 2, retries: 100, timeLeft: time.Minute, final: true, replaced: 2},
+		"last of all attempts":          {endpoints: 2, regions: 1, attempt: maxTotalAttempts, retries: 100, timeLeft: time.Minute, final: true, replaced: 2},
+		"no retry left":                 {endpoints: 2, regions: 1, attempt: 1, timeLeft: time.Minute, final: true},
+		"one retry left":                {endpoints: 2, regions: 1, attempt: 1, retries: 1, timeLeft: time.Minute, replaced: 1},
+		"no time left":                  {endpoints: 2, regions: 1, attempt: 1, retries: 100, timeLeft: 150 * time.Millisecond, final: true, replaced: 2},
+		"forwarded, the sender retries": {endpoints: 2, regions: 1, attempt: 1, hops: 1, timeLeft: time.Minute, final: true, replaced: 2},
+		"retries are switched off":      {endpoints: 2, regions: 1, attempt: 1, retries: 100, timeLeft: time.Minute, mechanisms: vetchtrail.MechanismsOf(vetchtrail.MechanismRetries), final: true, replaced: 2},
+		"switched off":                  {endpoints: 1, regions: 1, reached: 1, attempt: 2, timeLeft: time.Minute, mechanisms: vetchtrail.MechanismsOf(vetchtrail.MechanismFinalAttempts), replaced: 2},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			d := newDispatcher(t, nil, c.endpoints)
+			d.cfg.SwitchedOff = c.mechanisms
+			d.SetRetryBudget(budget.Config{Window: time.Minute, Base: c.retries / retryBudgetShare, Hosts: func() int { return 1 }})
+			now := time.Now()
+			r := &vetchtrail.Request{Service: "s", Route: "r", MaxAttempts: 2, AllowedRegions: c.regions, Hops: c.hops, Deadline: now.Add(c.timeLeft), ResponseStarted: true}
+			p := placement{predictedTTFT: 100 * time.Millisecond}
+			assert.Equal(t, d.isFinal(r, p, &attemptHistory{reachedTarget: c.reached}, c.attempt, now), c.final)
+			replaced := 0
+			for range 2 {
+				if d.Replaceable(vetchtrail.Endpoint{Name: "1"}, r) {
+					replaced++
+				}
+			}
+			assert.Equal(t, replaced, c.replaced)
+		})
+	}
+}
+
+// retryBudgetShare is the share of its limit that a retry budget uses.
+const retryBudgetShare = 0.8
+
+// TestEndedProcessNotCounted guards against a stream that breaks because the processes of its
+// endpoints ended, although others could continue it: such attempts don't count towards the
+// route's limit. All other bounds still hold.
+func TestEndedProcessNotCounted(t *testing.T) {
+	event1, event2 := "id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n"
+	cases := map[string]struct {
+		replies  []reply
+		refuses  map[string]bool // endpoints that refuse connections
+		retries  float64         // allowed by the budget
+		kind     vetchtrail.OutcomeKind
+		attempts int
+	}{
+		"process ended":           {[]reply{breakAfter(event1), respondWith(event2)}, map[string]bool{"1": true, "2": true, "3": true}, 100, vetchtrail.OutcomeAnswered, 2},
+		"process goes on":         {[]reply{breakAfter(event1)}, nil, 100, vetchtrail.OutcomeUnknown, 1},
+		"no retry left":           {[]reply{breakAfter(event1)}, map[string]bool{"1": true, "2": true, "3": true}, 0, vetchtrail.OutcomeUnknown, 1},
+		"every process ends":      {[]reply{breakAfter(event1), breakAfter(event2), breakAfter(""), breakAfter("")}, map[string]bool{"1": true, "2": true, "3": true, "4": true, "5": true}, 100, vetchtrail.OutcomeUnknown, maxTotalAttempts},
+		"refused before it began": {[]reply{refuseWith(vetchtrail.StepResponse, vetchtrail.ReasonEndpointRefused)}, map[string]bool{"1": true, "2": true, "3": true}, 100, vetchtrail.OutcomeNotRun, 1},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			targets := &scriptedTargets{replies: c.replies}
+			d := newDispatcher(t, targets, 5)
+			d.cfg.RefusesConnection = func(_ context.Context, e vetchtrail.Endpoint) bool { return c.refuses[e.Name] }
+			d.SetRetryBudget(budget.Config{Window: time.Minute, Base: c.retries, Hosts: func() int { return 1 }})
+			r := &vetchtrail.Request{ID: "x", Service: "s", Route: "r", Stream: true, Resumable: true, Repeatable: true, MaxAttempts: 1, Deadline: time.Now().Add(10 * time.Second)}
+			var got responseRecorder
+			o := d.Run(context.Background(), r, &got)
+			assert.Equal(t, o.Kind, c.kind, "%v", o)
+			assert.Equal(t, len(targets.called), c.attempts, "%v", targets.called)
+		})
+	}
+}
--- a/request/policy/admission.go
+++ b/request/policy/admission.go
@@ -29,9 +29,11 @@
 // its request has left. The stream is expected to send its first event after firstEvent
 // seconds and the others at the given interval in seconds. Admitting a stream slows the
 // streams that already run at the endpoint. So a stream is also too slow if the interval
-// leaves too little margin for more urgent streams (lessUrgentShare).
+// leaves too little margin for more urgent streams (lessUrgentShare). The rest of a stream
+// that has begun is never too slow: its caller would get a broken response instead of a
+// late one.
 func streamTooSlow(ev *evaluation, interval, firstEvent float64, r *vetchtrail.Request, v *vetchtrail.View) bool {
-	if r.Route == "" || v.ExpectedEvents == 0 || ev.switchedOff.Has(vetchtrail.MechanismStreamPace) {
+	if r.Route == "" || r.ResponseStarted || v.ExpectedEvents == 0 || ev.switchedOff.Has(vetchtrail.MechanismStreamPace) {
 		return false
 	}
 	if v.UrgentInterval > 0 && !ev.switchedOff.Has(vetchtrail.MechanismUrgentFirst) && interval > lessUrgentShare*maxStreamShare*v.UrgentInterval {
--- a/request/policy/policy_test.go
+++ b/request/policy/policy_test.go
@@ -136,6 +136,10 @@
 			request: func(r *vetchtrail.Request) { stream(r); r.CallerCanRetry = false }, weights: latencyFirst, events: 80,
 			endpoints: []vetchtrail.EndpointView{endpoint("a", slow)}, kind: vetchtrail.Refuse, reason: vetchtrail.ReasonOverCapacity,
 		},
+		"continues a stream that would end late": {
+			request: func(r *vetchtrail.Request) { stream(r); r.CallerCanRetry, r.ResponseStarted = false, true }, weights: latencyFirst, events: 80, urgentInterval: 0.4,
+			endpoints: []vetchtrail.EndpointView{endpoint("a", slow)}, kind: vetchtrail.RunHere, name: "a", reason: vetchtrail.ReasonChosen,
+		},
 		"refuses a less urgent stream before more urgent ones are too slow": {
 			request: func(r *vetchtrail.Request) { stream(r); r.CallerCanRetry = false }, weights: latencyFirst, events: 50, urgentInterval: 0.4,
 			endpoints: []vetchtrail.EndpointView{endpoint("a", slow)}, kind: vetchtrail.Refuse, reason: vetchtrail.ReasonOverCapacity,
--- a/schema/convert.go
+++ b/schema/convert.go
@@ -212,7 +212,7 @@
 		Route:  r.Route, GoalRemaining: remaining(r.Goal, now), Prompt: fromPrompt(r.Prompt), Resumable: r.Resumable, LastEvent: r.LastEventID,
 		Begun: r.ResponseStarted, PatienceRemaining: remaining(r.QueueUntil, now),
 		AnswerTokens: uint32(r.ExpectedTokens), MostTokens: uint32(r.MaxTokens), Fresh: r.CallerCanRetry,
-		BeginRemaining: remaining(r.FirstEventBy, now), Digest: contentHashOf(r),
+		BeginRemaining: remaining(r.FirstEventBy, now), Digest: contentHashOf(r), Final: r.Final,
 	}
 }
 
@@ -278,7 +278,7 @@
 		Resumable: m.GetResumable(), LastEventID: m.GetLastEvent(),
 		ResponseStarted: m.GetBegun(), QueueUntil: timeAfter(m.GetPatienceRemaining(), now),
 		ExpectedTokens: int(m.GetAnswerTokens()), MaxTokens: int(m.GetMostTokens()), CallerCanRetry: m.GetFresh(),
-		FirstEventBy: timeAfter(m.GetBeginRemaining(), now),
+		FirstEventBy: timeAfter(m.GetBeginRemaining(), now), Final: m.GetFinal(),
 	}
 	if hash, err := ToContentHash(m.GetDigest()); err == nil {
 		r.SetContentHash(hash)
