--- /dev/null
+++ b/request/admission/region_shares.go
@@ -0,0 +1,54 @@
+package admission
+
+import "time"
+
+// RegionShares admits by weighted max-min shares of the region's supply.
+type RegionShares struct {
+	shares     Shares
+	diffusion  diffusion
+	correction correction
+	shortage   Shortage
+	supply     float64 // corrected
+	asked      float64
+	factor     float64
+}
+
+// NewRegionShares returns a Controller that admits everything until it is updated. Hosts with
+// different seeds begin with different errors.
+func NewRegionShares(seed uint64) *RegionShares {
+	return &RegionShares{diffusion: newDiffusion(seed), factor: 1}
+}
+
+// Update implements Controller.
+func (s *RegionShares) Update(st State, now time.Time) {
+	s.factor = s.correction.update(st.Wait, st.Objective, s.shortage.Active, now)
+	s.supply, s.asked = st.Supply*s.factor, st.asked()
+	s.shortage.update(s.asked, s.supply, st.Queued, now)
+	if s.shortage.Active {
+		s.shares.Compute(st.Classes, s.supply)
+	}
+}
+
+// Share implements Controller.
+func (s *RegionShares) Share(c Class) float64 {
+	if !s.shortage.Active {
+		return 1
+	}
+	return s.shares.Fraction(c)
+}
+
+// Admit implements Controller.
+func (s *RegionShares) Admit(c Class) bool { return s.diffusion.admit(c, s.Share(c)) }
+
+// Figures are the inputs of a controller's decisions.
+type Figures struct {
+	Shortage Shortage
+	Asked    float64 // rate
+	Supply   float64 // corrected rate
+	Factor   float64 // correction factor of the supply
+}
+
+// Figures returns the figures of the newest update.
+func (s *RegionShares) Figures() Figures {
+	return Figures{Shortage: s.shortage, Asked: s.asked, Supply: s.supply, Factor: s.factor}
+}
