--- a/request/admission/delay_control.go
+++ b/request/admission/delay_control.go
@@ -1,6 +1,11 @@
 package admission
 
-import "time"
+import (
+	"slices"
+	"time"
+
+	"vetchtrail"
+)
 
 const (
 	// levelCut multiplies the level after an update with a wait over the target, and levelRaise
@@ -25,14 +30,26 @@
 	return &DelayControl{diffusion: newDiffusion(seed), level: 1}
 }
 
-// Update implements Controller. The classes are those of the host's own demand.
+// Update implements Controller. The classes are those of the host's own demand. They are summed
+// over workspaces, as one host sees too few requests of each.
 func (d *DelayControl) Update(s State, _ time.Time) {
 	if s.Wait.Seconds() > targetShare*s.Objective.Seconds() {
 		d.level = max(minimumLevel, d.level*levelCut)
 	} else {
 		d.level = min(1, d.level+levelRaise)
 	}
-	d.shares.Compute(s.Classes, d.level*s.asked())
+	classes := s.Classes[:0]
+	for _, c := range s.Classes {
+		c.Workspace = ""
+		at := slices.IndexFunc(classes, func(o vetchtrail.ClassDemand) bool { return classOfDemand(o) == classOfDemand(c) })
+		if at < 0 {
+			classes = append(classes, c)
+		} else {
+			classes[at].Asked += c.Asked
+		}
+	}
+	s.Classes = classes
+	d.shares.Compute(classes, d.level*s.asked())
 }
 
 // Share implements Controller.
--- a/request/admission/meter.go
+++ b/request/admission/meter.go
@@ -35,6 +35,13 @@
 // slotNumber returns the number of the part of a window that a time belongs to.
 func slotNumber(now time.Time) int64 { return now.UnixNano() / int64(Window/slots) }
 
+// windowSeconds returns the time that the parts of a window cover, in seconds: the newest part
+// has only begun.
+func windowSeconds(now time.Time) float64 {
+	part := Window / slots
+	return (Window - part + time.Duration(now.UnixNano()%int64(part))).Seconds()
+}
+
 // advance drops the parts that are older than a window.
 func (c *counts) advance(slot int64) {
 	for n := max(c.newest+1, slot-slots+1); n <= slot; n++ {
@@ -68,12 +75,13 @@
 
 // Append appends the demand of the last window to out, and forgets classes without any.
 func (m *Meter) Append(out []vetchtrail.ClassDemand, now time.Time) []vetchtrail.ClassDemand {
+	measured := windowSeconds(now)
 	for c, k := range m.classes {
 		k.advance(slotNumber(now))
 		d := vetchtrail.ClassDemand{Priority: c.Priority, Workspace: c.Workspace, Return: c.Return}
 		for i := range slots {
-			d.Asked += k.asked[i] / Window.Seconds()
-			d.Admitted += k.admitted[i] / Window.Seconds()
+			d.Asked += k.asked[i] / measured
+			d.Admitted += k.admitted[i] / measured
 		}
 		if d.Asked == 0 {
 			delete(m.classes, c)
--- a/request/admission/region_shares.go
+++ b/request/admission/region_shares.go
@@ -2,9 +2,15 @@
 
 import "time"
 
+// minLowestShare bounds the share of the supply that is left to the lowest priority in the
+// prediction of its wait. With less, much of the supply would stay unused to keep the waits of a
+// small part of the requests short.
+const minLowestShare = 0.7
+
 // RegionShares admits by weighted max-min shares of the region's supply.
 type RegionShares struct {
 	shares     Shares
+	mix        composition
 	diffusion  diffusion
 	correction correction
 	shortage   Shortage
@@ -21,12 +27,23 @@
 
 // Update implements Controller.
 func (s *RegionShares) Update(st State, now time.Time) {
-	s.factor = s.correction.update(st.Wait, st.Objective, s.shortage.Active, now)
+	s.factor = s.correction.update(s.lowestWait(st.Wait), st.Objective, s.shortage.Active, now)
 	s.supply, s.asked = st.Supply*s.factor, st.asked()
+	classes := s.mix.apply(st.Classes, now)
 	s.shortage.update(s.asked, s.supply, st.Queued, now)
 	if s.shortage.Active {
-		s.shares.Compute(st.Classes, s.supply)
+		s.shares.Compute(classes, s.supply)
+	}
+}
+
+// lowestWait returns the wait of a request of the lowest priority, given the time until an
+// endpoint has processed what is queued before it. Requests of higher priorities that arrive
+// meanwhile are processed before it as well.
+func (s *RegionShares) lowestWait(queued time.Duration) time.Duration {
+	if !s.shortage.Active {
+		return queued
 	}
+	return time.Duration(float64(queued) / max(1-s.shares.higherShare(), minLowestShare))
 }
 
 // Share implements Controller.
--- a/request/admission/shares.go
+++ b/request/admission/shares.go
@@ -14,7 +14,7 @@
 	// floorOfMean raises the floor of a priority that asks for much, as a multiple of its
 	// proportional share. The aim is a quarter of the mean for each kind of request; the margin
 	// is for requests that are admitted but late.
-	floorOfMean = 0.3
+	floorOfMean = 0.4
 	// levelSteps is the number of bisections to find a fair level. The error is the largest
 	// demand divided by two to this power.
 	levelSteps = 30
@@ -25,6 +25,19 @@
 	granted    map[Class]float64 // rates
 	fractions  map[Class]float64
 	priorities []priorityGrant
+	entries    []entry
+}
+
+// entry is a class while a rate is divided.
+type entry struct {
+	asked, weight float64
+	returns       float64 // what its workspace gets for its returns
+}
+
+// share returns what a class gets if a workspace of weight 1 gets level for all its requests of
+// the priority.
+func (e *entry) share(level float64) float64 {
+	return min(e.asked, max(0, level*e.weight-e.returns))
 }
 
 // priorityGrant is the demand of one priority and what it gets.
@@ -110,6 +123,19 @@
 	}
 }
 
+// higherShare returns the share of what is granted that goes to other than the lowest priority.
+func (s *Shares) higherShare() float64 {
+	all, lowest := 0.0, 0.0
+	for _, p := range s.priorities {
+		all += p.granted
+		lowest = p.granted
+	}
+	if all == 0 {
+		return 0
+	}
+	return 1 - lowest/all
+}
+
 // divide divides what a priority gets: first over returns, then over first attempts. What a
 // workspace gets for its returns counts for its fair share of the first attempts.
 func (s *Shares) divide(p *priorityGrant, usual float64) {
@@ -123,47 +149,42 @@
 
 // fill divides a rate over classes by weighted max-min fairness, and returns what they get.
 func (s *Shares) fill(classes []vetchtrail.ClassDemand, rate, usual float64) float64 {
+	s.entries = s.entries[:0]
 	low, high := 0.0, 0.0
 	for _, c := range classes {
-		high = max(high, (s.returnsOf(c)+c.Asked)/weight(c, usual))
+		e := entry{asked: c.Asked, weight: weight(c, usual), returns: s.returnsOf(c)}
+		s.entries = append(s.entries, e)
+		high = max(high, (e.returns+e.asked)/e.weight)
 	}
-	if s.atLevel(classes, high, usual) <= rate {
+	if s.atLevel(high) <= rate {
 		low = high
 	}
 	for range levelSteps {
-		level := (low + high) / 2
-		if s.atLevel(classes, level, usual) <= rate {
+		if level := (low + high) / 2; s.atLevel(level) <= rate {
 			low = level
 		} else {
 			high = level
 		}
 	}
-	sum := 0.0
-	for _, c := range classes {
-		got := s.share(c, low, usual)
+	for i, c := range classes {
+		got := s.entries[i].share(low)
 		s.granted[classOfDemand(c)] = got
 		if c.Asked > 0 {
 			s.fractions[classOfDemand(c)] = got / c.Asked
 		}
-		sum += got
 	}
-	return sum
+	return s.atLevel(low)
 }
 
-func (s *Shares) atLevel(classes []vetchtrail.ClassDemand, level, usual float64) float64 {
+// atLevel returns what all entries get at a level.
+func (s *Shares) atLevel(level float64) float64 {
 	sum := 0.0
-	for _, c := range classes {
-		sum += s.share(c, level, usual)
+	for i := range s.entries {
+		sum += s.entries[i].share(level)
 	}
 	return sum
 }
 
-// share returns what a class gets if a workspace of weight 1 gets level for all its requests of
-// the priority.
-func (s *Shares) share(c vetchtrail.ClassDemand, level, usual float64) float64 {
-	return min(c.Asked, max(0, level*weight(c, usual)-s.returnsOf(c)))
-}
-
 // returnsOf returns what the workspace of a class of first attempts gets for its returns.
 func (s *Shares) returnsOf(c vetchtrail.ClassDemand) float64 {
 	if c.Return {
