Demand of services, exchanged in heartbeats and digests, against the supply

The endpoint table keeps an endpoint's cold start rate over all hosts beside this host's share of it.

Other regions get the supply without the classes, which they have no use for.

--- a/process/daemon/hosted.go
+++ b/process/daemon/hosted.go
@@ -169,7 +169,7 @@
 		if now.Before(e.ColdUntil) {
 			last.coldStarting = append(last.coldStarting, e)
 		}
-		placed = append(placed, load.EndpointInRegion{Endpoint: *e, RegionID: localRegion.ID})
+		placed = append(placed, load.EndpointInRegion{Endpoint: *e, RegionID: localRegion.ID, TotalColdRate: e.ColdRate})
 		placed[len(placed)-1].ColdRate = d.coldStartShare(e, now)
 	}
 	d.table.Configure(placed)
--- a/process/load/load.go
+++ b/process/load/load.go
@@ -7,6 +7,7 @@
 package load
 
 import (
+	"cmp"
 	"math"
 	"sync"
 	"time"
@@ -112,6 +113,7 @@
 	pendingPrompts       map[string]pendingPrompt // of this host's requests without a first byte, by request ID
 	sessionUses          sessionUses
 	coldStart            coldStartLimiter
+	totalColdRate        float64 // requests per second that it accepts from all hosts together during its cold start
 	eventInterval        eventInterval
 	startedStreams       map[string]bool // this host's streams with a first byte, by request ID
 	lastSeen             time.Time       // when the first byte of a response or an event of a stream last arrived
@@ -171,6 +173,9 @@
 type EndpointInRegion struct {
 	vetchtrail.Endpoint
 	RegionID vetchtrail.RegionID
+	// TotalColdRate is the rate that the endpoint accepts from all hosts together during its cold start, if ColdRate
+	// is only this host's share; 0: ColdRate is that of all hosts.
+	TotalColdRate float64
 }
 
 // Configure replaces the table's endpoints. An endpoint that stays keeps its state if it has the same address,
@@ -196,7 +201,7 @@
 			t.logLeaving(keyOf(NameHash(e.Name), e.Born), &s.availability.announcements)
 		}
 		s.coldStart.configure(e.ColdUntil, e.ColdRate)
-		s.Endpoint, s.region = e.Endpoint, e.RegionID
+		s.Endpoint, s.region, s.totalColdRate = e.Endpoint, e.RegionID, cmp.Or(e.TotalColdRate, e.ColdRate)
 		t.endpoints[e.Name] = s
 		t.byNameHash[NameHash(e.Name)] = s
 		t.services[e.Service] = append(t.services[e.Service], s)
@@ -278,6 +283,7 @@
 		svc.recordStreamRequest(r, now)
 		v.IdlePrefill, v.CachedShare, v.PredictionRatio = svc.promptStats.idleTokenTime, svc.promptStats.cachedShare.value, svc.predictionRatio.median
 		v.ExpectedEvents, v.UrgentInterval = svc.expectedEvents(r.Route), svc.urgentEventInterval(r, now)
+		v.MoreUrgent = svc.moreUrgentRequested(r.Priority, now)
 		svc.othersQueued = meanOthersQueued(states, now)
 	}
 	session, sticky := r.Session()
--- a/process/membership/digest.go
+++ b/process/membership/digest.go
@@ -90,6 +90,7 @@
 // without its members first, and with them if the other host then requests them.
 func (m *Membership) exchangeDigests(ctx context.Context, p Peers, t digestTarget, local *schema.Digest) error {
 	sent := time.Now()
+	local = m.digestFor(m.regionOf(t.dataCentre), local)
 	out := &schema.Digests{
 		From: m.cfg.Self.Name, Digest: withoutMembers(local), HaveMembers: m.heldMembersHash(t.dataCentre),
 		Leaves: m.leavingForRegion(m.regionOf(t.dataCentre), sent),
@@ -219,19 +220,55 @@
 	}
 	d.MembersHash = hashMembers(d.GetMembers())
 	for _, s := range sums {
-		d.Services = append(d.Services, &schema.ServiceDigest{
+		summary := &schema.ServiceDigest{
 			Service: s.Service, Free: uint32(s.Free), Slots: uint32(s.Slots), WaitMillis: millis(s.Wait),
 			GapMillis: millis(s.EventInterval),
-		})
+		}
+		if m.cfg.Demands != nil {
+			summary.Supply, summary.Demands = m.cfg.Demands.DigestDemand(s.Service, now)
+		}
+		d.Services = append(d.Services, summary)
 	}
 	return d
 }
 
+// withoutDemands returns a copy of a digest for a data centre of another region, which has no
+// use for the demand by class.
+func withoutDemands(d *schema.Digest) *schema.Digest {
+	out := withoutMembers(d)
+	out.Members, out.Services = d.GetMembers(), nil
+	for _, s := range d.GetServices() {
+		out.Services = append(out.Services, &schema.ServiceDigest{
+			Service: s.GetService(), Free: s.GetFree(), Slots: s.GetSlots(), WaitMillis: s.GetWaitMillis(), GapMillis: s.GetGapMillis(), Supply: s.GetSupply(),
+		})
+	}
+	return out
+}
+
+// digestFor returns the digest of this data centre to send to one of a region; empty: not known.
+func (m *Membership) digestFor(region string, local *schema.Digest) *schema.Digest {
+	if m.cfg.Demands == nil || region == m.cfg.Self.Region {
+		return local
+	}
+	return withoutDemands(local)
+}
+
+// recordDemands passes on the demand in the digest of another data centre of this region, if
+// hosts call the endpoints of their whole region and so share them. The caller holds the lock.
+func (m *Membership) recordDemands(d *schema.Digest, at time.Time) {
+	if m.cfg.Demands == nil || !m.cfg.CallsWholeRegion || d.GetRegion() != m.self.Region {
+		return
+	}
+	for _, s := range d.GetServices() {
+		m.cfg.Demands.RecordDigest(d.GetDataCentre(), s, at)
+	}
+}
+
 // HandleDigests handles the digest that a host of a remote data centre sent, and returns
 // the digest of this data centre, without members if the sender already holds them.
 func (m *Membership) HandleDigests(in *schema.Digests) *schema.Digests {
 	now := time.Now()
-	local := m.localDigest(now)
+	local := m.digestFor(in.GetDigest().GetRegion(), m.localDigest(now))
 	if in.GetHaveMembers() == local.GetMembersHash() {
 		local = withoutMembers(local)
 	}
@@ -279,6 +316,7 @@
 		d.Members = r.digest.GetMembers() // members seldom change from one digest to the next
 	}
 	r.digest, r.digestTime, r.relayCount = d, digestTime, 0
+	m.recordDemands(d, digestTime)
 	r.setComplete(hashMembers(d.GetMembers()) == d.GetMembersHash(), now)
 	return r.complete
 }
--- a/process/membership/heartbeat.go
+++ b/process/membership/heartbeat.go
@@ -85,6 +85,7 @@
 			live = append(live, b)
 		}
 	}
+	m.liveHosts.Store(int64(1 + len(live)))
 	out := m.drawGossipPeers(live)
 	probes = append(probes, m.unknownSeeds()...)
 	probes = append(probes, m.pendingIntroduced()...)
@@ -159,6 +160,9 @@
 	h.Rates = m.rateLimitsFor(to, now)
 	h.Leaves = m.leavingFor(&to.sentState, now)
 	h.Digests = m.relaysFor(to, now)
+	if m.cfg.Demands != nil {
+		h.Demands = m.cfg.Demands.HeartbeatDemands(now)
+	}
 	return h
 }
 
@@ -337,6 +341,9 @@
 		}
 	}
 	m.recordLeaving(h.GetFrom(), h.GetLeaves())
+	if m.cfg.Demands != nil && len(h.GetDemands()) > 0 {
+		m.cfg.Demands.RecordHeartbeat(h.GetFrom(), h.GetDemands(), now)
+	}
 }
 
 // loadReportOf decodes a load report that was received at the time now.
--- a/process/membership/membership.go
+++ b/process/membership/membership.go
@@ -22,6 +22,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -63,9 +64,11 @@
 	// LeavingEndpoints receives the leaving endpoints that other hosts report; nil ignores
 	// them.
 	LeavingEndpoints LeavingEndpoints
-	Revision         func() uint64 // returns the revision of the newest configuration that this host holds
-	Log              *slog.Logger
-	RandomSeed       uint64 // for the random choices of hosts
+	// Demands holds the demand for services, which hosts exchange; nil exchanges none.
+	Demands    Demands
+	Revision   func() uint64 // returns the revision of the newest configuration that this host holds
+	Log        *slog.Logger
+	RandomSeed uint64 // for the random choices of hosts
 	// CallsWholeRegion is set if hosts call the endpoints of their whole region
 	// directly, so that no request is forwarded within the region.
 	CallsWholeRegion bool
@@ -81,6 +84,20 @@
 	RecordFromPeer(from string, m *schema.EndpointLeaves)
 }
 
+// Demands is the demand for services, as hosts exchange it. Its methods are called while
+// Membership is locked, and must not call it, except for LiveHosts.
+type Demands interface {
+	// HeartbeatDemands returns this host's own demand.
+	HeartbeatDemands(now time.Time) []*schema.ServiceDemand
+	// RecordHeartbeat receives the demand of another host of this data centre.
+	RecordHeartbeat(from string, demands []*schema.ServiceDemand, now time.Time)
+	// DigestDemand returns the demand for a service in this data centre, and the supply; 0: not
+	// known.
+	DigestDemand(service string, now time.Time) (supply uint32, demands []*schema.ClassDemand)
+	// RecordDigest receives the demand of another data centre of this region.
+	RecordDigest(dataCentre string, s *schema.ServiceDigest, at time.Time)
+}
+
 // Membership is one host's view of the other hosts. It is safe for concurrent
 // use; mu guards all fields but cfg.
 type Membership struct {
@@ -103,6 +120,8 @@
 	// sent and whose hosts are not known yet.
 	introduced map[netip.AddrPort]bool
 	avoidUntil map[string]time.Time // when forwards to a remote host resume, by its name
+
+	liveHosts atomic.Int64 // see LiveHosts; not guarded by mu
 }
 
 // member is another host of this data centre.
@@ -163,9 +182,14 @@
 		introduced:     map[netip.AddrPort]bool{},
 		seeds:          c.Seeds,
 	}
+	m.liveHosts.Store(1)
 	return m
 }
 
+// LiveHosts returns the number of live hosts of this data centre at this host's last heartbeat,
+// with this one. It takes no lock.
+func (m *Membership) LiveHosts() int { return int(m.liveHosts.Load()) }
+
 // Self returns this host as it reports itself to others.
 func (m *Membership) Self() vetchtrail.Host {
 	m.mu.Lock()
--- a/request/admission/admission_test.go
+++ b/request/admission/admission_test.go
@@ -146,7 +146,7 @@
 	for i := range 100 {
 		m.Count(Class{Workspace: strconv.Itoa(i)}, float64(10+i), i%2 == 0, now)
 	}
-	classes := Fold(m.Append(nil, now.Add(Window-1)))
+	classes := Fold(m.Append(nil, now.Add(Window-1)), MaxClasses)
 	assert.Assert(t, len(classes) <= MaxClasses)
 	asked, workspaces := 0.0, 0.0
 	for _, c := range classes {
--- a/request/admission/meter.go
+++ b/request/admission/meter.go
@@ -93,16 +93,15 @@
 }
 
 // Fold sums up the smallest classes of each priority under one without a workspace, so that at
-// most MaxClasses remain where the priorities are few. Weight becomes the number of workspaces
-// that are summed up.
-func Fold(classes []vetchtrail.ClassDemand) []vetchtrail.ClassDemand {
-	if len(classes) <= MaxClasses {
+// most limit remain. Weight becomes the number of workspaces that are summed up.
+func Fold(classes []vetchtrail.ClassDemand, limit int) []vetchtrail.ClassDemand {
+	if len(classes) <= limit {
 		return classes
 	}
 	slices.SortFunc(classes, func(a, b vetchtrail.ClassDemand) int { return cmp.Compare(b.Asked, a.Asked) })
 	out := classes[:0]
 	for i, c := range classes {
-		if i < MaxClasses/2 {
+		if i < limit/2 {
 			out = append(out, c)
 			continue
 		}
@@ -110,7 +109,7 @@
 		c.Workspace, c.Weight = "", 0
 		at := slices.IndexFunc(out, func(o vetchtrail.ClassDemand) bool { return classOfDemand(o) == classOfDemand(c) })
 		if at < 0 {
-			if len(out) == MaxClasses {
+			if len(out) == limit {
 				continue
 			}
 			c.Weight = workspaces
