Requests are admitted by their shares before an endpoint is chosen

dispatch asks for admission once, of each stream of a route with prompt tokens that its caller sent to this host, after the key, the quarantine and the quota: what may not run is no demand. What is not admitted is refused with over-capacity, the candidate reason admission and the time for a retry as before. Where admission is in force, the policy leaves no margin for more urgent streams, and refuses a stream of the highest priority only if it can't end before its deadline.

In force by admission.enforce (auto): where platform.contracts has pressure, or an endpoint reports a slowdown, which none does yet. Mechanism admission.

--- a/cmd/vetchtraild/serve.go
+++ b/cmd/vetchtraild/serve.go
@@ -91,6 +91,7 @@
 		Registry:   platform.NewRegistry(s.Platform.Store, log),
 		Quarantine: platform.NewQuarantineStore(s.Platform.Store, log),
 		Dialect:    platform.Dialect{},
+		Admission:  platform.CallsForAdmission(s.Platform.Contracts),
 		Directory: func(m *membership.Membership, bestRegions func(string) ([]string, bool)) daemon.Directory {
 			return platform.NewDirectory(m, bestRegions, log)
 		},
--- a/decision.go
+++ b/decision.go
@@ -28,8 +28,9 @@
 type Candidate struct {
 	Name string
 	// Cost is in weighted seconds. With ReasonSlow it is the interval between events, and with
-	// ReasonFull the predicted wait of an endpoint, both in seconds; for other candidates that
-	// can't be used it is 0.
+	// ReasonFull the predicted wait of an endpoint, both in seconds; with ReasonAdmission it is
+	// the admitted fraction of the request's class. For other candidates that can't be used it
+	// is 0.
 	Cost   float64
 	Reason Reason
 }
@@ -91,10 +92,12 @@
 	UrgentInterval float64
 	// PredictionRatio is the observed ratio of the actual to the predicted time to the first
 	// event of a stream; 0: not known.
-	PredictionRatio float64
-	QueueWait       float64 // estimated seconds that a request waits in this host's queue
-	RefusedHere     bool    // an endpoint in Endpoints refused the request because of its load
-	WaitExhausted   bool    // the request may not wait for capacity any longer
+	PredictionRatio  float64
+	AdmissionInForce bool    // more urgent requests are preferred by Admission, where they arrive
+	MoreUrgent       bool    // streams of a higher priority than the request's are currently requested
+	QueueWait        float64 // estimated seconds that a request waits in this host's queue
+	RefusedHere      bool    // an endpoint in Endpoints refused the request because of its load
+	WaitExhausted    bool    // the request may not wait for capacity any longer
 }
 
 // EndpointView is a host's data about one endpoint.
--- a/process/daemon/daemon.go
+++ b/process/daemon/daemon.go
@@ -26,6 +26,7 @@
 	"vetchtrail/connection/store"
 	"vetchtrail/process/availability"
 	"vetchtrail/process/clock"
+	"vetchtrail/process/demand"
 	"vetchtrail/process/journal"
 	"vetchtrail/process/lists"
 	"vetchtrail/process/load"
@@ -83,6 +84,7 @@
 	Registry   vetchtrail.HostRegistry    // registers this host with the platform
 	Quarantine vetchtrail.QuarantineStore // persists quarantine entries on the platform
 	Dialect    vetchtrail.Dialect         // translates the platform's request and response headers
+	Admission  bool                       // the platform's contracts call for admission by shares of the supply
 	// Directory returns the directory server. bestRegions returns the regions that may process
 	// the most requests to a host name that callers use; known is false while the host has no
 	// configuration.
@@ -108,6 +110,7 @@
 	dispatcher        *dispatch.Dispatcher
 	quotas            *quotas.Quotas
 	rateLimits        *ratelimits.RateLimits
+	demand            *demand.Table          // demand for services and admission
 	availability      *availability.Observer // availability that endpoints announce: leaving, paused
 	quarantines       *quarantines.Quarantines
 	quarantineKVStore *quarantines.KVStore // persists quarantine entries unless the platform is hosted
@@ -147,7 +150,7 @@
 	d.quarantineKVStore = &quarantines.KVStore{KV: storeClient, Log: d.log}
 	d.membership = membership.New(membership.Config{
 		Self: d.self, Seeds: d.cfg.Seeds, Load: d.table, Revision: d.appliedRevision.Load, Log: d.log, RandomSeed: d.randomSeed(),
-		CallsWholeRegion: d.hosted != nil, RateLimits: rateReceiver{d}, LeavingEndpoints: leavingReceiver{d},
+		CallsWholeRegion: d.hosted != nil, RateLimits: rateReceiver{d}, LeavingEndpoints: leavingReceiver{d}, Demands: demandExchange{d},
 	})
 	d.journal = journal.New(journal.Config{Log: d.log})
 	if err := d.newTLS(); err != nil {
@@ -195,6 +198,7 @@
 	})
 	switchedOff := vetchtrail.MechanismsOf(d.cfg.SwitchedOff...)
 	d.newRateLimits(switchedOff)
+	d.newDemand(switchedOff)
 	d.availability = availability.New(availability.Config{Observer: d.rateLimits, Table: d.table, Log: d.log})
 	d.endpoints = endpoint.New(endpoint.Config{
 		Dialect: dialect, Observer: d.availability,
@@ -206,7 +210,7 @@
 	d.dispatcher = dispatch.New(dispatch.Config{
 		Self: d.self, Policy: p, Rules: d.changes.Rules, Endpoints: d.table, Membership: d.membership,
 		EndpointCaller: d.endpoints, Peers: d.peers, IssuedKeys: idempotencyKeys, Journal: d.journal, Seed: d.randomSeed(),
-		RetryBudget: d.budget(d.cfg.Retries), Quotas: d.quotas, Quarantine: d.quarantines, RateLimits: d.rateLimits, SwitchedOff: switchedOff,
+		RetryBudget: d.budget(d.cfg.Retries), Quotas: d.quotas, Quarantine: d.quarantines, RateLimits: d.rateLimits, Admission: d.demand, SwitchedOff: switchedOff,
 	})
 	d.callers = caller.New(caller.Config{
 		Runner: d.dispatcher, Rules: d.changes.Rules, Membership: d.membership, IssuedKeys: idempotencyKeys,
@@ -226,6 +230,7 @@
 	for name, unchanged := range map[string]bool{
 		"host": s.Host == d.cfg.Host, "region": s.Region == d.cfg.Region, "data_centre": s.DataCentre == d.cfg.DataCentre,
 		"listen": s.Listen == d.cfg.Listen, "policy": s.Policy == d.cfg.Policy,
+		"admission": s.Admission == d.cfg.Admission, "platform.contracts": slices.Equal(s.Platform.Contracts, d.cfg.Platform.Contracts),
 		"switched_off": slices.Equal(s.SwitchedOff, d.cfg.SwitchedOff), "tls": s.TLS == d.cfg.TLS,
 		"platform.weights": s.Platform.Weights == d.cfg.Platform.Weights,
 		"platform.store":   s.Platform.Store == d.cfg.Platform.Store, "explain": s.Explain == d.cfg.Explain,
--- /dev/null
+++ b/process/daemon/demand.go
@@ -0,0 +1,44 @@
+package daemon
+
+import (
+	"time"
+
+	"vetchtrail"
+	"vetchtrail/process/demand"
+	"vetchtrail/schema"
+)
+
+// newDemand creates the host's part in the admission of requests by demand and supply.
+func (d *Daemon) newDemand(switchedOff vetchtrail.Mechanisms) {
+	d.demand = demand.New(demand.Config{
+		Supplies: d.table, LiveHosts: d.membership.LiveHosts,
+		Quota:    func(workspace string) vetchtrail.Quota { return d.changes.Rules().Quota(workspace) },
+		Enforce:  d.cfg.Admission.Enforce,
+		Pressure: d.hosted != nil && d.hosted.Admission, SwitchedOff: switchedOff.Has(vetchtrail.MechanismAdmission),
+		Seed: d.randomSeed(), Log: d.log,
+	})
+}
+
+// demandExchange passes the demand for services to and from the messages of membership, which is
+// created before the demand table.
+type demandExchange struct{ d *Daemon }
+
+// HeartbeatDemands implements membership.Demands.
+func (x demandExchange) HeartbeatDemands(now time.Time) []*schema.ServiceDemand {
+	return x.d.demand.HeartbeatDemands(now)
+}
+
+// RecordHeartbeat implements membership.Demands.
+func (x demandExchange) RecordHeartbeat(from string, demands []*schema.ServiceDemand, now time.Time) {
+	x.d.demand.RecordHeartbeat(from, demands, now)
+}
+
+// DigestDemand implements membership.Demands.
+func (x demandExchange) DigestDemand(service string, now time.Time) (uint32, []*schema.ClassDemand) {
+	return x.d.demand.DigestDemand(service, now)
+}
+
+// RecordDigest implements membership.Demands.
+func (x demandExchange) RecordDigest(dataCentre string, s *schema.ServiceDigest, at time.Time) {
+	x.d.demand.RecordDigest(dataCentre, s, at)
+}
--- a/process/load/stream_stats.go
+++ b/process/load/stream_stats.go
@@ -79,3 +79,13 @@
 	}
 	return least
 }
+
+// moreUrgentRequested reports whether streams of a higher priority are currently requested.
+func (svc *serviceStats) moreUrgentRequested(priority int8, now time.Time) bool {
+	for _, st := range svc.streamsByRoute {
+		if st.priority > priority && now.Sub(st.lastRequested) <= streamStatsExpiry {
+			return true
+		}
+	}
+	return false
+}
--- a/process/settings/settings.go
+++ b/process/settings/settings.go
@@ -17,6 +17,7 @@
 
 	"vetchtrail"
 	"vetchtrail/connection/peer"
+	"vetchtrail/process/demand"
 	"vetchtrail/process/quotas"
 	"vetchtrail/request/policy"
 	"vetchtrail/version/document"
@@ -41,6 +42,7 @@
 	TLS         TLS                    `yaml:"tls"`
 	Retries     Retries                `yaml:"retries"`
 	Quotas      Quotas                 `yaml:"quotas"`
+	Admission   Admission              `yaml:"admission"`
 }
 
 // Listen holds the addresses that the daemon listens on. Callers and Peers are required.
@@ -69,6 +71,8 @@
 	// KnownWithin is the time within which a leaving endpoint or a new configuration must be
 	// known to all hosts of a hosted platform.
 	KnownWithin time.Duration `yaml:"known_within"`
+	// Contracts are the names of the hosted platform's contracts that the deployment is under.
+	Contracts []string `yaml:"contracts"`
 }
 
 // Weights holds the weights of services by their kind.
@@ -102,6 +106,12 @@
 	Slack    float64       `yaml:"slack"` // units
 }
 
+// Admission sets where requests are admitted by shares of the supply while a service is short of
+// capacity.
+type Admission struct {
+	Enforce demand.Enforcement `yaml:"enforce"` // always, never or auto
+}
+
 // Translation maps the addresses of a network to those under which this host reaches it.
 type Translation struct {
 	From netip.Prefix `yaml:"from"`
@@ -191,7 +201,8 @@
 		// A tenth of the requests, and a few retries more for a service with little traffic.
 		Retries: Retries{Window: 10 * time.Second, Share: 0.1, Base: 5},
 		// Without overage and slack, the hosts together may not exceed a quota.
-		Quotas: Quotas{Strategy: quotas.StrategyLeased, Window: 10 * time.Second},
+		Quotas:    Quotas{Strategy: quotas.StrategyLeased, Window: 10 * time.Second},
+		Admission: Admission{Enforce: demand.EnforceAuto},
 		Platform: Platform{Kind: PlatformOwn, KnownWithin: defaultKnownWithin, Weights: Weights{
 			Model: document.Weights{Tail: tailWeight, Away: awayWeight, Cost: costWeight, Read: readWeight},
 			Plain: document.Weights{Tail: tailWeight, Away: awayWeight},
@@ -259,6 +270,7 @@
 		{s.Retries.Window < time.Second, "retries.window", "must be 1s or more"},
 		{s.Retries.Share < 0 || s.Retries.Base < 0, "retries", "must not be below 0"},
 		{!slices.Contains(quotas.Strategies, s.Quotas.Strategy), "quotas.way", "is not one of " + strings.Join(quotas.Strategies, ", ")},
+		{!slices.Contains(demand.Enforcements, s.Admission.Enforce), "admission.enforce", "is not one of always, never, auto"},
 		{s.Quotas.Window < time.Second, "quotas.window", "must be 1s or more"},
 		{!(s.Quotas.Overage >= 0) || !(s.Quotas.Slack >= 0), "quotas", "must not be below 0"},
 		{s.TLS.On() && s.TLS.PrivateNetwork, "tls.private_network", "can't be combined with certificate, key and authority"},
--- a/process/settings/settings_test.go
+++ b/process/settings/settings_test.go
@@ -54,6 +54,8 @@
 		"all weights 0":           {"platform:", "platform:\n  weights: {plain: {tail: 0, away: 0}}", "platform.weights.plain must be"},
 		"unknown weight":          {"platform:", "platform:\n  weights: {model: {tall: 1}}", `unknown field "tall"`},
 		"known_within too short":  {"platform:", "platform:\n  known_within: 10ms", "platform.known_within must be from 1s to 1m0s"},
+		"admission and contracts": {"platform:", "admission: {enforce: always}\nplatform:\n  contracts: [pressure, other]", ""},
+		"unknown enforcement":     {"timing:", "admission: {enforce: sometimes}\ntiming:", "admission.enforce is not one of always, never, auto"},
 		"not YAML":                {"host: a", "host: [", "[1:"},
 		"wrong kind of value":     {"poll: 1s", "poll: [1]", "15"},
 	}
--- a/request/dispatch/dispatch.go
+++ b/request/dispatch/dispatch.go
@@ -65,6 +65,7 @@
 	Quotas         vetchtrail.QuotaLimiter   // nil: workspaces have no quotas
 	Quarantine     vetchtrail.Quarantine     // nil: no request is quarantined
 	RateLimits     vetchtrail.RateLimiter    // nil: advertised rate limits are not enforced
+	Admission      vetchtrail.Admission      // nil: every request is admitted
 	SwitchedOff    vetchtrail.Mechanisms     // mechanisms that are switched off
 }
 
@@ -248,6 +249,9 @@
 		if o, ok := use.take(ctx, n); !ok {
 			return d.replayFailure(history.overallOutcome(o), w)
 		}
+		if o, ok := d.admit(r, n); !ok {
+			return o
+		}
 		p, o, ok := d.findPlacement(ctx, r, history, n)
 		if !ok {
 			return d.replayFailure(history.overallOutcome(o), w)
--- a/request/dispatch/placement.go
+++ b/request/dispatch/placement.go
@@ -45,6 +45,7 @@
 	s, _ := newest.Service(r.Service)
 	ownRegion, _ := newest.Region(d.cfg.Self.Region)
 	v.Region, v.Weights = ownRegion.ID, s.Weights
+	v.AdmissionInForce, v.MoreUrgent = d.admissionInForce(r, now), false
 	v.ExpectedEvents, v.UrgentInterval, v.IdlePrefill, v.CachedShare, v.PredictionRatio = 0, 0, 0, 0, 0
 	v.Endpoints, v.Remotes, v.Excluded = v.Endpoints[:0], v.Remotes[:0], history.excluded
 	v.RefusedHere, v.WaitExhausted = history.refusedHere, history.waitExhausted
--- a/request/policy/admission.go
+++ b/request/policy/admission.go
@@ -29,28 +29,37 @@
 // its request has left. The stream is expected to send its first event after firstEvent
 // seconds and the others at the given interval in seconds. Admitting a stream slows the
 // streams that already run at the endpoint. So a stream is also too slow if the interval
-// leaves too little margin for more urgent streams (lessUrgentShare).
+// leaves too little margin for more urgent streams (lessUrgentShare). Where admission is in
+// force, it leaves that margin, and the most urgent streams are only too slow if they can't end
+// before their deadline.
 func streamTooSlow(ev *evaluation, interval, firstEvent float64, r *vetchtrail.Request, v *vetchtrail.View) bool {
 	if r.Route == "" || v.ExpectedEvents == 0 || ev.switchedOff.Has(vetchtrail.MechanismStreamPace) {
 		return false
 	}
-	if v.UrgentInterval > 0 && !ev.switchedOff.Has(vetchtrail.MechanismUrgentFirst) && interval > lessUrgentShare*maxStreamShare*v.UrgentInterval {
+	if v.UrgentInterval > 0 && !v.AdmissionInForce && !ev.switchedOff.Has(vetchtrail.MechanismUrgentFirst) && interval > lessUrgentShare*maxStreamShare*v.UrgentInterval {
 		return true
 	}
 	share := maxStreamShare
 	if !r.CallerCanRetry {
 		share = maxStreamShareOnRetry
 	}
+	if admittedMostUrgent(v) {
+		share = 1
+	}
 	return firstEvent+interval*v.ExpectedEvents > share*r.Deadline.Sub(ev.now).Seconds()
 }
 
 // missesGoal reports whether the first attempt of a stream should be refused because it
 // would probably miss its latency objective. After the refusal, the streams that would have
 // been queued behind it can begin in time, and its caller can retry when the peak may be over.
-func missesGoal(ev *evaluation, wait time.Duration, r *vetchtrail.Request) bool {
-	return !ev.switchedOff.Has(vetchtrail.MechanismShedding) && r.CallerCanRetry && r.Stream && !r.Goal.IsZero() && float64(wait) > maxGoalRatio*float64(r.Goal.Sub(ev.now))
+func missesGoal(ev *evaluation, wait time.Duration, r *vetchtrail.Request, v *vetchtrail.View) bool {
+	return !admittedMostUrgent(v) && !ev.switchedOff.Has(vetchtrail.MechanismShedding) && r.CallerCanRetry && r.Stream && !r.Goal.IsZero() && float64(wait) > maxGoalRatio*float64(r.Goal.Sub(ev.now))
 }
 
+// admittedMostUrgent reports whether a request is one of the most urgent that callers currently
+// ask for, and admission is in force. To refuse it would leave capacity to less urgent ones.
+func admittedMostUrgent(v *vetchtrail.View) bool { return v.AdmissionInForce && !v.MoreUrgent }
+
 // callerLeavesFirst reports whether the caller would give up before the first event of
 // the stream. The stream would then process its prompt, occupy a slot and slow the other
 // streams for nothing.
--- a/request/policy/mechanisms_test.go
+++ b/request/policy/mechanisms_test.go
@@ -54,3 +54,36 @@
 		})
 	}
 }
+
+// TestAdmissionInForce guards against streams that admission let pass and the policy refuses for
+// reasons that admission replaces, and against streams that can't end in time and run.
+func TestAdmissionInForce(t *testing.T) {
+	for name, test := range map[string]struct {
+		inForce, moreUrgent    bool
+		interval, events, late float64 // seconds between events; their number; seconds until the first
+		urgent                 float64 // View.UrgentInterval
+		want                   vetchtrail.DecisionKind
+	}{
+		"half of its time":                        {interval: 0.05, events: 100, want: vetchtrail.Refuse},
+		"half of its time, admitted":              {inForce: true, interval: 0.05, events: 100, want: vetchtrail.RunHere},
+		"half of its time, admitted, less urgent": {inForce: true, moreUrgent: true, interval: 0.05, events: 100, want: vetchtrail.Refuse},
+		"more than its time, admitted":            {inForce: true, interval: 0.11, events: 100, want: vetchtrail.Refuse},
+		"misses its objective":                    {late: 3, want: vetchtrail.Refuse},
+		"misses its objective, admitted":          {inForce: true, late: 3, want: vetchtrail.RunHere},
+		"misses it, admitted, less urgent":        {inForce: true, moreUrgent: true, late: 3, want: vetchtrail.Refuse},
+		"margin for more urgent ones":             {moreUrgent: true, interval: 0.1, events: 10, urgent: 0.2, want: vetchtrail.Refuse},
+		"margin for more urgent ones, admitted":   {inForce: true, moreUrgent: true, interval: 0.1, events: 10, urgent: 0.2, want: vetchtrail.RunHere},
+	} {
+		t.Run(name, func(t *testing.T) {
+			v := vetchtrail.View{
+				Region: 1, Weights: vetchtrail.Weights{Tail: 1}, AdmissionInForce: test.inForce, MoreUrgent: test.moreUrgent,
+				ExpectedEvents: test.events, UrgentInterval: test.urgent,
+				Endpoints: []vetchtrail.EndpointView{endpoint("a", func(e *vetchtrail.EndpointView) { e.EventInterval, e.Backlog = test.interval, test.late })},
+			}
+			r := request(func(r *vetchtrail.Request) {
+				r.Route, r.Stream, r.CallerCanRetry, r.Goal, r.Deadline = "r", true, true, now.Add(time.Second), now.Add(10*time.Second)
+			})
+			assert.Equal(t, Weighted{}.Decide(now, r, &v, rand.New(rand.NewPCG(1, 1))).Kind, test.want)
+		})
+	}
+}
--- a/request/policy/refusal.go
+++ b/request/policy/refusal.go
@@ -51,6 +51,11 @@
 	return max(minRetryDelay, time.Duration(retryDelayShare*float64(r.Deadline.Sub(now))))
 }
 
+// RetryAt returns when the caller of a request that finds no capacity should retry.
+func RetryAt(now time.Time, r *vetchtrail.Request) time.Time {
+	return now.Add(min(retryDelay(now, r), maxRetryDelay))
+}
+
 // refuse turns d into a refusal that advertises a retry after the given delay, limited
 // to minRetryDelay and maxRetryDelay.
 func refuse(d *vetchtrail.Decision, reason vetchtrail.Reason, now time.Time, delay time.Duration) vetchtrail.Decision {
