--- a/mechanism.go
+++ b/mechanism.go
@@ -33,13 +33,14 @@
 	MechanismQuarantine                            // quarantine requests that make endpoints crash
 	MechanismRateLimits                            // keep to the rate limits that endpoints advertise
 	MechanismFinalAttempts                         // don't end attempts that no other can replace, nor count those at ended processes
+	MechanismAdmission                             // admit shares of the demand while a service is short of capacity
 )
 
 var mechanismNames = [...]string{
 	"affinity", "prompt-moves", "far-moves", "last-sent", "kept-elsewhere", "prompt-backlog", "pace", "urgent-first",
 	"shedding", "forwarding", "waiting", "last-chance", "retries", "failure-cost", "ejection",
 	"silence", "adaptive-limits", "warm-up", "holding-back", "rate-limits",
-	"final-attempts",
+	"final-attempts", "admission",
 }
 
 // String returns the mechanism's name in the settings.
--- a/request/dispatch/dispatch.go
+++ b/request/dispatch/dispatch.go
@@ -68,6 +68,7 @@
 	// RefusesConnection reports whether an endpoint refuses connections, as one does whose
 	// process has ended; nil: not checked.
 	RefusesConnection func(ctx context.Context, e vetchtrail.Endpoint) bool
+	Admission         vetchtrail.Admission  // nil: every request is admitted
 	SwitchedOff       vetchtrail.Mechanisms // mechanisms that are switched off
 }
 
@@ -251,6 +252,9 @@
 		if o, ok := use.take(ctx, n); !ok {
 			return d.replayFailure(history.overallOutcome(o), w)
 		}
+		if o, ok := d.admit(r, n); !ok {
+			return o
+		}
 		p, o, ok := d.findPlacement(ctx, r, history, n)
 		if !ok {
 			return d.replayFailure(history.overallOutcome(o), w)
