dispatch, policy: planned times for refusals, returns judged as first attempts

Cause: the time of a refusal for lack of capacity is a quarter of the time left, and a return is admitted where a first attempt that misses its objective as surely is refused.

Change: with a ReturnPlanner, the host that received a request of a route from its caller takes the time of such a refusal from the planner, and reports each outcome to it with the CallerCanRetry of the arrival. Refusals for a rate limit, a quota, a pause or a quarantine keep their times. Where View.PlannedReturns is set, missesGoal also judges returns, but no stream that has begun and no request of which an attempt reached an endpoint. The outcome line tells whether the time is a slot (retry_plan, retry_in). The contract of ReturnPlanner says that Ended is called for first attempts too, from which response times are learned, and that the time is zero where nothing is known.

--- a/decision.go
+++ b/decision.go
@@ -95,6 +95,9 @@
 	QueueWait       float64 // estimated seconds that a request waits in this host's queue
 	RefusedHere     bool    // an endpoint in Endpoints refused the request because of its load
 	WaitExhausted   bool    // the request may not wait for capacity any longer
+	// PlannedReturns reports that a ReturnPlanner decides when refused callers retry, and that no
+	// attempt at the request has reached an endpoint yet.
+	PlannedReturns bool
 }
 
 // EndpointView is a host's data about one endpoint.
--- a/demand.go
+++ b/demand.go
@@ -61,8 +61,10 @@
 type ReturnPlanner interface {
 	// Plan returns when the caller of a request that was refused for lack of capacity should
 	// retry. ok is false if it can't be served in its time: the time is then that at which
-	// the shortage probably ends, which is after the request's deadline.
+	// the shortage probably ends, which is after the request's deadline. The time is zero if
+	// the planner can't decide, as nothing is known of the demand.
 	Plan(r *Request, now time.Time) (at time.Time, ok bool)
-	// Ended records the outcome of a request whose caller was probably refused before.
+	// Ended records the outcome of a request that its caller sent to this host. CallerCanRetry
+	// is that of its arrival: without it, the caller was probably refused before.
 	Ended(r *Request, o Outcome, now time.Time)
 }
--- a/outcome.go
+++ b/outcome.go
@@ -30,6 +30,7 @@
 	Peer            string // host or endpoint where it ended
 	Reason          Reason
 	RetryAt         time.Time // when a retry may succeed; zero: no retry is suggested
+	RetryPlan       RetryPlan // with RetryAt: how it was planned
 	Err             error
 	ResponseStarted bool // part of a response was sent to the caller
 	// HostLost reports that the host to which the request was forwarded could not be reached or
@@ -43,6 +44,15 @@
 	ColdStart       time.Duration // remaining cold start that the endpoint stated; 0: none
 }
 
+// RetryPlan is what a ReturnPlanner decided on the retry of a refused request.
+type RetryPlan string
+
+// Plans of a retry. RetryAt was not planned if there is none.
+const (
+	RetryInSlot  RetryPlan = "slot"     // capacity is reserved for it
+	RetryTooLate RetryPlan = "too-late" // the request can't be served before its deadline
+)
+
 // BufferedResponse is a whole response that is held in memory.
 type BufferedResponse struct {
 	Status int
--- a/process/journal/journal.go
+++ b/process/journal/journal.go
@@ -126,9 +126,9 @@
 		return
 	}
 	if r.Ended {
-		j.log.Info(MsgOutcome, "request", r.Request, "service", r.Service, "route", r.Route, "workspace", r.Workspace, "outcome", r.Outcome.Kind.String(),
+		j.log.Info(MsgOutcome, append([]any{"request", r.Request, "service", r.Service, "route", r.Route, "workspace", r.Workspace, "outcome", r.Outcome.Kind.String(),
 			"step", string(r.Outcome.Step), "peer", r.Outcome.Peer, "reason", string(r.Outcome.Reason),
-			"hops", r.Hops, "events", r.Outcome.Events, "took", r.Took, "first", timeToFirst(r), "status", r.Outcome.Status, "begun", r.Outcome.ResponseStarted, "host_lost", r.Outcome.HostLost, "error", errorText(r.Outcome.Err))
+			"hops", r.Hops, "events", r.Outcome.Events, "took", r.Took, "first", timeToFirst(r), "status", r.Outcome.Status, "begun", r.Outcome.ResponseStarted, "host_lost", r.Outcome.HostLost, "error", errorText(r.Outcome.Err)}, plannedRetry(r)...)...)
 		return
 	}
 	j.log.Info(MsgDecision, "request", r.Request, "service", r.Service, "route", r.Route, "prompt", r.PromptTokens, "workspace", r.Workspace, "home", r.Home,
@@ -141,6 +141,15 @@
 		"charge", r.Cost, "quota_here", r.Quota.HostLeft, "quota_region", r.Quota.RegionLeft, "quota_age", r.Quota.ReportAge)
 }
 
+// plannedRetry returns the log fields of the outcome's planned retry: how it was planned, and the
+// time until then from the end of the request. It returns none if the retry was not planned.
+func plannedRetry(r *vetchtrail.JournalRecord) []any {
+	if r.Outcome.RetryPlan == "" {
+		return nil
+	}
+	return []any{"retry_plan", string(r.Outcome.RetryPlan), "retry_in", r.Outcome.RetryAt.Sub(r.At.Add(r.Took))}
+}
+
 // errorText returns the text of an error; empty for nil.
 func errorText(err error) string {
 	if err == nil {
--- a/request/dispatch/dispatch.go
+++ b/request/dispatch/dispatch.go
@@ -66,6 +66,10 @@
 	Quarantine     vetchtrail.Quarantine     // nil: no request is quarantined
 	RateLimits     vetchtrail.RateLimiter    // nil: advertised rate limits are not enforced
 	SwitchedOff    vetchtrail.Mechanisms     // mechanisms that are switched off
+	Returns        vetchtrail.ReturnPlanner  // nil: the policy chooses the times of retries
+	// ReturnsInForce returns whether returns to a service are planned; nil: for all services.
+	// It is only used with Returns.
+	ReturnsInForce func(service string, now time.Time) bool
 }
 
 // Dispatcher runs requests. It is safe for concurrent use.
@@ -98,8 +102,8 @@
 func (d *Dispatcher) Run(ctx context.Context, r *vetchtrail.Request, w vetchtrail.ResponseWriter) vetchtrail.Outcome {
 	d.inFlight.Add(1)
 	defer d.inFlight.Add(-1)
-	started := time.Now()
-	o := d.run(ctx, r, w)
+	started, callerCanRetry := time.Now(), r.CallerCanRetry
+	o := d.planReturn(r, d.run(ctx, r, w), callerCanRetry)
 	d.cfg.Journal.Record(vetchtrail.JournalRecord{
 		At: started, Request: r.ID, Service: r.Service, Route: r.Route, Workspace: r.Workspace, Hops: r.Hops,
 		Ended: true, Outcome: o, Took: time.Since(started),
--- a/request/dispatch/placement.go
+++ b/request/dispatch/placement.go
@@ -48,6 +48,7 @@
 	v.ExpectedEvents, v.UrgentInterval, v.IdlePrefill, v.CachedShare, v.PredictionRatio = 0, 0, 0, 0, 0
 	v.Endpoints, v.Remotes, v.Excluded = v.Endpoints[:0], v.Remotes[:0], history.excluded
 	v.RefusedHere, v.WaitExhausted = history.refusedHere, history.waitExhausted
+	v.PlannedReturns = history.reached == 0 && d.plansReturns(r, now)
 	v.QueueWait = d.waitQueue(r.Service).EstimatedWait().Seconds()
 	d.cfg.Endpoints.Fill(v, r, now)
 	v.ExpectedEvents = expectedEvents(r, s.EventTokens, v.ExpectedEvents)
--- a/request/policy/admission.go
+++ b/request/policy/admission.go
@@ -47,8 +47,11 @@
 // missesGoal reports whether the first attempt of a stream should be refused because it
 // would probably miss its latency objective. After the refusal, the streams that would have
 // been queued behind it can begin in time, and its caller can retry when the peak may be over.
-func missesGoal(ev *evaluation, wait time.Duration, r *vetchtrail.Request) bool {
-	return !ev.switchedOff.Has(vetchtrail.MechanismShedding) && r.CallerCanRetry && r.Stream && !r.Goal.IsZero() && float64(wait) > maxGoalRatio*float64(r.Goal.Sub(ev.now))
+// Where returns are planned, capacity is reserved for them, so a return that would miss its
+// objective is refused too: it would only delay the others.
+func missesGoal(ev *evaluation, wait time.Duration, r *vetchtrail.Request, v *vetchtrail.View) bool {
+	judged := r.CallerCanRetry || (v.PlannedReturns && !r.ResponseStarted)
+	return !ev.switchedOff.Has(vetchtrail.MechanismShedding) && judged && r.Stream && !r.Goal.IsZero() && float64(wait) > maxGoalRatio*float64(r.Goal.Sub(ev.now))
 }
 
 // callerLeavesFirst reports whether the caller would give up before the first event of
--- a/request/policy/policy_test.go
+++ b/request/policy/policy_test.go
@@ -69,6 +69,7 @@
 		queueWait      float64 // View.QueueWait
 		ratio          float64 // View.PredictionRatio
 		waitExhausted  bool    // View.WaitExhausted
+		plannedReturns bool    // View.PlannedReturns
 		kind           vetchtrail.DecisionKind
 		name           string
 		reason         vetchtrail.Reason
@@ -183,6 +184,19 @@
 			weights: latencyFirst, endpoints: []vetchtrail.EndpointView{endpoint("a", func(e *vetchtrail.EndpointView) { e.Backlog = 3 })},
 			kind: vetchtrail.RunHere, name: "a", reason: vetchtrail.ReasonChosen,
 		},
+		"refuses a planned return that would miss its goal": {
+			request: func(r *vetchtrail.Request) { stream(r); r.CallerCanRetry, r.Goal = false, now.Add(time.Second) },
+			weights: latencyFirst, endpoints: []vetchtrail.EndpointView{endpoint("a", func(e *vetchtrail.EndpointView) { e.Backlog = 3 })}, plannedReturns: true,
+			kind: vetchtrail.Refuse, reason: vetchtrail.ReasonOverCapacity,
+		},
+		"continues a stream of a planned return after its goal": {
+			request: func(r *vetchtrail.Request) {
+				stream(r)
+				r.CallerCanRetry, r.ResponseStarted, r.Goal = false, true, now.Add(time.Second)
+			},
+			weights: latencyFirst, endpoints: []vetchtrail.EndpointView{endpoint("a", func(e *vetchtrail.EndpointView) { e.Backlog = 3 })}, plannedReturns: true,
+			kind: vetchtrail.RunHere, name: "a", reason: vetchtrail.ReasonChosen,
+		},
 		"refuses a retry whose caller would leave first": {
 			request: func(r *vetchtrail.Request) {
 				stream(r)
@@ -292,7 +306,7 @@
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
-			v := &vetchtrail.View{Region: 1, Weights: c.weights, Endpoints: c.endpoints, Remotes: c.remotes, Excluded: c.excluded, ExpectedEvents: c.events, QueueWait: c.queueWait, WaitExhausted: c.waitExhausted, UrgentInterval: c.urgentInterval, PredictionRatio: c.ratio}
+			v := &vetchtrail.View{Region: 1, Weights: c.weights, Endpoints: c.endpoints, Remotes: c.remotes, Excluded: c.excluded, ExpectedEvents: c.events, QueueWait: c.queueWait, WaitExhausted: c.waitExhausted, PlannedReturns: c.plannedReturns, UrgentInterval: c.urgentInterval, PredictionRatio: c.ratio}
 			d := Weighted{}.Decide(now, request(c.request), v, rand.New(rand.NewPCG(1, 1)))
 			assert.Equal(t, d.Kind, c.kind)
 			assert.Equal(t, d.Name, c.name)
--- a/request/policy/remote.go
+++ b/request/policy/remote.go
@@ -99,7 +99,7 @@
 	if ev.now.Add(d.Wait).After(r.Deadline) {
 		return refuse(d, vetchtrail.ReasonDeadline, ev.now, d.Wait)
 	}
-	if missesGoal(ev, d.Wait, r) || callerLeavesFirst(ev, d.Wait, r) {
+	if missesGoal(ev, d.Wait, r, v) || callerLeavesFirst(ev, d.Wait, r) {
 		return refuse(d, vetchtrail.ReasonOverCapacity, ev.now, retryDelay(ev.now, r))
 	}
 	d.Kind, d.Target, d.Name, d.Cost = vetchtrail.RunElsewhere, index, m.DataCentre, cost
--- a/request/policy/weighted.go
+++ b/request/policy/weighted.go
@@ -192,7 +192,7 @@
 	chosen := drawEndpoint(d, ev, r, v, rnd)
 	e := &v.Endpoints[chosen]
 	d.Wait = cappedDuration(timeToFirstToken(e, r, estimateRequests(e, ev.otherRequests)))
-	if missesGoal(ev, expectedWait(d.Wait, v), r) || callerLeavesFirst(ev, d.Wait, r) {
+	if missesGoal(ev, expectedWait(d.Wait, v), r, v) || callerLeavesFirst(ev, d.Wait, r) {
 		return refuse(d, vetchtrail.ReasonOverCapacity, now, retryDelay(now, r))
 	}
 	if now.Add(d.Wait).After(r.Deadline) {
