request/returns: earlier slots for returns in their objective, age of the demand

Cause: returns were planned up to half of the time to the objective. Admission bounds the mean wait by the other half, so a third of the returns of the lower priority still began after their objective. And the age of the demand was not an input of the plan.

Change: a return is planned into the first quarter of the time to its objective. Measurements older than 3 s lower the rates in proportion.

--- a/request/returns/limits.go
+++ b/request/returns/limits.go
@@ -6,9 +6,10 @@
 	// followedShare is the largest delay that callers follow, as a share of the time that they
 	// have left until their deadline.
 	followedShare = 1.0 / 3
-	// firstEventShare is the expected time to the first event of a return, as a share of the
-	// time to its latency objective. Admission keeps the wait for capacity under it.
-	firstEventShare = 0.5
+	// firstEventShare is the time that a return needs to its first event, as a share of the time
+	// to its latency objective. Admission keeps the mean wait for capacity under half of the
+	// objective; a single wait may be half as long again.
+	firstEventShare = 0.75
 	// maxStreamShare is the largest share of its time that a response may be expected to take.
 	// The policy refuses a return whose stream would take more (maxStreamShareOnRetry).
 	maxStreamShare = 0.7
--- a/request/returns/plan_test.go
+++ b/request/returns/plan_test.go
@@ -39,6 +39,7 @@
 		"response takes longer than is left":        {short, full, false, 0},
 		"refused for the second time":               {returned, full, false, 0},
 		"more work than can be processed":           {large, full, false, 0},
+		"measured too long ago":                     {long, &vetchtrail.ServiceDemand{Supply: 100_000, Hosts: 1, Age: time.Hour}, false, 0},
 		"no supply":                                 {long, &vetchtrail.ServiceDemand{Hosts: 1}, false, 0},
 		"lower priority, higher refused":            {low, full, false, 0},
 		"lower priority, higher all admitted":       {low, highOnly, true, 4 * time.Second},
--- a/request/returns/rates.go
+++ b/request/returns/rates.go
@@ -1,6 +1,10 @@
 package returns
 
-import "vetchtrail"
+import (
+	"time"
+
+	"vetchtrail"
+)
 
 const (
 	// reservedShare is the share of the supply that is reserved for returns while first
@@ -11,6 +15,10 @@
 	// objective. A first attempt that they displace could have met its objective. It is the
 	// share that admission leaves to each priority.
 	lateShare = 0.1
+	// trustedAge is the age up to which the measured demand is used as it is. Hosts count
+	// measurements of each other up to this age. With older ones, such as those of a host that
+	// hears from no other, the rates fall in proportion to the age.
+	trustedAge = 3 * time.Second
 )
 
 // Rates are the rates at which a host may plan returns of one priority, in tokens per second.
@@ -35,9 +43,10 @@
 			refusedAbove += max(c.Asked-c.Admitted, 0)
 		}
 	}
+	trust := float64(trustedAge) / float64(max(d.Age, trustedAge))
 	rate := func(share float64) float64 {
 		free := max(d.Supply-asked, share*d.Supply) - refusedAbove
-		return max(min(free, d.Supply-admittedAbove), 0) / float64(max(d.Hosts, 1))
+		return trust * max(min(free, d.Supply-admittedAbove), 0) / float64(max(d.Hosts, 1))
 	}
 	anyReturn := rate(lateShare)
 	return Rates{InObjective: rate(reservedShare) - anyReturn, Any: anyReturn}
