--- a/process/daemon/daemon.go
+++ b/process/daemon/daemon.go
@@ -34,6 +34,7 @@
 	"vetchtrail/process/quarantines"
 	"vetchtrail/process/quotas"
 	"vetchtrail/process/ratelimits"
+	"vetchtrail/process/returns"
 	"vetchtrail/process/settings"
 	"vetchtrail/request/budget"
 	"vetchtrail/request/dispatch"
@@ -72,6 +73,12 @@
 	// Hosted connects the daemon to a hosted platform. If nil, the configuration comes from
 	// the change log in the store and the endpoints from that configuration.
 	Hosted *Hosted
+	// Demand is the demand for services, by which the returns of refused callers are planned. If
+	// nil, none are planned.
+	Demand vetchtrail.DemandTable
+	// ReturnsInForce returns whether returns to a service are planned: where admission is in
+	// force. If nil, they are for all services.
+	ReturnsInForce func(service string, now time.Time) bool
 }
 
 // Hosted holds the adapters to a hosted platform, which persists the configuration and the
@@ -108,6 +115,7 @@
 	dispatcher        *dispatch.Dispatcher
 	quotas            *quotas.Quotas
 	rateLimits        *ratelimits.RateLimits
+	returns           *returns.Returns       // plans when refused callers retry; nil if the demand is not known
 	availability      *availability.Observer // availability that endpoints announce: leaving, paused
 	quarantines       *quarantines.Quarantines
 	quarantineKVStore *quarantines.KVStore // persists quarantine entries unless the platform is hosted
@@ -157,6 +165,7 @@
 		Self: d.self, Seeds: d.cfg.Seeds, KnownWithin: d.cfg.Platform.KnownWithin, LinkMbps: d.cfg.Limits.Link, Hosts: d.membership, Peers: d.peers,
 		Configuration: configuration{d}, OnUpdate: d.onListsUpdate, Clock: clock.Boot, Log: d.log,
 	})
+	d.newReturns(c)
 	if err := d.newRequestPath(); err != nil {
 		return nil, err
 	}
@@ -203,11 +212,15 @@
 		},
 	})
 	d.newQuarantines(switchedOff)
-	d.dispatcher = dispatch.New(dispatch.Config{
+	dispatchConfig := dispatch.Config{
 		Self: d.self, Policy: p, Rules: d.changes.Rules, Endpoints: d.table, Membership: d.membership,
 		EndpointCaller: d.endpoints, Peers: d.peers, IssuedKeys: idempotencyKeys, Journal: d.journal, Seed: d.randomSeed(),
 		RetryBudget: d.budget(d.cfg.Retries), Quotas: d.quotas, Quarantine: d.quarantines, RateLimits: d.rateLimits, SwitchedOff: switchedOff,
-	})
+	}
+	if d.returns != nil {
+		dispatchConfig.Returns, dispatchConfig.ReturnsInForce = d.returns, d.returns.InForce
+	}
+	d.dispatcher = dispatch.New(dispatchConfig)
 	d.callers = caller.New(caller.Config{
 		Runner: d.dispatcher, Rules: d.changes.Rules, Membership: d.membership, IssuedKeys: idempotencyKeys,
 		BodyLimit: d.cfg.Limits.Body, ExposeEndpoint: d.cfg.Explain, Region: d.cfg.Region,
