--- a/mechanism.go
+++ b/mechanism.go
@@ -34,13 +34,14 @@
 	MechanismRateLimits                            // keep to the rate limits that endpoints advertise
 	MechanismFinalAttempts                         // don't end attempts that no other can replace, nor count those at ended processes
 	MechanismAdmission                             // admit shares of the demand while a service is short of capacity
+	MechanismPlannedReturns                        // plan when the callers of refused requests retry
 )
 
 var mechanismNames = [...]string{
 	"affinity", "prompt-moves", "far-moves", "last-sent", "kept-elsewhere", "prompt-backlog", "pace", "urgent-first",
 	"shedding", "forwarding", "waiting", "last-chance", "retries", "failure-cost", "ejection",
 	"silence", "adaptive-limits", "warm-up", "holding-back", "rate-limits",
-	"final-attempts", "admission",
+	"final-attempts", "admission", "planned-returns",
 }
 
 // String returns the mechanism's name in the settings.
--- a/process/daemon/daemon.go
+++ b/process/daemon/daemon.go
@@ -35,6 +35,7 @@
 	"vetchtrail/process/quarantines"
 	"vetchtrail/process/quotas"
 	"vetchtrail/process/ratelimits"
+	"vetchtrail/process/returns"
 	"vetchtrail/process/settings"
 	"vetchtrail/request/budget"
 	"vetchtrail/request/dispatch"
@@ -111,6 +112,7 @@
 	quotas            *quotas.Quotas
 	rateLimits        *ratelimits.RateLimits
 	demand            *demand.Table          // demand for services and admission
+	returns           *returns.Returns       // plans when refused callers retry
 	availability      *availability.Observer // availability that endpoints announce: leaving, paused
 	quarantines       *quarantines.Quarantines
 	quarantineKVStore *quarantines.KVStore // persists quarantine entries unless the platform is hosted
@@ -199,6 +201,7 @@
 	switchedOff := vetchtrail.MechanismsOf(d.cfg.SwitchedOff...)
 	d.newRateLimits(switchedOff)
 	d.newDemand(switchedOff)
+	d.newReturns(switchedOff)
 	d.availability = availability.New(availability.Config{Observer: d.rateLimits, Table: d.table, Log: d.log})
 	d.endpoints = endpoint.New(endpoint.Config{
 		Dialect: dialect, Observer: d.availability,
@@ -208,12 +211,14 @@
 		Replaceable: func(e vetchtrail.Endpoint, r *vetchtrail.Request) bool { return d.dispatcher.Replaceable(e, r) },
 	})
 	d.newQuarantines(switchedOff)
-	d.dispatcher = dispatch.New(dispatch.Config{
+	dispatchConfig := dispatch.Config{
 		Self: d.self, Policy: p, Rules: d.changes.Rules, Endpoints: d.table, Membership: d.membership,
 		EndpointCaller: d.endpoints, Peers: d.peers, IssuedKeys: idempotencyKeys, Journal: d.journal, Seed: d.randomSeed(),
 		RetryBudget: d.budget(d.cfg.Retries), Quotas: d.quotas, Quarantine: d.quarantines, RateLimits: d.rateLimits, Admission: d.demand, SwitchedOff: switchedOff,
 		RefusesConnection: d.endpoints.RefusesConnection,
-	})
+	}
+	dispatchConfig.Returns, dispatchConfig.ReturnsInForce = d.returns, d.returns.InForce
+	d.dispatcher = dispatch.New(dispatchConfig)
 	d.callers = caller.New(caller.Config{
 		Runner: d.dispatcher, Rules: d.changes.Rules, Membership: d.membership, IssuedKeys: idempotencyKeys,
 		BodyLimit: d.cfg.Limits.Body, ExposeEndpoint: d.cfg.Explain, Region: d.cfg.Region,
--- a/process/daemon/demand.go
+++ b/process/daemon/demand.go
@@ -11,7 +11,10 @@
 // newDemand creates the host's part in the admission of requests by demand and supply.
 func (d *Daemon) newDemand(switchedOff vetchtrail.Mechanisms) {
 	d.demand = demand.New(demand.Config{
-		Supplies: d.table, LiveHosts: d.membership.LiveHosts,
+		Supplies: d.table, LiveHosts: d.membership.LiveHosts, RegionHosts: d.membership.RegionHosts,
+		Planned: func(service string, hosts int, now time.Time) []vetchtrail.PlannedReturn {
+			return d.returns.Planned(service, hosts, now)
+		},
 		Quota:    func(workspace string) vetchtrail.Quota { return d.changes.Rules().Quota(workspace) },
 		Enforce:  d.cfg.Admission.Enforce,
 		Pressure: d.hosted != nil && d.hosted.Admission, SwitchedOff: switchedOff.Has(vetchtrail.MechanismAdmission),
@@ -25,12 +28,19 @@
 
 // HeartbeatDemands implements membership.Demands.
 func (x demandExchange) HeartbeatDemands(now time.Time) []*schema.ServiceDemand {
-	return x.d.demand.HeartbeatDemands(now)
+	out := x.d.demand.HeartbeatDemands(now)
+	for _, m := range out {
+		m.Returns = schema.FromPlannedReturns(x.d.returns.Offers(m.GetService(), now), now)
+	}
+	return out
 }
 
 // RecordHeartbeat implements membership.Demands.
 func (x demandExchange) RecordHeartbeat(from string, demands []*schema.ServiceDemand, now time.Time) {
 	x.d.demand.RecordHeartbeat(from, demands, now)
+	for _, m := range demands {
+		x.d.returns.Receive(from, m.GetService(), schema.ToPlannedReturns(m.GetReturns(), now), now)
+	}
 }
 
 // DigestDemand implements membership.Demands.
--- a/process/demand/demand.go
+++ b/process/demand/demand.go
@@ -47,7 +47,11 @@
 // Config configures a Table.
 type Config struct {
 	Supplies    SupplySource
-	LiveHosts   func() int                              // of this data centre; must not call the Table
+	LiveHosts   func() int // of this data centre; must not call the Table
+	RegionHosts func() int // of this region; must not call the Table
+	// Planned returns the returns to a service that are planned by as many hosts as given; nil:
+	// none are planned. It must not call the Table.
+	Planned     func(service string, hosts int, now time.Time) []vetchtrail.PlannedReturn
 	Quota       func(workspace string) vetchtrail.Quota // for the weights of workspaces; its rate is 0 without one
 	Enforce     Enforcement
 	Pressure    bool   // the platform's contracts call for admission
@@ -83,10 +87,11 @@
 	refreshedAt time.Time
 	supply      load.Supply
 	own         []vetchtrail.ClassDemand
-	local       []vetchtrail.ClassDemand // of this data centre
-	classes     []vetchtrail.ClassDemand // of the region
-	scratch     []vetchtrail.ClassDemand // for the controller, which changes it
-	age         time.Duration            // of the oldest measurement that counts
+	local       []vetchtrail.ClassDemand   // of this data centre
+	classes     []vetchtrail.ClassDemand   // of the region
+	scratch     []vetchtrail.ClassDemand   // for the controller, which changes it
+	planned     []vetchtrail.PlannedReturn // by the hosts of the region
+	age         time.Duration              // of the oldest measurement that counts
 }
 
 // objective is the shortest latency objective of a priority's requests in the last
@@ -197,7 +202,7 @@
 	defer t.mu.Unlock()
 	s := t.service(name)
 	t.refresh(s, now)
-	d := vetchtrail.ServiceDemand{Supply: s.controller.Figures().Supply, Hosts: max(1, s.liveHosts), Age: s.age}
+	d := vetchtrail.ServiceDemand{Supply: s.controller.Figures().Supply, Returns: s.planned, Hosts: max(1, s.liveHosts, t.cfg.RegionHosts()), Age: s.age}
 	for _, c := range s.classes {
 		c.Admitted = c.Asked * s.controller.Share(admission.Class{Priority: c.Priority, Return: c.Return, Workspace: c.Workspace})
 		d.Classes = append(d.Classes, c)
--- a/process/demand/demand_test.go
+++ b/process/demand/demand_test.go
@@ -33,7 +33,7 @@
 
 func newTable(s *supplies, hosts int) *Table {
 	return New(Config{
-		Supplies: source{s}, LiveHosts: func() int { return hosts }, Quota: func(string) vetchtrail.Quota { return vetchtrail.Quota{} },
+		Supplies: source{s}, LiveHosts: func() int { return hosts }, RegionHosts: func() int { return hosts }, Quota: func(string) vetchtrail.Quota { return vetchtrail.Quota{} },
 		Enforce: EnforceAlways, Log: slog.New(slog.DiscardHandler),
 	})
 }
--- a/process/demand/region.go
+++ b/process/demand/region.go
@@ -1,6 +1,7 @@
 package demand
 
 import (
+	"slices"
 	"time"
 
 	"vetchtrail"
@@ -24,6 +25,7 @@
 	_, age := s.dataCentres.Heard(now)
 	s.age = max(s.age, age)
 	s.classes = s.dataCentres.Append(s.classes[:0], local, 1, now)
+	t.reserve(s, now)
 	t.weigh(s)
 	s.scratch = append(s.scratch[:0], s.classes...)
 	s.controller.Update(admission.State{
@@ -50,13 +52,61 @@
 	return s.local
 }
 
+// reserveAhead is how far ahead the planned returns count as demand. It is the window over which
+// rates are measured, so that work in it is a rate.
+const reserveAhead = admission.Window
+
+// reserve raises the demand of returns to what is planned for the next reserveAhead, so that
+// capacity is left for them when first attempts are admitted.
+func (t *Table) reserve(s *service, now time.Time) {
+	if t.cfg.Planned == nil {
+		return
+	}
+	s.planned = t.cfg.Planned(s.name, max(1, s.liveHosts, t.cfg.RegionHosts()), now)
+	for i := range s.planned {
+		p := s.planned[i].Priority
+		if slices.ContainsFunc(s.planned[:i], func(r vetchtrail.PlannedReturn) bool { return r.Priority == p }) {
+			continue // counted with the first return of the priority
+		}
+		if missing := plannedRate(s.planned[i:], p, now) - returnRate(s.classes, p); missing > 0 {
+			s.classes = append(s.classes, vetchtrail.ClassDemand{Priority: p, Return: true, Workspace: reservedWorkspace, Asked: missing})
+		}
+	}
+}
+
+// reservedWorkspace marks the class of returns that are planned but have not arrived. No
+// workspace has this name.
+const reservedWorkspace = "\x00planned"
+
+// plannedRate returns the rate of the returns of a priority in the next reserveAhead.
+func plannedRate(planned []vetchtrail.PlannedReturn, priority int8, now time.Time) float64 {
+	sum := 0.0
+	for _, p := range planned {
+		if p.Priority == priority && p.At.Before(now.Add(reserveAhead)) {
+			sum += p.Work
+		}
+	}
+	return sum / reserveAhead.Seconds()
+}
+
+// returnRate returns the measured demand of the returns of a priority.
+func returnRate(classes []vetchtrail.ClassDemand, priority int8) float64 {
+	sum := 0.0
+	for _, c := range classes {
+		if c.Priority == priority && c.Return {
+			sum += c.Asked
+		}
+	}
+	return sum
+}
+
 // weigh sets the weights of the classes by the workspaces' quotas. One that is summed up of
 // several workspaces has their number as weight until then.
 func (t *Table) weigh(s *service) {
 	sum, n := 0.0, 0
 	for i := range s.classes {
 		c := &s.classes[i]
-		if c.Workspace == "" {
+		if c.Workspace == "" || c.Workspace == reservedWorkspace {
 			continue
 		}
 		if c.Weight = t.quotaWeight(s, c.Workspace); c.Weight > 0 {
@@ -69,7 +119,7 @@
 		usual = sum / float64(n)
 	}
 	for i := range s.classes {
-		if c := &s.classes[i]; c.Workspace == "" {
+		if c := &s.classes[i]; c.Workspace == "" || c.Workspace == reservedWorkspace {
 			c.Weight = usual * max(1, c.Weight)
 		}
 	}
--- a/process/membership/heartbeat.go
+++ b/process/membership/heartbeat.go
@@ -86,6 +86,7 @@
 		}
 	}
 	m.liveHosts.Store(int64(1 + len(live)))
+	m.regionHosts.Store(int64(1 + len(live) + m.remoteRegionHosts(now)))
 	out := m.drawGossipPeers(live)
 	probes = append(probes, m.unknownSeeds()...)
 	probes = append(probes, m.pendingIntroduced()...)
--- a/process/membership/membership.go
+++ b/process/membership/membership.go
@@ -121,7 +121,8 @@
 	introduced map[netip.AddrPort]bool
 	avoidUntil map[string]time.Time // when forwards to a remote host resume, by its name
 
-	liveHosts atomic.Int64 // see LiveHosts; not guarded by mu
+	liveHosts   atomic.Int64 // see LiveHosts; not guarded by mu
+	regionHosts atomic.Int64 // see RegionHosts; not guarded by mu
 }
 
 // member is another host of this data centre.
@@ -183,6 +184,7 @@
 		seeds:          c.Seeds,
 	}
 	m.liveHosts.Store(1)
+	m.regionHosts.Store(1)
 	return m
 }
 
@@ -190,6 +192,22 @@
 // with this one. It takes no lock.
 func (m *Membership) LiveHosts() int { return int(m.liveHosts.Load()) }
 
+// RegionHosts returns the number of live hosts of this region at this host's last heartbeat,
+// with this one. Data centres without a recent digest don't count. It takes no lock.
+func (m *Membership) RegionHosts() int { return int(m.regionHosts.Load()) }
+
+// remoteRegionHosts returns the number of hosts in the reachable other data centres of this
+// region. The caller holds the lock.
+func (m *Membership) remoteRegionHosts(now time.Time) int {
+	sum := 0
+	for _, d := range m.remotes {
+		if d.digest.GetRegion() == m.self.Region && now.Sub(d.digestTime) < reachableFor {
+			sum += len(d.digest.GetMembers())
+		}
+	}
+	return sum
+}
+
 // Self returns this host as it reports itself to others.
 func (m *Membership) Self() vetchtrail.Host {
 	m.mu.Lock()
