Predictions by the slowdown and the speed of each endpoint

Cause: predictions took all endpoints of a service as equally fast, though some deployments' endpoints differ in speed and report periods in which their work takes longer. Change: process/load keeps the slowdown (reported, mean over time) and the speed (from attempts at low load) of each process instance that has reported a slowdown. Observations are converted to the service's usual time, predictions back to the endpoint's. Heartbeats carry the slowdown and the sender's own speed (Load, fields 7 to 9). The usual times of such endpoints come from attempts at low load, since the estimated tokens ahead of a prompt are uncertain. Differences of up to two usual prompts count as equal in the draw (View.Uncertainty): with a narrower range all hosts choose the same few endpoints by the same reports. Where a slowdown is reported, or where load.Table.SetQueueIntervals sets it, the event interval at endpoints without recent streams of this host follows the number of queued requests in the reports. Mechanism uneven-endpoints.

--- a/decision.go
+++ b/decision.go
@@ -95,6 +95,9 @@
 	QueueWait       float64 // estimated seconds that a request waits in this host's queue
 	RefusedHere     bool    // an endpoint in Endpoints refused the request because of its load
 	WaitExhausted   bool    // the request may not wait for capacity any longer
+	// Uncertainty is the difference in seconds up to which the predicted times to the first token
+	// of two endpoints count as equal; 0: not known. It is set where endpoints differ in speed.
+	Uncertainty float64
 }
 
 // EndpointView is a host's data about one endpoint.
--- a/process/load/event_interval.go
+++ b/process/load/event_interval.go
@@ -58,7 +58,7 @@
 	if len(s.startedStreams) == 0 || t.switchedOff.Has(vetchtrail.MechanismSilence) {
 		return false
 	}
-	threshold := max(minSilence, time.Duration(silentIntervals*s.eventInterval.mean*float64(time.Second)))
+	threshold := max(minSilence, time.Duration(silentIntervals*s.eventInterval.mean*t.timeFactor(s, 0, now)*float64(time.Second)))
 	return now.Sub(s.lastSeen) > threshold
 }
 
@@ -70,15 +70,22 @@
 	return ok && t.silent(s, now)
 }
 
-// expectedEventInterval is the probable time between two events of a new stream, in seconds; 0: not known. It
+// expectedEventInterval is the usual time between two events of a new stream, in seconds; 0: not known. It
 // follows the mean of this host's streams at the endpoint. The older the last observation of that mean is, the more
-// it follows the fit over the service's endpoints, at the number of running requests that this one last reported.
-func (s *endpointState) expectedEventInterval(svc *serviceStats, now time.Time) float64 {
-	if !svc.eventIntervalFit.known() || !s.hasReport || now.Sub(s.report.TakenAt) > maxIntervalReportAge {
+// it follows the service's mean for the queue in the endpoint's reports where that is in force, or else the fit over
+// the service's endpoints, at the number of running requests that this one last reported.
+func (t *Table) expectedEventInterval(s *endpointState, svc *serviceStats, now time.Time) float64 {
+	if !s.hasReport || now.Sub(s.report.TakenAt) > maxIntervalReportAge {
 		return s.eventInterval.decayedMean(now)
 	}
-	base, slope := svc.eventIntervalFit.line()
-	usual := base + slope*float64(s.report.Running)
+	usual := t.queueInterval(s, svc)
+	if usual == 0 {
+		if !svc.eventIntervalFit.known() {
+			return s.eventInterval.decayedMean(now)
+		}
+		base, slope := svc.eventIntervalFit.line()
+		usual = base + slope*float64(s.report.Running)
+	}
 	if s.eventInterval.observedAt.IsZero() {
 		return usual
 	}
@@ -90,11 +97,18 @@
 func (t *Table) EventReceived(e vetchtrail.Endpoint, interval time.Duration, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if s, ok := t.instance(e.Name, e.Born); ok {
-		s.eventInterval.observe(interval, now)
-		s.lastSeen = now
-		if s.hasReport && now.Sub(s.report.TakenAt) < maxIntervalReportAge {
-			t.serviceStats[s.Service].eventIntervalFit.observe(float64(s.report.Running), interval.Seconds())
-		}
+	s, ok := t.instance(e.Name, e.Born)
+	if !ok {
+		return
+	}
+	s.lastSeen = now
+	if s.uneven != nil {
+		interval = time.Duration(float64(time.Second) * t.usualSeconds(s, interval.Seconds(), now))
+	}
+	s.eventInterval.observe(interval, now)
+	if s.hasReport && now.Sub(s.report.TakenAt) < maxIntervalReportAge {
+		svc := t.serviceStats[s.Service]
+		svc.eventIntervalFit.observe(float64(s.report.Running), interval.Seconds())
+		svc.queueIntervals.observe(s.report.Queued, interval.Seconds())
 	}
 }
--- a/process/load/load.go
+++ b/process/load/load.go
@@ -113,6 +113,9 @@
 	sessionUses          sessionUses
 	coldStart            coldStartLimiter
 	eventInterval        eventInterval
+	recentQueue          recentQueue
+	uneven               *uneven         // nil: it has reported no slowdown
+	restarted            bool            // an earlier instance of the same name was known
 	startedStreams       map[string]bool // this host's streams with a first byte, by request ID
 	lastSeen             time.Time       // when the first byte of a response or an event of a stream last arrived
 	connectFailuresInRow int
@@ -142,6 +145,12 @@
 	uncachedTokens   average // prompt tokens that an endpoint must process for one request
 	predictionRatio  predictionRatio
 	othersQueued     float64 // mean number of other hosts' requests in an endpoint's queue
+
+	reportsSlowdown       bool // an endpoint of the service has reported a slowdown
+	slowdown              serviceSlowdown
+	lightFit              linearFit // seconds to the first byte at low load and without slowdown, by the prompt tokens to process
+	queueIntervals        queueIntervals
+	queueIntervalsInForce bool // see SetQueueIntervals
 }
 
 func newServiceStats() *serviceStats {
@@ -151,6 +160,7 @@
 		promptStats:      newPromptStats(),
 		predictionRatio:  predictionRatio{median: 1},
 		prefillFit:       newPrefillFit(),
+		lightFit:         newPrefillFit(),
 		eventIntervalFit: linearFit{maxSlope: maxIntervalSecondsPerRequest},
 		streamsByRoute:   map[string]*streamStats{},
 	}
@@ -191,6 +201,7 @@
 			}
 			t.restoreAnnouncements(s, e.Endpoint)
 			if ok {
+				s.restarted = true
 				s.carryOver(old[e.Name], e.Born)
 			}
 			t.logLeaving(keyOf(NameHash(e.Name), e.Born), &s.availability.announcements)
@@ -281,23 +292,29 @@
 		svc.othersQueued = meanOthersQueued(states, now)
 	}
 	session, sticky := r.Session()
+	if svc := t.serviceStats[r.Service]; svc != nil && svc.reportsSlowdown {
+		v.Uncertainty = svc.uncertainty()
+	}
 	preferred := -1
 	if sticky {
 		preferred = preferredEndpoint(states, session.ID, now)
 	}
 	for i, s := range states {
-		e := s.view(t, now)
+		e, backlog := s.view(t, now), 0.0
 		if !t.switchedOff.Has(vetchtrail.MechanismPromptBacklog) {
-			e.Backlog = e.Prefill * s.backlog(r.Priority, t.serviceStats[r.Service], now)
+			backlog = s.backlog(r.Priority, t.serviceStats[r.Service], now)
 		}
 		if sticky && !t.switchedOff.Has(vetchtrail.MechanismAffinity) {
 			e.CachedTokens = t.cachedTokens(s, r, session, i == preferred, now)
 		}
+		t.scalePredictions(s, &e, backlog+float64(r.PromptTokens()-e.CachedTokens), now)
+		e.Backlog = e.Prefill * backlog
 		v.Endpoints = append(v.Endpoints, e)
 	}
 }
 
-// view returns the endpoint's state and estimates as of now, for a decision. The caller holds the lock.
+// view returns the endpoint's state and estimates as of now, for a decision. The times are the usual ones of the
+// service, see scalePredictions. The caller holds the lock.
 func (s *endpointState) view(t *Table, now time.Time) vetchtrail.EndpointView {
 	svc := t.serviceStats[s.Service]
 	weight := math.Exp(-now.Sub(s.observedAt).Seconds() / observationDecay.Seconds())
@@ -306,11 +323,14 @@
 		Running: s.report.Running, Queued: s.report.Queued, ReportAge: -1,
 		Prefill:     svc.tokenTime.value * significantSlowdown(1+weight*(s.tokenSlowdown.value-1), s.tokenSlowdown.count),
 		ServiceTime: svc.serviceTime.value * significantSlowdown(1+weight*(s.serviceTime.value/svc.serviceTime.value-1), s.serviceTime.count),
-		WarmUpShare: s.warmUp, ExcessFailureRate: s.excessErrorShare(svc, now), EventInterval: s.expectedEventInterval(svc, now), RateLimited: s.rateLimit.Advertised, Rate: s.rateLimit.Rate, RateLeft: s.rateLeft,
+		WarmUpShare: s.warmUp, ExcessFailureRate: s.excessErrorShare(svc, now), EventInterval: t.expectedEventInterval(s, svc, now), RateLimited: s.rateLimit.Advertised, Rate: s.rateLimit.Rate, RateLeft: s.rateLeft,
 	}
 	if svc.prefillFit.known() {
 		v.BaseLatency, v.Prefill = svc.prefillFit.line()
 	}
+	if s.uneven != nil && svc.lightFit.count >= minObservations {
+		v.BaseLatency, v.Prefill = svc.lightFit.line()
+	}
 	if s.hasReport {
 		v.ReportAge = now.Sub(s.report.TakenAt)
 		v.InFlightChange = s.inFlight - s.inFlightAt(s.report.TakenAt)
--- a/process/load/mechanisms_test.go
+++ b/process/load/mechanisms_test.go
@@ -61,6 +61,11 @@
 			tab.Release("a", vetchtrail.Observation{Outcome: vetchtrail.Outcome{Reason: vetchtrail.ReasonEndpointRefused, RetryAt: now}}, now)
 			return views(tab, request("x", session, 0))["a"].InFlightLimit < before
 		}},
+		"uneven endpoints": {vetchtrail.MechanismUnevenEndpoints, func(tab *Table) bool {
+			before := views(tab, request("x", session, 0))["a"].Prefill
+			tab.LoadReported(vetchtrail.Endpoint{Name: "a"}, vetchtrail.LoadReport{TakenAt: now, Slowdown: 2})
+			return views(tab, request("x", session, 0))["a"].Prefill > before
+		}},
 		"warm up": {vetchtrail.MechanismWarmUp, func(tab *Table) bool {
 			before := views(tab, request("x", session, 0))["a"].InFlightLimit
 			tab.MarkUnreachable("a", now)
--- a/process/load/prefill.go
+++ b/process/load/prefill.go
@@ -131,9 +131,13 @@
 	if s.pendingPrompts == nil {
 		s.pendingPrompts = map[string]pendingPrompt{}
 	}
-	s.pendingPrompts[r.ID] = pendingPrompt{
+	p := pendingPrompt{
 		tokens: tokens, tokensAhead: s.backlog(r.Priority, t.serviceStats[s.Service], now), priority: r.Priority, sentAt: now,
 	}
+	if s.uneven != nil {
+		p.slowdown, p.light = s.uneven.slowdown.expected(0, t.serviceStats[s.Service].slowdown.period(), now), s.isLightlyLoaded(&p)
+	}
+	s.pendingPrompts[r.ID] = p
 	t.serviceStats[s.Service].uncachedTokens.observe(float64(tokens))
 }
 
@@ -183,6 +187,8 @@
 	tokensAhead float64 // tokens expected to be processed before it, when it was sent
 	priority    int8
 	sentAt      time.Time
+	slowdown    float64 // that the endpoint probably had when it was sent; 0: not known
+	light       bool    // it shows the endpoint's speed
 }
 
 // pendingAhead returns the number of tokens of this host's pending prompts: of those that the endpoint processes
@@ -212,10 +218,11 @@
 // othersPendingTokens estimates the tokens of other hosts' requests in the endpoint's queue. It follows the
 // endpoint's report. The older the report is, the more the estimate follows the mean of all endpoints.
 func (s *endpointState) othersPendingTokens(svc *serviceStats, now time.Time) float64 {
-	othersQueued := svc.othersQueued
+	usual := svc.othersQueued * s.throughput()
+	othersQueued := usual
 	if s.hasReport {
 		weight := math.Exp(-now.Sub(s.report.TakenAt).Seconds() / queuedDecay.Seconds())
-		othersQueued += weight * (float64(s.reportedOthersQueued()) - svc.othersQueued)
+		othersQueued += weight * (float64(s.reportedOthersQueued()) - usual)
 	}
 	return othersQueued * svc.uncachedTokens.value
 }
@@ -231,19 +238,20 @@
 	return max(0, s.report.Queued-own)
 }
 
-// meanOthersQueued is the mean number of other hosts' requests in an endpoint's queue, by the recent reports.
+// meanOthersQueued is the mean number of other hosts' requests in an endpoint's queue, by the recent reports, for
+// each unit of throughput.
 func meanOthersQueued(states []*endpointState, now time.Time) float64 {
-	sum, n := 0, 0
+	sum, throughput := 0, 0.0
 	for _, s := range states {
 		if s.hasReport && now.Sub(s.report.TakenAt) < maxQueuedReportAge {
 			sum += s.reportedOthersQueued()
-			n++
+			throughput += s.throughput()
 		}
 	}
-	if n == 0 {
+	if throughput == 0 {
 		return 0
 	}
-	return float64(sum) / float64(n)
+	return float64(sum) / throughput
 }
 
 // ResponseStarted implements vetchtrail.Observer. The first byte of a response shows that the endpoint has
@@ -267,9 +275,7 @@
 		s.startedStreams[r.ID] = true
 	}
 	delete(s.pendingPrompts, r.ID)
-	svc, seconds := t.serviceStats[s.Service], now.Sub(prompt.sentAt).Seconds()
-	svc.prefillFit.observe(prompt.tokensAhead+float64(prompt.tokens), seconds)
-	svc.promptStats.observe(prompt.tokensAhead+float64(prompt.tokens), seconds)
+	t.observeFirstByte(s, prompt, now)
 	t.wake(s.Service)
 }
 
--- a/process/load/release.go
+++ b/process/load/release.go
@@ -66,6 +66,7 @@
 		svc.predictionRatio.observe(o.PredictedFirstByte.Seconds(), first)
 	}
 	s.observedAt = now
+	first, whole = t.usualSeconds(s, first, now), t.usualSeconds(s, whole, now)
 	s.serviceTime.observe(whole)
 	svc.serviceTime.observe(whole)
 	if o.PromptTokens > 0 && s.inFlight < s.Slots {
--- a/process/load/report.go
+++ b/process/load/report.go
@@ -36,7 +36,9 @@
 	if s.hasReport && !r.TakenAt.After(s.report.TakenAt) {
 		return false
 	}
+	s.recentQueue.observe(r.Queued, r.TakenAt.Sub(s.report.TakenAt))
 	s.report, s.hasReport, s.receivedHere = r, true, receivedHere
+	t.recordSlowdown(s)
 	t.logReport(s)
 	if s.backOffReason == vetchtrail.ReasonUnreachable {
 		s.backOffUntil = time.Time{} // it can be reached again
--- a/process/load/report_log.go
+++ b/process/load/report_log.go
@@ -38,13 +38,17 @@
 	Report        vetchtrail.LoadReport
 	ReceivedHere  bool // this host received it from the endpoint: fetched, or with a response
 	EverAnnounced bool // a response of the endpoint once announced that it is leaving or paused
+	// Speed and SpeedCount are the endpoint's speed as a multiple of its service's and the observations of it, both by
+	// this host alone; 0: there are no recent ones, or the endpoint has reported no slowdown.
+	Speed      float64
+	SpeedCount int
 }
 
 // ReportsAfter returns the reports that this host accepted after the one with the given number and that are
 // newer than a time, and the number of the last accepted report. Of an endpoint's reports only the newest is
 // returned. The last accepted is first. If the given number is 0, the reports by which an endpoint is leaving
 // are returned however old they are, after the others.
-func (t *Table) ReportsAfter(number uint64, after time.Time) ([]ReportEntry, uint64) {
+func (t *Table) ReportsAfter(number uint64, after, now time.Time) ([]ReportEntry, uint64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var out []ReportEntry
@@ -56,7 +60,7 @@
 		// A state that is no longer in the table belongs to an earlier process instance, whose report is not
 		// valid for the present one.
 		if s := entry.endpoint; s.reportNumber == entry.number && t.endpoints[s.Name] == s && (s.reportsLeaving || s.report.TakenAt.After(after)) {
-			out = append(out, s.newestReport())
+			out = append(out, s.newestReport(now))
 		}
 	}
 	if number > 0 {
@@ -64,12 +68,16 @@
 	}
 	for _, s := range t.endpoints {
 		if s.reportsLeaving && !s.report.TakenAt.After(after) {
-			out = append(out, s.newestReport())
+			out = append(out, s.newestReport(now))
 		}
 	}
 	return out, t.reportNumber
 }
 
-func (s *endpointState) newestReport() ReportEntry {
-	return ReportEntry{Endpoint: s.Name, NameHash: uint32(s.nameHash), Report: s.report, ReceivedHere: s.receivedHere, EverAnnounced: s.everAnnounced}
+func (s *endpointState) newestReport(now time.Time) ReportEntry {
+	out := ReportEntry{Endpoint: s.Name, NameHash: uint32(s.nameHash), Report: s.report, ReceivedHere: s.receivedHere, EverAnnounced: s.everAnnounced}
+	if s.uneven != nil {
+		out.Speed, out.SpeedCount = s.uneven.speed.own(now)
+	}
+	return out
 }
--- a/process/load/report_log_test.go
+++ b/process/load/report_log_test.go
@@ -11,7 +11,7 @@
 
 // allReports returns the newest report of each endpoint that has one.
 func allReports(t *Table) []ReportEntry {
-	out, _ := t.ReportsAfter(0, time.Time{})
+	out, _ := t.ReportsAfter(0, time.Time{}, time.Time{})
 	return out
 }
 
@@ -52,10 +52,10 @@
 		t.Run(name, func(t *testing.T) {
 			tab := table(4)
 			c.first(tab)
-			all, number := tab.ReportsAfter(0, now.Add(-2*time.Second))
+			all, number := tab.ReportsAfter(0, now.Add(-2*time.Second), now)
 			assert.DeepEqual(t, names(all), c.all)
 			c.then(tab)
-			later, _ := tab.ReportsAfter(number, now.Add(-2*time.Second))
+			later, _ := tab.ReportsAfter(number, now.Add(-2*time.Second), now)
 			assert.DeepEqual(t, names(later), c.later)
 		})
 	}
--- a/process/load/summary.go
+++ b/process/load/summary.go
@@ -25,6 +25,7 @@
 	out := make([]EndpointStatus, 0, len(t.endpoints))
 	for _, s := range t.endpoints {
 		status := EndpointStatus{Endpoint: s.Endpoint, View: s.view(t, now), Report: s.report, LeavingBy: s.leavingBy(now)}
+		t.scalePredictions(s, &status.View, t.serviceStats[s.Service].uncachedTokens.value, now)
 		if status.LeavingBy == ByResponses {
 			status.LeavingSince = s.availability.firstAnnouncedAt
 		}
@@ -62,7 +63,7 @@
 func (t *Table) summarize(name string, states []*endpointState, now time.Time) Summary {
 	svc := t.serviceStats[name]
 	sum := Summary{Service: name}
-	bestWait, pendingTokens, inUse := math.Inf(1), 0.0, 0
+	bestWait, waits, inUse := math.Inf(1), 0.0, 0
 	svc.othersQueued = meanOthersQueued(states, now)
 	for _, s := range states {
 		v := s.view(t, now)
@@ -73,7 +74,9 @@
 		sum.Slots += s.concurrency(svc)
 		sum.Free += max(0, s.concurrency(svc)-inFlight)
 		inUse++
-		pendingTokens += s.backlog(lowestPriority, svc, now)
+		pending := s.backlog(lowestPriority, svc, now)
+		t.scalePredictions(s, &v, pending, now)
+		waits += v.BaseLatency + v.Prefill*pending
 		wait := v.ServiceTime * 0.1
 		if inFlight >= v.Slots {
 			wait += float64(inFlight-v.Slots+1) * v.ServiceTime / float64(v.Slots)
@@ -89,8 +92,7 @@
 	if svc.prefillFit.known() {
 		// The mean of all endpoints, not the best: many hosts receive this summary, and the best endpoint would
 		// soon be the busiest.
-		base, token := svc.prefillFit.line()
-		bestWait = base + token*pendingTokens/float64(inUse)
+		bestWait = waits / float64(inUse)
 	}
 	sum.Wait = time.Duration(bestWait * float64(time.Second))
 	return sum
--- a/process/membership/heartbeat.go
+++ b/process/membership/heartbeat.go
@@ -212,7 +212,7 @@
 		after = now.Add(-maxRelayedReportAge)
 	}
 	var reports []load.ReportEntry
-	reports, to.loadsUpTo = m.cfg.Load.ReportsAfter(to.loadsUpTo, after)
+	reports, to.loadsUpTo = m.cfg.Load.ReportsAfter(to.loadsUpTo, after, now)
 	var out []*schema.Load
 	for _, r := range reports {
 		if !m.cfg.CallsWholeRegion && !r.ReceivedHere && !r.Report.Leaving {
@@ -221,11 +221,15 @@
 		out = append(out, &schema.Load{
 			Endpoint: r.NameHash, Running: uint32(r.Report.Running), Queued: uint32(r.Report.Queued),
 			AgeMillis: millis(now.Sub(r.Report.TakenAt)), Leaving: r.Report.Leaving, UpMillis: uptimeMillis(r, now),
+			Slowdown: percent(r.Report.Slowdown), Speed: percent(r.Speed), SpeedCount: uint32(r.SpeedCount),
 		})
 	}
 	return out
 }
 
+// percent returns a multiple in whole percent.
+func percent(multiple float64) uint32 { return uint32(math.Round(100 * multiple)) }
+
 // uptimeMillis returns how long an endpoint's process has run, or 0 to omit the field.
 // The uptime is sent only for endpoints that have announced that they leave or pause, so
 // that other hosts notice a restart, which ends the announcement. For all endpoints it
@@ -330,6 +334,7 @@
 	m.mu.Unlock()
 	for _, l := range h.GetLoads() {
 		m.cfg.Load.RecordReportByHash(l.GetEndpoint(), loadReportOf(l, now), now.Add(leavingReportTTL))
+		m.cfg.Load.RecordPeerSpeed(h.GetFrom(), l.GetEndpoint(), float64(l.GetSpeed())/100, int(l.GetSpeedCount()), now)
 	}
 	for _, r := range h.GetRates() {
 		if m.cfg.RateLimits != nil {
@@ -343,7 +348,7 @@
 func loadReportOf(l *schema.Load, now time.Time) vetchtrail.LoadReport {
 	r := vetchtrail.LoadReport{
 		TakenAt: now.Add(-time.Duration(l.GetAgeMillis()) * time.Millisecond),
-		Running: int(l.GetRunning()), Queued: int(l.GetQueued()), Leaving: l.GetLeaving(),
+		Running: int(l.GetRunning()), Queued: int(l.GetQueued()), Leaving: l.GetLeaving(), Slowdown: float64(l.GetSlowdown()) / 100,
 	}
 	if up := l.GetUpMillis(); up > 0 {
 		r.StartedAt = now.Add(-time.Duration(up) * time.Millisecond)
--- a/process/membership/loads_test.go
+++ b/process/membership/loads_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -10,6 +11,7 @@
 
 	"vetchtrail"
 	"vetchtrail/process/load"
+	"vetchtrail/schema"
 )
 
 // TestLoadsSentOnce guards against heartbeats that carry the load reports of all endpoints
@@ -37,3 +39,45 @@
 	assert.Equal(t, len(a.heartbeatTo(b.self.PeerAddr, now.Add(time.Second)).GetLoads()), 100, "not all sent again after a lost heartbeat")
 	assert.Assert(t, proto.Size(a.heartbeatTo(b.self.PeerAddr, now.Add(time.Second))) < 100)
 }
+
+// TestUnevenEndpointsSent guards against slowdowns and speeds that other hosts don't get, and against bytes for
+// endpoints that report none.
+func TestUnevenEndpointsSent(t *testing.T) {
+	cases := map[string]struct {
+		slowdown float64
+		want     *schema.Load
+	}{
+		"a slowdown":  {2.5, &schema.Load{Slowdown: 250, Speed: 50, SpeedCount: 1}},
+		"no slowdown": {0, &schema.Load{}},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			a, b := newMembership("a", "dc", 1), newMembership("b", "dc", 2)
+			e := vetchtrail.Endpoint{Name: "e", Service: "s", Slots: 4}
+			for _, m := range []*Membership{a, b} {
+				m.cfg.Load.Configure([]load.EndpointInRegion{{Endpoint: e}})
+			}
+			exchange(a, b, now)
+			at := now
+			for i := range 9 { // the first observations show how long work usually takes, the last one half of the speed
+				r := &vetchtrail.Request{ID: fmt.Sprint(i), Service: "s", Prompt: []vetchtrail.PromptPart{{Tokens: 2000}}}
+				a.cfg.Load.LoadReported(e, vetchtrail.LoadReport{TakenAt: at, Slowdown: c.slowdown})
+				assert.Assert(t, a.cfg.Load.Acquire("e", r, at))
+				at = at.Add(100 * time.Millisecond * time.Duration(1+i/8))
+				a.cfg.Load.ResponseStarted(e, r, at)
+				a.cfg.Load.Release("e", vetchtrail.Observation{Request: r.ID, Cancelled: true}, at)
+			}
+			a.cfg.Load.LoadReported(e, vetchtrail.LoadReport{TakenAt: at, Slowdown: c.slowdown})
+			h := a.heartbeatTo(b.self.PeerAddr, at)
+			assert.Equal(t, len(h.GetLoads()), 1)
+			got := h.GetLoads()[0]
+			assert.Equal(t, got.GetSlowdown(), c.want.GetSlowdown())
+			assert.Assert(t, math.Abs(float64(got.GetSpeed())-float64(c.want.GetSpeed())) <= 10, "%d", got.GetSpeed())
+			assert.Equal(t, got.GetSpeedCount(), c.want.GetSpeedCount())
+			b.merge(h, at)
+			for _, s := range b.cfg.Load.EndpointStatuses(at) {
+				assert.Equal(t, s.Report.Slowdown, c.slowdown)
+			}
+		})
+	}
+}
--- a/request/policy/weighted.go
+++ b/request/policy/weighted.go
@@ -212,7 +212,9 @@
 // total is the sum of the weights so far. One random number is used for the whole pass.
 func drawEndpoint(d *vetchtrail.Decision, ev *evaluation, r *vetchtrail.Request, v *vetchtrail.View, rnd *rand.Rand) int {
 	chosen, total := ev.bestIndex, 0.0
-	inverseRange := 1 / (maxSpreads * costSpread(&v.Endpoints[ev.bestIndex], v.Weights.Tail))
+	// Endpoints of uneven speed rarely have about the same cost, so that without the second
+	// term all hosts would choose the few best ones by the same reports.
+	inverseRange := 1 / max(maxSpreads*costSpread(&v.Endpoints[ev.bestIndex], v.Weights.Tail), v.Weights.Tail*v.Uncertainty)
 	u := rnd.Float64()
 	for i := range v.Endpoints {
 		cost := ev.cost(i, r, v)
