--- a/decision.go
+++ b/decision.go
@@ -101,6 +101,9 @@
 	// PlannedReturns reports that a ReturnPlanner decides when refused callers retry, and that no
 	// attempt at the request has reached an endpoint yet.
 	PlannedReturns bool
+	// Uncertainty is the difference in seconds up to which the predicted times to the first token
+	// of two endpoints count as equal; 0: not known. It is set where endpoints differ in speed.
+	Uncertainty float64
 }
 
 // EndpointView is a host's data about one endpoint.
--- a/mechanism.go
+++ b/mechanism.go
@@ -35,13 +35,14 @@
 	MechanismFinalAttempts                         // don't end attempts that no other can replace, nor count those at ended processes
 	MechanismAdmission                             // admit shares of the demand while a service is short of capacity
 	MechanismPlannedReturns                        // plan when the callers of refused requests retry
+	MechanismUnevenEndpoints                       // predict by the slowdown that endpoints report and by their speed
 )
 
 var mechanismNames = [...]string{
 	"affinity", "prompt-moves", "far-moves", "last-sent", "kept-elsewhere", "prompt-backlog", "pace", "urgent-first",
 	"shedding", "forwarding", "waiting", "last-chance", "retries", "failure-cost", "ejection",
 	"silence", "adaptive-limits", "warm-up", "holding-back", "rate-limits",
-	"final-attempts", "admission", "planned-returns",
+	"final-attempts", "admission", "planned-returns", "uneven-endpoints",
 }
 
 // String returns the mechanism's name in the settings.
--- a/process/demand/demand.go
+++ b/process/demand/demand.go
@@ -42,6 +42,9 @@
 	Supply(service string, now time.Time) load.Supply
 	// ReportsSlowdown reports whether an endpoint of a service has reported a slowdown.
 	ReportsSlowdown(service string) bool
+	// SetQueueIntervals sets whether a service's event intervals are derived from the queues in
+	// load reports.
+	SetQueueIntervals(service string, inForce bool)
 }
 
 // Config configures a Table.
--- a/process/demand/demand_test.go
+++ b/process/demand/demand_test.go
@@ -26,6 +26,8 @@
 
 func (s *supplies) ReportsSlowdown(string) bool { return s.slowdown }
 
+func (s *supplies) SetQueueIntervals(string, bool) {}
+
 // source adapts supplies to SupplySource, as a method can't have the name of an embedded field.
 type source struct{ *supplies }
 
--- a/process/demand/region.go
+++ b/process/demand/region.go
@@ -19,6 +19,7 @@
 		return
 	}
 	s.refreshedAt = now
+	t.cfg.Supplies.SetQueueIntervals(s.name, t.InForce(s.name, now))
 	s.supply = t.cfg.Supplies.Supply(s.name, now)
 	s.own = s.meter.Append(s.own[:0], now)
 	local := t.dataCentreDemand(s, now)
--- a/process/load/supply.go
+++ b/process/load/supply.go
@@ -61,4 +61,9 @@
 }
 
 // ReportsSlowdown reports whether an endpoint of a service has reported how much slower than usual it is.
-func (t *Table) ReportsSlowdown(string) bool { return false }
+func (t *Table) ReportsSlowdown(service string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	svc := t.serviceStats[service]
+	return svc != nil && svc.reportsSlowdown
+}
