Returns are preferred only where refusals say when to return

A refused caller returns after a quarter of its time until the returns are planned, into the same shortage and mostly after its objective. Returns before first attempts would then give the supply to responses that are late. Config PlansReturns of process/demand switches the preference on.

--- a/process/demand/demand.go
+++ b/process/demand/demand.go
@@ -46,14 +46,18 @@
 
 // Config configures a Table.
 type Config struct {
-	Supplies    SupplySource
-	LiveHosts   func() int                              // of this data centre; must not call the Table
-	Quota       func(workspace string) vetchtrail.Quota // for the weights of workspaces; its rate is 0 without one
-	Enforce     Enforcement
-	Pressure    bool   // the platform's contracts call for admission
-	SwitchedOff bool   // the mechanism is switched off
-	Seed        uint64 // of the hosts' first decisions
-	Log         *slog.Logger
+	Supplies  SupplySource
+	LiveHosts func() int                              // of this data centre; must not call the Table
+	Quota     func(workspace string) vetchtrail.Quota // for the weights of workspaces; its rate is 0 without one
+	Enforce   Enforcement
+	Pressure  bool // the platform's contracts call for admission
+	// PlansReturns is set if refusals tell callers when they can be served. Otherwise their retries
+	// come into the same shortage, and are not preferred to first attempts: those can still be in
+	// time.
+	PlansReturns bool
+	SwitchedOff  bool   // the mechanism is switched off
+	Seed         uint64 // of the hosts' first decisions
+	Log          *slog.Logger
 }
 
 // Table holds the demand for each service. It implements vetchtrail.DemandTable and
@@ -138,6 +142,7 @@
 	t.refresh(s, now)
 	s.observeObjective(r, now)
 	class, work := admission.ClassOf(r), s.work(r)
+	class.Return = class.Return && t.cfg.PlansReturns
 	share, admitted := s.controller.Share(class), s.controller.Admit(class)
 	s.meter.Count(class, work, admitted, now)
 	s.count(r.Priority, work, admitted)
--- a/process/demand/demand_test.go
+++ b/process/demand/demand_test.go
@@ -128,6 +128,21 @@
 	assert.Assert(t, table.Admit(request("w", 100, later), later).Admitted)
 }
 
+// TestReturnsPreferred guards against retries that come into the same shortage and take the
+// capacity of first attempts, which can still be in time.
+func TestReturnsPreferred(t *testing.T) {
+	for planned, name := range map[bool]string{true: "planned", false: "not planned"} {
+		t.Run(name, func(t *testing.T) {
+			table := newTable(&supplies{}, 1)
+			table.cfg.PlansReturns = planned
+			r := request("w", 100, start)
+			r.CallerCanRetry = false
+			table.Admit(r, start)
+			assert.Equal(t, table.Demand("chat", start.Add(refreshInterval)).Classes[0].Return, planned)
+		})
+	}
+}
+
 // TestAdmitAllocates guards against allocations for each request, which the page rules out.
 func TestAdmitAllocates(t *testing.T) {
 	s := &supplies{Supply: load.Supply{Rate: 1000, CachedShare: 1, Wait: time.Second, Queued: 5}}
@@ -151,6 +166,6 @@
 	for _, d := range table.HeartbeatDemands(start) {
 		size += proto.Size(d)
 	}
-	t.Logf("%d bytes", size)
+	t.Logf("heartbeat: %d bytes", size)
 	assert.Assert(t, 8*size <= 2048, "%d bytes", size)
 }
