Admission counts spare supply of other regions; shortages begin with long waits

Change: supply by the time of a token at an idle endpoint, corrected by the measured wait as before; a shortage begins with a wait of a quarter of the objective; grants of other regions' spare supply from their digests.

--- a/process/daemon/demand.go
+++ b/process/daemon/demand.go
@@ -15,9 +15,15 @@
 		Planned: func(service string, hosts int, now time.Time) []vetchtrail.PlannedReturn {
 			return d.returns.Planned(service, hosts, now)
 		},
-		Quota:    func(workspace string) vetchtrail.Quota { return d.changes.Rules().Quota(workspace) },
-		Enforce:  d.cfg.Admission.Enforce,
-		Pressure: d.hosted != nil && d.hosted.Admission, SwitchedOff: switchedOff.Has(vetchtrail.MechanismAdmission),
+		Region: d.cfg.Region,
+		RegionID: func(name string) (vetchtrail.RegionID, bool) {
+			region, ok := d.changes.Rules().Region(name)
+			return region.ID, ok
+		},
+		PlansReturns: !switchedOff.Has(vetchtrail.MechanismPlannedReturns),
+		Quota:        func(workspace string) vetchtrail.Quota { return d.changes.Rules().Quota(workspace) },
+		Enforce:      d.cfg.Admission.Enforce,
+		Pressure:     d.hosted != nil && d.hosted.Admission, SwitchedOff: switchedOff.Has(vetchtrail.MechanismAdmission),
 		Seed: d.randomSeed(), Log: d.log,
 	})
 }
@@ -44,11 +50,11 @@
 }
 
 // DigestDemand implements membership.Demands.
-func (x demandExchange) DigestDemand(service string, now time.Time) (uint32, []*schema.ClassDemand) {
-	return x.d.demand.DigestDemand(service, now)
+func (x demandExchange) DigestDemand(service string, now time.Time, m *schema.ServiceDigest) {
+	x.d.demand.DigestDemand(service, now, m)
 }
 
 // RecordDigest implements membership.Demands.
-func (x demandExchange) RecordDigest(dataCentre string, s *schema.ServiceDigest, at time.Time) {
-	x.d.demand.RecordDigest(dataCentre, s, at)
+func (x demandExchange) RecordDigest(region, dataCentre string, s *schema.ServiceDigest, at time.Time) {
+	x.d.demand.RecordDigest(region, dataCentre, s, at)
 }
--- a/process/demand/demand.go
+++ b/process/demand/demand.go
@@ -54,13 +54,21 @@
 	RegionHosts func() int // of this region; must not call the Table
 	// Planned returns the returns to a service that are planned by as many hosts as given; nil:
 	// none are planned. It must not call the Table.
-	Planned     func(service string, hosts int, now time.Time) []vetchtrail.PlannedReturn
-	Quota       func(workspace string) vetchtrail.Quota // for the weights of workspaces; its rate is 0 without one
-	Enforce     Enforcement
-	Pressure    bool   // the platform's contracts call for admission
-	SwitchedOff bool   // the mechanism is switched off
-	Seed        uint64 // of the hosts' first decisions
-	Log         *slog.Logger
+	Planned func(service string, hosts int, now time.Time) []vetchtrail.PlannedReturn
+	// Region is the name of this region, and RegionID returns the id of a region. Without it, no
+	// spare supply of other regions is used.
+	Region   string
+	RegionID func(name string) (vetchtrail.RegionID, bool)
+	Quota    func(workspace string) vetchtrail.Quota // for the weights of workspaces; its rate is 0 without one
+	Enforce  Enforcement
+	Pressure bool // the platform's contracts call for admission
+	// PlansReturns is set if refusals tell callers when they can be served. Otherwise their retries
+	// come into the same shortage, and are not preferred to first attempts: those can still be in
+	// time.
+	PlansReturns bool
+	SwitchedOff  bool   // the mechanism is switched off
+	Seed         uint64 // of the hosts' first decisions
+	Log          *slog.Logger
 }
 
 // Table holds the demand for each service. It implements vetchtrail.DemandTable and
@@ -77,11 +85,13 @@
 type service struct {
 	name        string
 	meter       admission.Meter
-	hosts       admission.Measurements // of the other hosts of this data centre
-	dataCentres admission.Measurements // of the other data centres of the region
-	liveHosts   int                    // when this host last heard from another
-	heardAt     time.Time              // when that was
-	objectives  map[int8]objective     // by priority
+	hosts       admission.Measurements   // of the other hosts of this data centre
+	dataCentres admission.Measurements   // of the other data centres of the region
+	liveHosts   int                      // when this host last heard from another
+	heardAt     time.Time                // when that was
+	remotes     map[string]remoteBalance // data centres of other regions, by name
+	reaches     map[int8]reach           // by priority
+	objectives  map[int8]objective       // by priority
 	controller  *admission.RegionShares
 	shortage    bool // as last logged
 	counters    map[int8]*counters
@@ -116,7 +126,7 @@
 	s, ok := t.services[name]
 	if !ok {
 		s = &service{
-			name: name, objectives: map[int8]objective{}, controller: admission.NewRegionShares(t.cfg.Seed),
+			name: name, objectives: map[int8]objective{}, reaches: map[int8]reach{}, controller: admission.NewRegionShares(t.cfg.Seed),
 			counters: map[int8]*counters{}, gauges: newGauges(name),
 		}
 		t.services[name] = s
@@ -145,7 +155,9 @@
 	s := t.service(r.Service)
 	t.refresh(s, now)
 	s.observeObjective(r, now)
+	s.observeReach(r, now)
 	class, work := admission.ClassOf(r), s.work(r)
+	class.Return = class.Return && t.cfg.PlansReturns
 	share, admitted := s.controller.Share(class), s.controller.Admit(class)
 	s.meter.Count(class, work, admitted, now)
 	s.count(r.Priority, work, admitted)
--- a/process/demand/exchange.go
+++ b/process/demand/exchange.go
@@ -36,27 +36,38 @@
 }
 
 // DigestDemand implements membership.Demands.
-func (t *Table) DigestDemand(name string, now time.Time) (supply uint32, demands []*schema.ClassDemand) {
+func (t *Table) DigestDemand(name string, now time.Time, d *schema.ServiceDigest) {
 	if !t.InForce(name, now) {
-		return 0, nil
+		return
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.service(name)
 	t.refresh(s, now)
-	return toRate(s.supply.Rate), toMessages(admission.Fold(slices.Clone(s.local), admission.MaxClasses))
+	asked := 0.0
+	for _, c := range s.local {
+		asked += c.Asked
+	}
+	d.Supply, d.Asked = toRate(s.supply.Rate), toRate(asked)
+	d.Demands = toMessages(admission.Fold(slices.Clone(s.local), admission.MaxClasses))
 }
 
 // RecordDigest implements membership.Demands.
-func (t *Table) RecordDigest(dataCentre string, d *schema.ServiceDigest, at time.Time) {
+func (t *Table) RecordDigest(region, dataCentre string, d *schema.ServiceDigest, at time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if s, known := t.services[d.GetService()]; known || len(d.GetDemands()) > 0 {
-		if s == nil {
-			s = t.service(d.GetService())
-		}
-		s.dataCentres.Record(dataCentre, fromMessages(d.GetDemands()), at)
+	s, known := t.services[d.GetService()]
+	if !known && len(d.GetDemands()) == 0 && d.GetSupply() == 0 {
+		return
+	}
+	if !known {
+		s = t.service(d.GetService())
+	}
+	if region != t.cfg.Region {
+		s.recordRemote(region, dataCentre, d, at)
+		return
 	}
+	s.dataCentres.Record(dataCentre, fromMessages(d.GetDemands()), at)
 }
 
 func toMessages(classes []vetchtrail.ClassDemand) []*schema.ClassDemand {
--- a/process/demand/region.go
+++ b/process/demand/region.go
@@ -29,8 +29,13 @@
 	t.reserve(s, now)
 	t.weigh(s)
 	s.scratch = append(s.scratch[:0], s.classes...)
+	asked := 0.0
+	for _, c := range s.classes {
+		asked += c.Asked
+	}
+	granted, single := t.grant(s, asked, now)
 	s.controller.Update(admission.State{
-		Classes: s.scratch, Supply: s.supply.Rate, Wait: s.supply.Wait, Objective: s.lowestObjective(now), Queued: s.supply.Queued,
+		Classes: s.scratch, Supply: s.supply.Rate, Granted: granted, GrantedTo: single, Wait: s.supply.Wait, Objective: s.lowestObjective(now), Queued: s.supply.Queued,
 	}, now)
 	s.setGauges()
 	t.logShortage(s, now)
--- a/process/load/supply.go
+++ b/process/load/supply.go
@@ -50,7 +50,7 @@
 	if v.Unavailable && !limited {
 		return 0
 	}
-	rate := 1 / max(v.Prefill, minTokenSeconds)
+	rate := 1 / max(v.Prefill*svc.idleShare(), minTokenSeconds)
 	if s.totalColdRate > 0 && now.Before(s.coldStart.until) {
 		rate = min(rate, s.totalColdRate*svc.uncachedTokens.value)
 	}
@@ -60,6 +60,16 @@
 	return rate
 }
 
+// idleShare is the time that a token takes at an idle endpoint, as a share of the fitted time. The fitted
+// time is longer where the prompts ahead are underestimated, and says less of what an endpoint can process.
+func (svc *serviceStats) idleShare() float64 {
+	_, token := svc.prefillFit.line()
+	if token <= 0 {
+		return 1
+	}
+	return min(1, svc.promptStats.idleTokenTime/token)
+}
+
 // ReportsSlowdown reports whether an endpoint of a service has reported how much slower than usual it is.
 func (t *Table) ReportsSlowdown(service string) bool {
 	t.mu.Lock()
--- a/process/membership/digest.go
+++ b/process/membership/digest.go
@@ -225,7 +225,7 @@
 			GapMillis: millis(s.EventInterval),
 		}
 		if m.cfg.Demands != nil {
-			summary.Supply, summary.Demands = m.cfg.Demands.DigestDemand(s.Service, now)
+			m.cfg.Demands.DigestDemand(s.Service, now, summary)
 		}
 		d.Services = append(d.Services, summary)
 	}
@@ -239,7 +239,7 @@
 	out.Members, out.Services = d.GetMembers(), nil
 	for _, s := range d.GetServices() {
 		out.Services = append(out.Services, &schema.ServiceDigest{
-			Service: s.GetService(), Free: s.GetFree(), Slots: s.GetSlots(), WaitMillis: s.GetWaitMillis(), GapMillis: s.GetGapMillis(), Supply: s.GetSupply(),
+			Service: s.GetService(), Free: s.GetFree(), Slots: s.GetSlots(), WaitMillis: s.GetWaitMillis(), GapMillis: s.GetGapMillis(), Supply: s.GetSupply(), Asked: s.GetAsked(),
 		})
 	}
 	return out
@@ -253,14 +253,14 @@
 	return withoutDemands(local)
 }
 
-// recordDemands passes on the demand in the digest of another data centre of this region, if
-// hosts call the endpoints of their whole region and so share them. The caller holds the lock.
+// recordDemands passes on the demand in the digest of another data centre, if hosts call the
+// endpoints of their whole region and so share them. The caller holds the lock.
 func (m *Membership) recordDemands(d *schema.Digest, at time.Time) {
-	if m.cfg.Demands == nil || !m.cfg.CallsWholeRegion || d.GetRegion() != m.self.Region {
+	if m.cfg.Demands == nil || !m.cfg.CallsWholeRegion {
 		return
 	}
 	for _, s := range d.GetServices() {
-		m.cfg.Demands.RecordDigest(d.GetDataCentre(), s, at)
+		m.cfg.Demands.RecordDigest(d.GetRegion(), d.GetDataCentre(), s, at)
 	}
 }
 
--- a/process/membership/membership.go
+++ b/process/membership/membership.go
@@ -93,9 +93,9 @@
 	RecordHeartbeat(from string, demands []*schema.ServiceDemand, now time.Time)
 	// DigestDemand returns the demand for a service in this data centre, and the supply; 0: not
 	// known.
-	DigestDemand(service string, now time.Time) (supply uint32, demands []*schema.ClassDemand)
+	DigestDemand(service string, now time.Time, d *schema.ServiceDigest)
 	// RecordDigest receives the demand of another data centre of this region.
-	RecordDigest(dataCentre string, s *schema.ServiceDigest, at time.Time)
+	RecordDigest(region, dataCentre string, s *schema.ServiceDigest, at time.Time)
 }
 
 // Membership is one host's view of the other hosts. It is safe for concurrent
--- a/request/admission/admission.go
+++ b/request/admission/admission.go
@@ -32,6 +32,8 @@
 type State struct {
 	Classes   []vetchtrail.ClassDemand // the Controller may reorder them
 	Supply    float64                  // tokens per second that the endpoints can process; 0: not known
+	Granted   float64                  // spare rate of other regions that all priorities may use
+	GrantedTo map[int8]float64         // further such rates, by the only priority that may use them
 	Wait      time.Duration            // mean predicted wait of the lowest priority at the endpoints
 	Objective time.Duration            // latency objective of the lowest priority; 0: not known
 	Queued    int                      // requests queued at the endpoints
--- a/request/admission/delay_control.go
+++ b/request/admission/delay_control.go
@@ -49,7 +49,7 @@
 		}
 	}
 	s.Classes = classes
-	d.shares.Compute(classes, d.level*s.asked())
+	d.shares.Compute(classes, d.level*s.asked(), nil)
 }
 
 // Share implements Controller.
--- a/request/admission/region_shares.go
+++ b/request/admission/region_shares.go
@@ -28,11 +28,15 @@
 // Update implements Controller.
 func (s *RegionShares) Update(st State, now time.Time) {
 	s.factor = s.correction.update(s.lowestWait(st.Wait), st.Objective, s.shortage.Active, now)
-	s.supply, s.asked = st.Supply*s.factor, st.asked()
+	s.supply, s.asked = st.Supply*s.factor+st.Granted, st.asked()
 	classes := s.mix.apply(st.Classes, now)
-	s.shortage.update(s.asked, s.supply, st.Queued, now)
+	reserved := 0.0
+	for _, rate := range st.GrantedTo {
+		reserved += rate
+	}
+	s.shortage.update(s.asked, s.supply+reserved, st, now)
 	if s.shortage.Active {
-		s.shares.Compute(classes, s.supply)
+		s.shares.Compute(classes, s.supply, st.GrantedTo)
 	}
 }
 
--- a/request/admission/shares.go
+++ b/request/admission/shares.go
@@ -43,14 +43,16 @@
 // priorityGrant is the demand of one priority and what it gets.
 type priorityGrant struct {
 	classes []vetchtrail.ClassDemand // returns first
-	asked   float64
+	asked   float64                  // beyond extra
+	extra   float64                  // from supply that only this priority may use
 	floor   float64
 	granted float64
 }
 
-// Compute divides the supply. It reorders the classes, and allocates memory only for classes
+// Compute divides the supply. granted is further supply by the only priority that may use it.
+// Compute reorders the classes, and allocates memory only for classes
 // and priorities that it has not seen before.
-func (s *Shares) Compute(classes []vetchtrail.ClassDemand, supply float64) {
+func (s *Shares) Compute(classes []vetchtrail.ClassDemand, supply float64, granted map[int8]float64) {
 	if s.granted == nil {
 		s.granted, s.fractions = map[Class]float64{}, map[Class]float64{}
 	}
@@ -58,7 +60,15 @@
 	clear(s.fractions)
 	slices.SortFunc(classes, compareClasses)
 	s.splitPriorities(classes)
+	for i := range s.priorities {
+		p := &s.priorities[i]
+		p.extra = min(p.asked, granted[p.classes[0].Priority])
+		p.asked -= p.extra
+	}
 	s.grantPriorities(supply)
+	for i := range s.priorities {
+		s.priorities[i].granted += s.priorities[i].extra
+	}
 	usual := meanWeight(classes)
 	for i := range s.priorities {
 		s.divide(&s.priorities[i], usual)
