Let requests without a route wait after two refusals

Cause: TestTurnedAway. Within a millisecond, the pausing engine refused a request, and the other one, which then got the requests of all 24 callers and has 8 slots and a queue of 8, refused it as well. Two refusals were the attempt limit of a request without a route, so it was refused with 3 s left.

Change: a refusal by an endpoint of this data centre neither counts towards that limit nor excludes the endpoint, which the endpoint table keeps out of use until it accepts requests. The bound on all attempts, the retry budget and the deadline still hold. Routes are as before.

Two cases of TestAttempts fail without the change.

--- a/request/dispatch/dispatch.go
+++ b/request/dispatch/dispatch.go
@@ -23,7 +23,8 @@
 )
 
 const (
-	// defaultAttemptLimit allows one retry for requests that belong to no route.
+	// defaultAttemptLimit allows one retry for requests that belong to no route. Refusals by
+	// endpoints of this data centre don't count.
 	defaultAttemptLimit = 2
 	// maxTotalAttempts bounds all attempts of one request, including those at
 	// targets that could not be reached.
@@ -270,7 +271,7 @@
 		if o.Kind == vetchtrail.OutcomeAnswered {
 			return o
 		}
-		history.add(p, o, d.processEnded(ctx, r, p, o))
+		history.add(r, p, o, d.processEnded(ctx, r, p, o))
 		o = history.overallOutcome(o)
 		if !d.mayRetry(ctx, r, o, &history, n) {
 			return d.replayFailure(d.withRetryTime(r, p, o), w)
@@ -303,10 +304,18 @@
 
 // add records an attempt that was not answered. An attempt at an endpoint whose process has
 // ended doesn't count towards the route's limit.
-func (h *attemptHistory) add(p placement, o vetchtrail.Outcome, processEnded bool) {
+func (h *attemptHistory) add(r *vetchtrail.Request, p placement, o vetchtrail.Outcome, processEnded bool) {
 	if reached(o) {
 		h.reached++
 	}
+	h.refusedHere = h.refusedHere || (o.Reason == vetchtrail.ReasonEndpointRefused && p.dataCentre == "")
+	if r.Route == "" && o.Reason == vetchtrail.ReasonEndpointRefused && p.dataCentre == "" {
+		// A request without a route may wait until its deadline, and the endpoint table keeps
+		// the endpoint out of use until it accepts requests again. So it neither counts nor is
+		// excluded: when one endpoint pauses, its load fills the queues of the others for
+		// some milliseconds, and two refusals in a row are likely.
+		return
+	}
 	// With ReasonOtherProcess, the request reached another process that now has the
 	// endpoint's address.
 	if reached(o) && o.Reason != vetchtrail.ReasonOtherProcess && !processEnded {
@@ -317,7 +326,6 @@
 	if o.Reason != vetchtrail.ReasonLeaving {
 		h.excluded = append(h.excluded, p.name())
 	}
-	h.refusedHere = h.refusedHere || (o.Reason == vetchtrail.ReasonEndpointRefused && p.dataCentre == "")
 }
 
 // reached reports whether an attempt reached, or may have reached, any process.
--- a/request/dispatch/dispatch_test.go
+++ b/request/dispatch/dispatch_test.go
@@ -173,6 +173,8 @@
 func TestAttempts(t *testing.T) {
 	event1, event2 := "id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n"
 	repeatable := func(r *vetchtrail.Request) { r.Repeatable, r.MaxAttempts = true, 2 }
+	refuse := refuseWith(vetchtrail.StepResponse, vetchtrail.ReasonEndpointRefused)
+	unrouted := func(r *vetchtrail.Request) { r.Route = "" }
 	resumable := func(r *vetchtrail.Request) { r.Stream, r.Resumable, r.Repeatable, r.MaxAttempts = true, true, true, 2 }
 	cases := map[string]struct {
 		modify       func(*vetchtrail.Request)
@@ -202,6 +204,8 @@
 		"stream breaks twice":                 {resumable, []reply{breakAfter(event1), breakAfter(event2)}, 2, vetchtrail.OutcomeUnknown, 502, event1 + event2, 2, "1"},
 		"stream breaks, failure not appended": {resumable, []reply{breakAfter(event1), failWith500}, 2, vetchtrail.OutcomeUnknown, 502, event1, 2, "1"},
 		"stream not resumable":                {func(r *vetchtrail.Request) { r.Stream, r.MaxAttempts = true, 2 }, []reply{breakAfter(event1)}, 2, vetchtrail.OutcomeUnknown, 502, event1, 1, ""},
+		"refused by all, no route":            {unrouted, []reply{refuse, refuse, respondWith("ok")}, 2, vetchtrail.OutcomeAnswered, 200, "ok", 3, ""},
+		"refused always, no route":            {unrouted, []reply{refuse, refuse, refuse, refuse}, 2, vetchtrail.OutcomeNotRun, 503, "", maxTotalAttempts, ""},
 		"remote host only":                    {nil, []reply{respondWith("ok")}, 0, vetchtrail.OutcomeAnswered, 200, "ok", 1, ""},
 		"remote host leaving":                 {nil, []reply{refuseWith(vetchtrail.StepForward, vetchtrail.ReasonLeaving), respondWith("ok")}, 0, vetchtrail.OutcomeAnswered, 200, "ok", 2, ""},
 		"remote host lacks the route":         {nil, []reply{refuseUnknownRoute}, 0, vetchtrail.OutcomeNotRun, 503, "", 1, ""},
