Don't take endpoints for silent after this host was stopped

Cause: when a host's process goes on after a stop of over 0.7 s, nothing that its endpoints sent meanwhile has been read yet.

Change: the endpoint table records every 100 ms that the process runs. After a gap of 0.3 s the endpoints get the time of a whole silence again.

--- a/process/daemon/daemon.go
+++ b/process/daemon/daemon.go
@@ -266,6 +266,7 @@
 	defer stop()
 	var tasks conc.WaitGroup
 	tasks.Go(func() { d.journal.Run(ctx) })
+	tasks.Go(func() { d.table.Run(ctx) })
 	tasks.Go(func() { _ = d.server.Serve(ctx, peers) })
 	tasks.Go(func() { d.membership.RunHeartbeats(ctx, d.peers) })
 	tasks.Go(func() { d.membership.RunDigestExchanges(ctx, d.peers) })
--- a/process/load/event_interval.go
+++ b/process/load/event_interval.go
@@ -1,6 +1,7 @@
 package load
 
 import (
+	"context"
 	"math"
 	"time"
 
@@ -50,16 +51,52 @@
 	// intervals and at least minSilence: a long prompt delays its streams by some hundred milliseconds.
 	silentIntervals = 10
 	minSilence      = 700 * time.Millisecond
+	// runningInterval is how often RecordRunning is called while this host's process runs.
+	runningInterval = 100 * time.Millisecond
+	// maxRunningAge is the age from which the last call of RecordRunning shows that the process was stopped, or gets
+	// too little processor time to read what endpoints send. It is well below minSilence.
+	maxRunningAge = 300 * time.Millisecond
 )
 
+// Run calls RecordRunning until ctx ends.
+func (t *Table) Run(ctx context.Context) {
+	ticker := time.NewTicker(runningInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			t.RecordRunning(time.Now())
+		}
+	}
+}
+
+// RecordRunning records that this host's process runs. Without regular calls, each silence counts as an endpoint's.
+// After a gap between two calls the endpoints get the time of a whole silence again, as what they sent in the gap
+// has not been read yet.
+func (t *Table) RecordRunning(now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.wasStopped(now) {
+		t.stoppedUntil = now
+	}
+	t.runningAt = now
+}
+
+// wasStopped reports whether this host's process was stopped just before now. The caller holds the lock.
+func (t *Table) wasStopped(now time.Time) bool {
+	return !t.runningAt.IsZero() && now.Sub(t.runningAt) > maxRunningAge
+}
+
 // silent reports whether the endpoint runs streams of this host and nothing has arrived on any of them for longer
 // than silentIntervals and minSilence allow. A new request there would wait too. The caller holds the lock.
 func (t *Table) silent(s *endpointState, now time.Time) bool {
-	if len(s.startedStreams) == 0 || t.switchedOff.Has(vetchtrail.MechanismSilence) {
+	if len(s.startedStreams) == 0 || t.switchedOff.Has(vetchtrail.MechanismSilence) || t.wasStopped(now) {
 		return false
 	}
 	threshold := max(minSilence, time.Duration(silentIntervals*s.eventInterval.mean*float64(time.Second)))
-	return now.Sub(s.lastSeen) > threshold
+	return now.Sub(vetchtrail.Later(s.lastSeen, t.stoppedUntil)) > threshold
 }
 
 // Silent implements vetchtrail.Observer.
--- a/process/load/load.go
+++ b/process/load/load.go
@@ -87,6 +87,8 @@
 	leavingLog   []leavingLogEntry                // oldest first
 	reportLog    []reportLogEntry                 // oldest first
 	reportNumber uint64                           // reports accepted so far
+	runningAt    time.Time                        // of the last call of RecordRunning; zero: there was none
+	stoppedUntil time.Time                        // when this host's process last went on after it was stopped
 }
 
 // endpointState is what is known of one process instance of an endpoint.
--- a/process/load/prefill_test.go
+++ b/process/load/prefill_test.go
@@ -275,19 +275,31 @@
 }
 
 // TestSilent guards against an endpoint that stays in use although nothing arrives on its started streams, and
-// against an endpoint that counts as silent without such a stream. A resumed stream isn't in flight and doesn't
-// count.
+// against an endpoint that counts as silent without such a stream, or because this host's process was stopped. A
+// resumed stream isn't in flight and doesn't count.
 func TestSilent(t *testing.T) {
 	e := vetchtrail.Endpoint{Name: "a"}
 	stream := request("x", 3, 0)
 	stream.Stream = true
 	long := now.Add(time.Minute)
+	stopped := func(t *Table, wentOn, last time.Time) {
+		t.Acquire("a", stream, now)
+		t.ResponseStarted(e, stream, now)
+		t.RecordRunning(now)
+		for at := wentOn; !at.After(last); at = at.Add(runningInterval) {
+			t.RecordRunning(at)
+		}
+	}
 	cases := map[string]struct {
 		do     func(t *Table)
 		silent bool
 	}{
-		"nothing runs":     {func(*Table) {}, false},
-		"a stream stopped": {func(t *Table) { t.Acquire("a", stream, now); t.ResponseStarted(e, stream, now) }, true},
+		"this host runs":             {func(t *Table) { stopped(t, now, long) }, true},
+		"this host was stopped":      {func(t *Table) { stopped(t, long.Add(time.Second), long) }, false},
+		"this host has just gone on": {func(t *Table) { stopped(t, long.Add(-minSilence), long) }, false},
+		"this host went on before":   {func(t *Table) { stopped(t, long.Add(-minSilence-runningInterval), long) }, true},
+		"nothing runs":               {func(*Table) {}, false},
+		"a stream stopped":           {func(t *Table) { t.Acquire("a", stream, now); t.ResponseStarted(e, stream, now) }, true},
 		"an event arrived": {func(t *Table) {
 			t.Acquire("a", stream, now)
 			t.ResponseStarted(e, stream, now)
