process/returns: no allocation for a refusal, reports as long as they are complete

Reports of other hosts counted for 3 s, though they cover only 2 s: older ones counted as hosts without returns.

Change: a service keeps its counters. A report counts as long as it covers the next second, for which admission reserves capacity.

Tests of process/returns pass.

--- a/process/returns/exchange.go
+++ b/process/returns/exchange.go
@@ -8,9 +8,10 @@
 )
 
 const (
-	// reportExpiry is how long the report of another host counts. A lost host's callers return
-	// within this time, or not to a slot that is known.
-	reportExpiry = 3 * time.Second
+	// reportExpiry is how long the report of another host counts: as long as it covers the next
+	// second, for which admission reserves capacity. An older one would count as a host
+	// without returns. Heartbeats are sent twice in this time.
+	reportExpiry = returns.OfferHorizon - time.Second
 	// maxHosts bounds the hosts whose reports are kept.
 	maxHosts = 512
 	// offerSlots is the number of slots for which planned returns are reported.
@@ -60,7 +61,8 @@
 }
 
 // Planned returns the returns to a service that all live hosts of the region have planned, for
-// ServiceDemand.Returns. The hosts that this one received reports from are a sample: the sum of
+// ServiceDemand.Returns. Those of the next second are complete, except for what was planned
+// after the hosts' last heartbeats. The hosts that this one received reports from are a sample: the sum of
 // their returns and its own is scaled to the number of live hosts.
 func (t *Returns) Planned(name string, hosts int, now time.Time) []vetchtrail.PlannedReturn {
 	t.mu.Lock()
--- a/process/returns/metrics.go
+++ b/process/returns/metrics.go
@@ -23,6 +23,20 @@
 	return fmt.Sprintf(`vetchtrail_returns_total{service=%q,priority="%d",event=%q}`, service, priority, event)
 }
 
-func countReturn(r *vetchtrail.Request, event string) {
-	metrics.GetOrCreateCounter(MetricName(r.Service, r.Priority, event)).Inc()
+// counterKey identifies a counter of a service.
+type counterKey struct {
+	priority int8
+	event    string
+}
+
+// count counts an event of a request's return. It keeps the counters, as making a metric's name
+// allocates memory.
+func (s *service) count(r *vetchtrail.Request, event string) {
+	key := counterKey{r.Priority, event}
+	c, ok := s.counters[key]
+	if !ok {
+		c = metrics.GetOrCreateCounter(MetricName(r.Service, r.Priority, event))
+		s.counters[key] = c
+	}
+	c.Inc()
 }
--- a/process/returns/returns.go
+++ b/process/returns/returns.go
@@ -9,6 +9,8 @@
 	"sync"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"vetchtrail"
 	"vetchtrail/request/returns"
 )
@@ -50,6 +52,7 @@
 	plan          *returns.Plan
 	responseTimes map[string]time.Duration // mean time from the first byte to the end, by route
 	received      map[string]report        // by host
+	counters      map[counterKey]*metrics.Counter
 	usedAt        time.Time
 }
 
@@ -83,9 +86,9 @@
 	refused.ResponseTime = s.responseTimes[r.Route]
 	at, ok = s.plan.Add(refused, &demand, now, t.random)
 	if ok {
-		countReturn(r, eventPlanned)
+		s.count(r, eventPlanned)
 	} else {
-		countReturn(r, eventNoSlot)
+		s.count(r, eventNoSlot)
 	}
 	return at, ok
 }
@@ -113,12 +116,12 @@
 		return
 	}
 	s.plan.Arrived(work, now)
-	countReturn(r, eventArrived)
+	s.count(r, eventArrived)
 	switch o.Kind {
 	case vetchtrail.OutcomeAnswered:
-		countReturn(r, eventServed)
+		s.count(r, eventServed)
 	case vetchtrail.OutcomeNotRun:
-		countReturn(r, eventRefused)
+		s.count(r, eventRefused)
 	}
 }
 
@@ -140,7 +143,7 @@
 		if len(t.services) >= maxServices && !t.dropIdle(now) {
 			return nil
 		}
-		s = &service{plan: returns.New(now), responseTimes: map[string]time.Duration{}, received: map[string]report{}}
+		s = &service{plan: returns.New(now), responseTimes: map[string]time.Duration{}, received: map[string]report{}, counters: map[counterKey]*metrics.Counter{}}
 		t.services[name] = s
 	}
 	s.usedAt = now
--- a/process/returns/returns_test.go
+++ b/process/returns/returns_test.go
@@ -65,6 +65,16 @@
 	}
 }
 
+// TestPlanAllocates guards against allocations for each refusal while a host refuses most requests.
+func TestPlanAllocates(t *testing.T) {
+	p, r, now := New(Config{Table: shortage}), request("s", start), start
+	assert.Equal(t, testing.AllocsPerRun(1000, func() {
+		now = now.Add(5 * time.Millisecond)
+		r.Goal, r.Deadline = now.Add(time.Second), now.Add(4*time.Second)
+		_, _ = p.Plan(r, now)
+	}), 0.0)
+}
+
 // TestMetrics guards against first attempts that count as returns, and returns that don't count.
 func TestMetrics(t *testing.T) {
 	p := New(Config{Table: shortage})
