--- a/process/journal/journal_test.go
+++ b/process/journal/journal_test.go
@@ -1,6 +1,7 @@
 package journal
 
 import (
+	"encoding/json"
 	"log/slog"
 	"strings"
 	"testing"
@@ -24,6 +25,9 @@
 			At: start, Ended: true, Took: 200 * time.Millisecond, Outcome: vetchtrail.Outcome{RetryPlan: plan, RetryAt: start.Add(500 * time.Millisecond)},
 		})
 		j.writeQueued()
+		var line Line
+		assert.NilError(t, json.Unmarshal([]byte(out.String()), &line))
+		assert.Assert(t, line.RetryPlan == string(plan) && (line.RetryIn == 300*time.Millisecond) == (plan != ""))
 		assert.Assert(t, strings.HasSuffix(strings.TrimSpace(out.String()), want), "%s", out.String())
 	}
 }
--- a/request/dispatch/returns_test.go
+++ b/request/dispatch/returns_test.go
@@ -45,13 +45,15 @@
 		vetchtrail.ReasonOverCapacity: slot, vetchtrail.ReasonNoEndpoint: slot, vetchtrail.ReasonFull: slot, vetchtrail.ReasonQueueFull: slot, vetchtrail.ReasonDeadline: slot,
 		vetchtrail.ReasonOverQuota: none, vetchtrail.ReasonRateLimited: none, vetchtrail.ReasonPaused: none, vetchtrail.ReasonQuarantined: none,
 	} {
-		c := cases["no slot"]
-		c.step, c.reason, c.planner.ok, c.plan = vetchtrail.StepQueue, reason, true, plan
-		cases[string(reason)+" in the queue"] = c
+		for _, step := range []vetchtrail.Step{vetchtrail.StepDecide, vetchtrail.StepQueue} {
+			c := cases["no slot"]
+			c.step, c.reason, c.planner.ok, c.plan = step, reason, true, plan
+			if reason == vetchtrail.ReasonDeadline && step != vetchtrail.StepQueue {
+				c.plan = none
+			}
+			cases[string(step)+" "+string(reason)] = c
+		}
 	}
-	late := cases["no slot"]
-	late.reason, late.plan = vetchtrail.ReasonDeadline, none
-	cases["deadline, not in the queue"] = late
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			d := &Dispatcher{cfg: Config{Returns: &c.planner, ReturnsInForce: func(service string, _ time.Time) bool { return service == "" }}}
@@ -59,8 +61,11 @@
 			assert.Equal(t, o.RetryPlan, c.plan)
 			assert.Equal(t, o.RetryAt.Equal(at), c.plan != none)
 			assert.Equal(t, len(c.planner.ended), c.ended)
-			o = d.planReturn(&c.request, vetchtrail.Outcome{Kind: vetchtrail.OutcomeUnknown, Step: c.step, Reason: c.reason}, true)
-			assert.Equal(t, o.RetryPlan, none) // it may have run
+			for _, ran := range []vetchtrail.OutcomeKind{vetchtrail.OutcomeUnknown, vetchtrail.OutcomeAnswered} {
+				o = d.planReturn(&c.request, vetchtrail.Outcome{Kind: ran, Step: c.step, Reason: c.reason}, true)
+				assert.Assert(t, o.RetryPlan == none && o.RetryAt.IsZero())
+			}
+			assert.Equal(t, len(c.planner.ended), 3*c.ended)
 		})
 	}
 }
