--- /dev/null
+++ b/buffer.go
@@ -0,0 +1,29 @@
+package vetchtrail
+
+import (
+	"context"
+
+	"github.com/go-faster/errors"
+)
+
+// BufferAccount counts the bytes that a host holds in memory for one request. The sum over all
+// requests is bounded.
+type BufferAccount interface {
+	// Reserve counts n more bytes of a response. It waits until they fit within the bound or
+	// ctx is done, and for a limited time only if the request holds bytes already.
+	Reserve(ctx context.Context, n int) error
+	// Release returns bytes that Reserve counted.
+	Release(n int)
+}
+
+// ErrCallerSlow is the cause with which a request's context is cancelled if its caller has read
+// nothing for too long while the bound on buffered bytes was reached.
+var ErrCallerSlow = errors.New("caller reads too slowly")
+
+// CancelReason returns why a request whose context is done was cancelled.
+func CancelReason(ctx context.Context) Reason {
+	if errors.Is(context.Cause(ctx), ErrCallerSlow) {
+		return ReasonCallerSlow
+	}
+	return ReasonCallerGone
+}
--- /dev/null
+++ b/connection/caller/body.go
@@ -0,0 +1,135 @@
+package caller
+
+import (
+	"context"
+	"io"
+	"net"
+	"strings"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/go-faster/errors"
+	"github.com/gofiber/fiber/v3"
+	"github.com/google/uuid"
+
+	"vetchtrail"
+	"vetchtrail/connection/buffer"
+)
+
+// accountKey is the key of a request's buffer account among the locals of its context.
+type accountKey struct{}
+
+var (
+	bufferRefusals = metrics.GetOrCreateCounter("vetchtrail_buffer_refusals_total")
+	slowCallers    = metrics.GetOrCreateCounter("vetchtrail_slow_callers_total")
+)
+
+// keepBody is a middleware that reads the body of a request if that fits within the bound on
+// buffered bytes, and refuses the request otherwise. It is used only with a bound.
+func (s *Server) keepBody(c fiber.Ctx) error {
+	account := s.cfg.Buffers.NewAccount()
+	c.Locals(accountKey{}, account)
+	defer func() {
+		if unused, ok := c.Locals(accountKey{}).(*buffer.Account); ok && unused != nil {
+			unused.Close()
+		}
+	}()
+	stream := c.Request().BodyStream()
+	if stream == nil {
+		return c.Next()
+	}
+	body, err := buffer.ReadAll(stream, max(c.Request().Header.ContentLength(), -1), s.cfg.BodyLimit, account.ReserveRequest)
+	switch {
+	case errors.Is(err, buffer.ErrFull):
+		// Unread bytes on a connection that is closed would reset it before the caller has the
+		// response.
+		_, _ = io.CopyN(io.Discard, stream, int64(s.cfg.BodyLimit))
+		return s.refuseOverBuffers(c)
+	case errors.Is(err, buffer.ErrTooLarge):
+		return fiber.ErrRequestEntityTooLarge
+	case err != nil:
+		return bodyError(err)
+	}
+	c.Request().SetBodyRaw(body)
+	return c.Next()
+}
+
+// bodyError is the error for a body that could not be read.
+func bodyError(err error) error {
+	var ne net.Error
+	if errors.As(err, &ne) && ne.Timeout() {
+		return fiber.ErrRequestTimeout
+	}
+	return fiber.ErrBadRequest
+}
+
+// refuseOverBuffers refuses a request whose body doesn't fit within the bound.
+func (s *Server) refuseOverBuffers(c fiber.Ctx) error {
+	now := time.Now()
+	r := &vetchtrail.Request{Method: strings.Clone(c.Method()), Path: strings.Clone(string(c.Request().RequestURI()))}
+	pathOnly, _, _ := strings.Cut(r.Path, "?")
+	if _, routed := s.cfg.Rules().Match(hostName(c.Request().Header.Host()), pathOnly); routed || s.cfg.RoutesOnly {
+		_ = s.cfg.Dialect.ParseRequest(headerFields(c), r, now) // a bad request is refused all the same
+		return s.refuse(c, r, s.overBuffersOutcome(r))
+	}
+	r.ID, r.IdempotencyKey = uuid.NewString(), strings.Clone(c.Get(headerIdempotencyKey))
+	return s.writeProblem(c, s.overBuffersOutcome(r))
+}
+
+// overBuffersOutcome records a refused request and returns its outcome.
+func (s *Server) overBuffersOutcome(r *vetchtrail.Request) vetchtrail.Outcome {
+	bufferRefusals.Inc()
+	s.pressureLog.refused(s.cfg.Buffers, time.Now())
+	return s.cfg.Runner.RefuseOverBuffers(r)
+}
+
+// requestBody returns the body of a request, in memory that the HTTP library doesn't reuse.
+func (s *Server) requestBody(c fiber.Ctx) []byte {
+	if s.cfg.Buffers != nil && c.Get(fiber.HeaderContentEncoding) == "" {
+		return c.Body() // read by keepBody
+	}
+	return append([]byte(nil), c.Body()...)
+}
+
+// takeAccount moves the buffer account of a request from the HTTP library's context to the
+// request, and returns the function that closes it.
+func (s *Server) takeAccount(c fiber.Ctx, r *vetchtrail.Request) func() {
+	account, ok := c.Locals(accountKey{}).(*buffer.Account)
+	if !ok || account == nil {
+		return func() {}
+	}
+	c.Locals(accountKey{}, (*buffer.Account)(nil))
+	c.Request().SetBodyRaw(nil) // r holds the only reference
+	r.Buffers = account
+	return account.Close
+}
+
+// endSlowCaller ends the stream of a caller that reads nothing.
+func (s *Server) endSlowCaller(p *pipe) {
+	slowCallers.Inc()
+	s.pressureLog.ended(s.cfg.Buffers, time.Now())
+	p.cancel(vetchtrail.ErrCallerSlow)
+	p.paced.close()
+	if tc, ok := p.conn.(interface{ SetLinger(sec int) error }); ok {
+		_ = tc.SetLinger(0) // the kernel keeps none of the unread bytes
+	}
+	_ = p.conn.Close()
+}
+
+// newPipe returns the pipe of a request's response, and false if there is no room for another
+// response within the bound on buffered bytes.
+func (s *Server) newPipe(c fiber.Ctx) (p *pipe, ok bool) {
+	p = &pipe{conn: c.RequestCtx().Conn(), begun: make(chan struct{}), ended: make(chan struct{}), onClose: func() {}}
+	p.ctx, p.cancel = context.WithCancelCause(context.Background())
+	if s.cfg.Buffers == nil {
+		p.chunks = make(chan []byte, pipeChunks)
+		return p, true
+	}
+	if p.paced, ok = newPacedBuffer(s.cfg.Buffers); !ok {
+		p.paced = nil
+		return p, false
+	}
+	s.disconnectWatcher.addPaced(p)
+	p.onClose = func() { s.disconnectWatcher.removePaced(p) }
+	return p, true
+}
--- a/connection/caller/conn_tracker.go
+++ b/connection/caller/conn_tracker.go
@@ -3,6 +3,8 @@
 import (
 	"net"
 	"sync"
+
+	"vetchtrail/connection/buffer"
 )
 
 // connTracker is a listener that tracks its open connections, so that they can all be
@@ -12,6 +14,8 @@
 	mu     sync.Mutex
 	open   map[*trackedConn]struct{}
 	closed bool
+	// boundSockets is whether the kernel's buffers of the connections are bounded.
+	boundSockets bool
 }
 
 // trackedConn removes itself from its tracker when it is closed.
@@ -20,8 +24,8 @@
 	tracker *connTracker
 }
 
-func newConnTracker(l net.Listener) *connTracker {
-	return &connTracker{Listener: l, open: map[*trackedConn]struct{}{}}
+func newConnTracker(l net.Listener, boundSockets bool) *connTracker {
+	return &connTracker{Listener: l, boundSockets: boundSockets, open: map[*trackedConn]struct{}{}}
 }
 
 // Accept implements net.Listener.
@@ -34,6 +38,10 @@
 	if !ok {
 		return nc, nil
 	}
+	if c.boundSockets {
+		_ = tc.SetReadBuffer(buffer.SocketBytes)
+		_ = tc.SetWriteBuffer(buffer.SocketBytes)
+	}
 	t := &trackedConn{TCPConn: tc, tracker: c}
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/connection/caller/disconnect_watcher.go
+++ b/connection/caller/disconnect_watcher.go
@@ -12,16 +12,33 @@
 const disconnectCheckInterval = 200 * time.Millisecond
 
 // disconnectWatcher cancels requests whose callers have closed their connections. The HTTP
-// library notices that only when it writes. One goroutine checks all connections.
+// library notices that only when it writes. It also ends the streams of callers that
+// read nothing while the bound on buffered bytes is reached. One goroutine checks all connections.
 type disconnectWatcher struct {
 	mu       sync.Mutex
-	pipes    map[*pipe]struct{}
+	pipes    map[*pipe]struct{} // whose requests run
+	paced    map[*pipe]struct{} // whose responses may have unread bytes
 	stopped  chan struct{}
 	stopOnce sync.Once
+
+	endSlowCaller func(p *pipe)
+}
+
+func newDisconnectWatcher(endSlowCaller func(p *pipe)) *disconnectWatcher {
+	return &disconnectWatcher{pipes: map[*pipe]struct{}{}, paced: map[*pipe]struct{}{}, stopped: make(chan struct{}), endSlowCaller: endSlowCaller}
 }
 
-func newDisconnectWatcher() *disconnectWatcher {
-	return &disconnectWatcher{pipes: map[*pipe]struct{}{}, stopped: make(chan struct{})}
+// addPaced adds a pipe until its Close.
+func (w *disconnectWatcher) addPaced(p *pipe) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.paced[p] = struct{}{}
+}
+
+func (w *disconnectWatcher) removePaced(p *pipe) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	delete(w.paced, p)
 }
 
 func (w *disconnectWatcher) add(p *pipe) {
@@ -48,8 +65,26 @@
 			return
 		case <-t.C:
 			w.cancelDisconnected()
+			for _, p := range w.stalledCallers(time.Now()) {
+				w.endSlowCaller(p)
+			}
+		}
+	}
+}
+
+// stalledCallers removes and returns the pipes whose callers read nothing while the bound on
+// buffered bytes is reached.
+func (w *disconnectWatcher) stalledCallers(now time.Time) []*pipe {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var stalled []*pipe
+	for p := range w.paced {
+		if p.paced.stalled(now, func() uint64 { return probe.BytesAcked(p.conn) }) {
+			stalled = append(stalled, p)
+			delete(w.paced, p)
 		}
 	}
+	return stalled
 }
 
 // cancelDisconnected cancels and removes the requests whose callers have closed their
@@ -59,7 +94,7 @@
 	defer w.mu.Unlock()
 	for p := range w.pipes {
 		if probe.Closed(p.conn) {
-			p.cancel()
+			p.cancel(errCallerGone)
 			delete(w.pipes, p)
 		}
 	}
--- a/connection/caller/pipe.go
+++ b/connection/caller/pipe.go
@@ -12,7 +12,8 @@
 )
 
 const (
-	// pipeChunks is how many chunks of a response are buffered for a slow caller.
+	// pipeChunks is how many chunks of a response are buffered for a slow caller, without a bound
+	// on buffered bytes.
 	pipeChunks = 16
 )
 
@@ -25,11 +26,13 @@
 type pipe struct {
 	conn      net.Conn
 	ctx       context.Context
-	cancel    context.CancelFunc
-	chunks    chan []byte
+	cancel    context.CancelCauseFunc
+	chunks    chan []byte  // nil with a bound on buffered bytes
+	paced     *pacedBuffer // instead of chunks with a bound on buffered bytes
 	begun     chan struct{}
 	ended     chan struct{}
 	beginOnce sync.Once
+	onClose   func() // called by Close
 
 	status  int // set before begun is closed
 	header  []vetchtrail.HeaderField
@@ -37,15 +40,6 @@
 	unread  []byte             // rest of the chunk that Read returns next
 }
 
-func newPipe(conn net.Conn) *pipe {
-	p := &pipe{
-		conn: conn, chunks: make(chan []byte, pipeChunks),
-		begun: make(chan struct{}), ended: make(chan struct{}),
-	}
-	p.ctx, p.cancel = context.WithCancel(context.Background())
-	return p
-}
-
 // run runs a request and keeps its outcome.
 func (p *pipe) run(r Runner, req *vetchtrail.Request) {
 	p.outcome = r.Run(p.ctx, req, p)
@@ -75,6 +69,9 @@
 
 // Write implements vetchtrail.ResponseWriter.
 func (p *pipe) Write(chunk []byte) error {
+	if p.paced != nil {
+		return p.paced.write(p.ctx, chunk)
+	}
 	select {
 	case p.chunks <- append([]byte(nil), chunk...):
 		return nil
@@ -100,6 +97,12 @@
 // nextChunk waits for the next chunk. After the last one it returns io.EOF, or the outcome
 // of a request that was not answered.
 func (p *pipe) nextChunk() ([]byte, error) {
+	if p.paced != nil {
+		if piece := p.paced.next(p.ended); piece != nil {
+			return piece, nil
+		}
+		return nil, p.endError()
+	}
 	select {
 	case chunk := <-p.chunks:
 		return chunk, nil
@@ -115,14 +118,23 @@
 		return chunk, nil
 	default:
 	}
+	return nil, p.endError()
+}
+
+// endError is the error of a read after the last chunk.
+func (p *pipe) endError() error {
 	if p.outcome.Kind != vetchtrail.OutcomeAnswered {
-		return nil, p.outcome
+		return p.outcome
 	}
-	return nil, io.EOF
+	return io.EOF
 }
 
 // Close implements io.Closer: the library calls it when it has finished with the response.
 func (p *pipe) Close() error {
-	p.cancel()
+	p.cancel(errCallerGone)
+	if p.paced != nil {
+		p.paced.close()
+	}
+	p.onClose()
 	return nil
 }
--- a/connection/caller/routed.go
+++ b/connection/caller/routed.go
@@ -123,7 +123,7 @@
 		r.FirstEventBy = now.Add(max(minFirstEventWait, firstEventGoals*m.Goal, firstEventPauses*m.Pause))
 	}
 	r.Header = s.routedHeader(c, m.Keyed)
-	r.Body = append([]byte(nil), c.Body()...)
+	r.Body = s.requestBody(c)
 }
 
 // routedHeader copies the header fields to forward to an endpoint. It omits fields that
--- a/connection/caller/server.go
+++ b/connection/caller/server.go
@@ -8,6 +8,7 @@
 import (
 	"bytes"
 	"context"
+	"log/slog"
 	"net"
 	"sync/atomic"
 	"time"
@@ -17,6 +18,7 @@
 	"github.com/gofiber/fiber/v3"
 
 	"vetchtrail"
+	"vetchtrail/connection/buffer"
 	"vetchtrail/connection/dialect"
 	"vetchtrail/connection/endpoint"
 	"vetchtrail/process/membership"
@@ -43,6 +45,9 @@
 	StartingOutcome(r *vetchtrail.Request) vetchtrail.Outcome
 	// RecordRejection records a request whose caller could not be authenticated.
 	RecordRejection(r *vetchtrail.Request, o vetchtrail.Outcome)
+	// RefuseOverBuffers records a request whose body doesn't fit within the bound on buffered
+	// bytes, and returns its outcome.
+	RefuseOverBuffers(r *vetchtrail.Request) vetchtrail.Outcome
 }
 
 // Config configures a Server.
@@ -60,6 +65,8 @@
 	// newer. It reports whether the configuration in force is now the newest as far as this
 	// host can determine.
 	RefreshConfiguration func(ctx context.Context) (upToDate bool)
+	Buffers              *buffer.Budget // bounds what is held in memory for all requests; nil: unbounded
+	Log                  *slog.Logger   // nil: none
 }
 
 // Server is the HTTP server for callers.
@@ -70,6 +77,7 @@
 
 	disconnectWatcher *disconnectWatcher
 	routeCounter      routeCounter
+	pressureLog       pressureLog
 }
 
 // New returns a Server. Serve starts it.
@@ -77,11 +85,17 @@
 	if c.Dialect == nil {
 		c.Dialect = dialect.Default{}
 	}
-	s := &Server{cfg: c, disconnectWatcher: newDisconnectWatcher()}
+	s := &Server{cfg: c, pressureLog: pressureLog{log: c.Log}}
+	s.disconnectWatcher = newDisconnectWatcher(s.endSlowCaller)
 	s.app = fiber.New(fiber.Config{
 		BodyLimit: c.BodyLimit, ReadBufferSize: maxHeaderBytes, IdleTimeout: idleTimeout, ReadTimeout: readTimeout, WriteTimeout: writeTimeout,
-		ErrorHandler: s.handleError, UnescapePath: false, StreamRequestBody: false,
+		ErrorHandler: s.handleError, UnescapePath: false,
+		// With a bound, keepBody reads the bodies.
+		StreamRequestBody: c.Buffers != nil, DisablePreParseMultipartForm: c.Buffers != nil,
 	})
+	if c.Buffers != nil {
+		s.app.Use(s.keepBody)
+	}
 	s.app.Use(s.handleRouted)
 	s.app.Post("/v1/chat/completions", s.handleCompletion)
 	s.app.Post("/v1/completions", s.handleCompletion)
@@ -98,7 +112,7 @@
 
 // Serve accepts connections from l until Shutdown is called.
 func (s *Server) Serve(l net.Listener) error {
-	tracking := newConnTracker(l)
+	tracking := newConnTracker(l, s.cfg.Buffers != nil)
 	s.connTracker.Store(tracking)
 	go s.disconnectWatcher.run()
 	defer s.disconnectWatcher.stop()
@@ -171,16 +185,25 @@
 // startRequest runs a request in a goroutine and returns once its response has begun or
 // the request has ended without one.
 func (s *Server) startRequest(c fiber.Ctx, r *vetchtrail.Request) (p *pipe, begun bool) {
-	p = newPipe(c.RequestCtx().Conn())
+	p, ok := s.newPipe(c)
+	if !ok {
+		p.outcome = s.overBuffersOutcome(r)
+		return p, false
+	}
+	closeAccount := s.takeAccount(c, r)
 	s.disconnectWatcher.add(p)
 	go func() {
 		defer s.disconnectWatcher.remove(p)
+		defer closeAccount()
 		p.run(s.cfg.Runner, r)
 	}()
 	select {
 	case <-p.begun:
 	case <-p.ended:
 	}
+	if !p.hasBegun() {
+		_ = p.Close()
+	}
 	return p, p.hasBegun()
 }
 
@@ -191,8 +214,7 @@
 		c.Set(fiber.HeaderConnection, "close")
 	}
 	if r.Method == fiber.MethodHead {
-		p.cancel()
-		return nil
+		return p.Close()
 	}
 	return c.SendStream(p)
 }
--- a/connection/caller/server_test.go
+++ b/connection/caller/server_test.go
@@ -34,11 +34,21 @@
 	return vetchtrail.Outcome{Kind: vetchtrail.OutcomeNotRun, Status: 503, Reason: vetchtrail.ReasonStarting}
 }
 
+func (f fakeRunner) RefuseOverBuffers(*vetchtrail.Request) vetchtrail.Outcome {
+	return vetchtrail.Outcome{Kind: vetchtrail.OutcomeNotRun, Status: 503, Reason: vetchtrail.ReasonOverCapacity, RetryAt: time.Now().Add(time.Second)}
+}
+
 func (f fakeRunner) RecordRejection(*vetchtrail.Request, vetchtrail.Outcome) {}
 
 // serve starts a server with one model service and one plain service, and returns its
 // address.
 func serve(t *testing.T, run fakeRunner) netip.AddrPort {
+	t.Helper()
+	return serveConfig(t, Config{Runner: run, Rules: testRules(t), BodyLimit: 4096})
+}
+
+// testRules returns a configuration with one model service and one plain service.
+func testRules(t *testing.T) func() *rules.Rules {
 	t.Helper()
 	current, err := rules.Empty().Apply(vetchtrail.Change{Edits: []vetchtrail.Edit{
 		vetchtrail.PutRegion{Region: vetchtrail.Region{Name: "r", DataCentres: []string{"d"}}},
@@ -48,21 +58,25 @@
 		vetchtrail.PutEndpoint{Endpoint: vetchtrail.Endpoint{Name: "p", Service: "app", Region: "r", DataCentre: "d", Addr: netip.MustParseAddrPort("127.0.0.1:1"), Slots: 1}},
 	}})
 	assert.NilError(t, err)
-	return serveRules(t, run, func() *rules.Rules { return current }, nil)
+	return func() *rules.Rules { return current }
 }
 
 // serveRules starts a server with the configuration that current returns. refresh is its
 // Config.RefreshConfiguration.
 func serveRules(t *testing.T, run fakeRunner, current func() *rules.Rules, refresh func(context.Context) bool) netip.AddrPort {
 	t.Helper()
-	m := membership.New(membership.Config{
-		Self: vetchtrail.Host{Name: "h", State: vetchtrail.HostReady}, Load: load.New(), Revision: func() uint64 { return current().Revision() },
+	return serveConfig(t, Config{Runner: run, Rules: current, BodyLimit: 4096, RefreshConfiguration: refresh})
+}
+
+// serveConfig starts a server with the given configuration and a membership of its own.
+func serveConfig(t *testing.T, c Config) netip.AddrPort {
+	t.Helper()
+	c.Region, c.IssuedKeys = "r", idempotency.New(idempotency.Config{Host: "h", KeyTime: time.Minute})
+	c.Membership = membership.New(membership.Config{
+		Self: vetchtrail.Host{Name: "h", State: vetchtrail.HostReady}, Load: load.New(), Revision: func() uint64 { return c.Rules().Revision() },
 		Log: slog.New(slog.NewTextHandler(io.Discard, nil)),
 	})
-	s := New(Config{
-		Runner: run, Rules: current, Membership: m, Region: "r", BodyLimit: 4096, RefreshConfiguration: refresh,
-		IssuedKeys: idempotency.New(idempotency.Config{Host: "h", KeyTime: time.Minute}),
-	})
+	s := New(c)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	go func() { _ = s.Serve(l) }()
--- a/connection/caller/unrouted.go
+++ b/connection/caller/unrouted.go
@@ -113,7 +113,7 @@
 	r := &vetchtrail.Request{
 		ID: uuid.NewString(), Service: strings.Clone(service), Kind: kind, Workspace: strings.Clone(c.Get(headerWorkspace)),
 		EntryRegion: region.ID, Method: strings.Clone(c.Method()), Header: unroutedHeader(c),
-		Body: append([]byte(nil), c.Body()...), IdempotencyKey: strings.Clone(c.Get(headerIdempotencyKey)),
+		Body: s.requestBody(c), IdempotencyKey: strings.Clone(c.Get(headerIdempotencyKey)),
 	}
 	if len(r.Workspace) > maxWorkspaceBytes {
 		return nil, fmt.Errorf("%s is over %d bytes", headerWorkspace, maxWorkspaceBytes)
--- a/connection/endpoint/body.go
+++ b/connection/endpoint/body.go
@@ -44,6 +44,9 @@
 // size is the length in bytes if it is known, and negative otherwise.
 func (b *body) size() int { return b.length }
 
+// knownSize is the length in bytes, or -1 if it is not known.
+func (b *body) knownSize() int { return max(b.length, -1) }
+
 // framed reports whether the body has an end of its own, other than the end of the connection.
 func (b *body) framed() bool { return b.length != lengthUntilClose }
 
--- a/connection/endpoint/deliver.go
+++ b/connection/endpoint/deliver.go
@@ -1,6 +1,7 @@
 package endpoint
 
 import (
+	"context"
 	"encoding/json"
 	"io"
 	"strings"
@@ -10,19 +11,20 @@
 	"github.com/valyala/fasthttp"
 
 	"vetchtrail"
+	"vetchtrail/connection/buffer"
 )
 
 // deliver writes the response to the caller, or stores it as a deferred failure.
-func (t *attempt) deliver() error {
+func (t *attempt) deliver(ctx context.Context) error {
 	switch {
 	case t.req.ResponseStarted && (t.resp.StatusCode() != fasthttp.StatusOK || !t.isEventStream()):
 		return errors.Errorf("status %d instead of the rest of the stream", t.resp.StatusCode())
 	case t.defersFailure():
-		return t.deferFailure()
+		return t.deferFailure(ctx)
 	case t.isEventStream():
-		return t.deliverEvents()
+		return t.deliverEvents(ctx)
 	case t.body.size() >= 0 && t.body.size() <= maxBufferedResponse, t.req.Route != "":
-		return t.deliverWhole()
+		return t.deliverWhole(ctx)
 	case !t.body.framed():
 		return errors.New("response has neither a length nor chunks: its end can't be distinguished from a broken connection")
 	}
@@ -37,8 +39,8 @@
 }
 
 // deferFailure buffers the response as the attempt's deferred failure.
-func (t *attempt) deferFailure() error {
-	wholeBody, err := t.wholeBody()
+func (t *attempt) deferFailure(ctx context.Context) error {
+	wholeBody, err := t.wholeBody(ctx)
 	if err != nil {
 		return err
 	}
@@ -53,7 +55,12 @@
 }
 
 // wholeBody reads the whole body, up to maxBufferedResponse.
-func (t *attempt) wholeBody() ([]byte, error) {
+func (t *attempt) wholeBody(ctx context.Context) ([]byte, error) {
+	if t.req.Buffers != nil {
+		ctx, cancel := context.WithDeadlineCause(ctx, t.req.Deadline, buffer.ErrFull)
+		defer cancel()
+		return buffer.ReadAll(t.body, t.body.knownSize(), maxBufferedResponse, func(n int) error { return t.req.Buffers.Reserve(ctx, n) })
+	}
 	wholeBody, err := io.ReadAll(io.LimitReader(t.body, maxBufferedResponse+1))
 	if err == nil && len(wholeBody) > maxBufferedResponse {
 		err = errors.Errorf("response is over %d bytes", maxBufferedResponse)
@@ -63,8 +70,8 @@
 
 // deliverWhole delivers a response after reading it completely. It rejects a response to an
 // unrouted request to a model that is not JSON.
-func (t *attempt) deliverWhole() error {
-	wholeBody, err := t.wholeBody()
+func (t *attempt) deliverWhole(ctx context.Context) error {
+	wholeBody, err := t.wholeBody(ctx)
 	if err != nil {
 		return err
 	}
@@ -104,6 +111,8 @@
 	if len(chunk) == 0 {
 		return nil
 	}
+	t.pause.beforeWrite()
+	defer t.pause.afterWrite()
 	return t.writer.Write(chunk)
 }
 
--- a/connection/endpoint/endpoint.go
+++ b/connection/endpoint/endpoint.go
@@ -20,6 +20,7 @@
 	"github.com/valyala/fasthttp"
 
 	"vetchtrail"
+	"vetchtrail/connection/buffer"
 	"vetchtrail/connection/dial"
 	"vetchtrail/connection/dialect"
 )
@@ -57,6 +58,8 @@
 	Guard    Guard
 	Dialect  vetchtrail.Dialect  // for routed requests; nil: dialect.Default
 	Observer vetchtrail.Observer // nil: none
+	// SocketBytes bounds the kernel's buffers of a connection; 0: the kernel decides.
+	SocketBytes int
 }
 
 // Client calls endpoints. It implements vetchtrail.EndpointCaller.
@@ -72,7 +75,7 @@
 	}
 	k := &Client{cfg: c}
 	k.pool.idle = map[poolKey][]*conn{}
-	k.pool.dialer = dial.Dialer(dialTimeout)
+	k.pool.dialer, k.pool.socketBytes = dial.Dialer(dialTimeout), c.SocketBytes
 	return k
 }
 
@@ -88,6 +91,8 @@
 	timing          vetchtrail.Timing
 	begun           bool
 	eventsSent      int                          // of the stream, to the caller
+	eventCounted    int                          // bytes of the current event in the request's buffer account
+	pause           pause                        // of the stream while its caller reads too slowly
 	deferredFailure *vetchtrail.BufferedResponse // set if the response is a failure and another attempt may succeed
 }
 
@@ -154,7 +159,9 @@
 		err := errors.Errorf("status %d in a response that can't be verified as the endpoint's", t.resp.StatusCode())
 		return t.unknown(ctx, vetchtrail.StepResponse, vetchtrail.ReasonResponseBroken, err), false
 	}
-	if err := t.deliver(); err != nil {
+	t.pause.init(t)
+	defer t.releaseEvent()
+	if err := t.deliver(ctx); err != nil {
 		return t.unknown(ctx, vetchtrail.StepResponse, vetchtrail.ReasonResponseBroken, err), false
 	}
 	t.timing.Done = time.Now()
@@ -388,7 +395,9 @@
 	}
 	switch {
 	case ctx.Err() != nil:
-		o.Reason = vetchtrail.ReasonCallerGone
+		o.Reason = vetchtrail.CancelReason(ctx)
+	case errors.Is(err, buffer.ErrFull): // no fault of the endpoint
+		o.Reason = vetchtrail.ReasonOverCapacity
 	case !time.Now().Before(t.req.Deadline):
 		o.Reason, o.Status = vetchtrail.ReasonDeadline, fasthttp.StatusGatewayTimeout
 	}
--- a/connection/endpoint/events.go
+++ b/connection/endpoint/events.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"io"
 	"strconv"
 	"strings"
@@ -16,6 +17,10 @@
 // maxEventBytes bounds one event of a stream.
 const maxEventBytes = 1 << 20
 
+// eventStep is how many bytes of a large event are counted at once. Most large events fit, so that
+// few streams wait for more bytes while they hold some.
+const eventStep = 64 << 10
+
 // lastEventData is the line that marks the last event of a model's stream.
 var lastEventData = []byte("data: [DONE]")
 
@@ -43,9 +48,9 @@
 
 // deliverEvents delivers a stream event by event. For an unrouted request it qualifies the
 // event ids, and returns an error if the stream ends without its last event.
-func (t *attempt) deliverEvents() error {
+func (t *attempt) deliverEvents(ctx context.Context) error {
 	if t.req.Route != "" {
-		return t.deliverRoutedEvents()
+		return t.deliverRoutedEvents(ctx)
 	}
 	reader := bufio.NewReaderSize(t.body, readBufferBytes)
 	stream := t.streamID()
@@ -53,7 +58,7 @@
 	var last time.Time
 	for {
 		_ = t.conn.SetDeadline(time.Now().Add(stallTimeout))
-		event, err := readEvent(reader)
+		event, err := t.readEvent(ctx, reader)
 		if isCleanEnd(err) && len(event) == 0 {
 			break
 		}
@@ -75,12 +80,12 @@
 // deliverRoutedEvents delivers the events of a routed stream unchanged. Only the framing
 // marks the end of such a stream. If the stream resumes one of another endpoint, events
 // that the caller has already received are skipped.
-func (t *attempt) deliverRoutedEvents() error {
+func (t *attempt) deliverRoutedEvents(ctx context.Context) error {
 	reader := bufio.NewReaderSize(t.body, readBufferBytes)
 	lastReceived, resumed := parseEventNumber(t.req.LastEventID)
 	var last time.Time
 	for {
-		event, err := readEvent(reader)
+		event, err := t.readEvent(ctx, reader)
 		if isCleanEnd(err) && len(event) == 0 {
 			return t.begin()
 		}
@@ -102,6 +107,9 @@
 func (t *attempt) recordEvent(last time.Time) time.Time {
 	now := time.Now()
 	t.eventsSent++
+	if t.pause.ended() {
+		return time.Time{} // the interval would be the caller's
+	}
 	if !last.IsZero() && t.client.cfg.Observer != nil {
 		t.client.cfg.Observer.EventReceived(t.endpoint, now.Sub(last), now)
 	}
@@ -158,11 +166,16 @@
 	return append(out, event[len(prefix):]...)
 }
 
-// readEvent reads the lines of an event, including the empty line that ends it.
-func readEvent(reader *bufio.Reader) ([]byte, error) {
+// readEvent reads the lines of an event, including the empty line that ends it. The bytes of an
+// event that is larger than the read buffer are counted until the next event is read.
+func (t *attempt) readEvent(ctx context.Context, reader *bufio.Reader) ([]byte, error) {
+	t.releaseEvent()
 	var event []byte
 	for {
 		line, err := reader.ReadSlice('\n')
+		if err := t.countEvent(ctx, len(event)+len(line)); err != nil {
+			return nil, err
+		}
 		event = append(event, line...)
 		if err != nil && !errors.Is(err, bufio.ErrBufferFull) {
 			return event, unexpectedEnd(err, event)
@@ -176,6 +189,26 @@
 	}
 }
 
+// countEvent counts an event that has grown to n bytes, unless it fits the read buffer.
+func (t *attempt) countEvent(ctx context.Context, n int) error {
+	if t.req.Buffers == nil || n <= max(readBufferBytes, t.eventCounted) {
+		return nil
+	}
+	if err := t.req.Buffers.Reserve(ctx, eventStep); err != nil {
+		return err
+	}
+	t.eventCounted += eventStep
+	return nil
+}
+
+// releaseEvent ends the counting of the last event.
+func (t *attempt) releaseEvent() {
+	if t.eventCounted > 0 {
+		t.req.Buffers.Release(t.eventCounted)
+		t.eventCounted = 0
+	}
+}
+
 // unexpectedEnd turns an end of the stream within an event into an error.
 func unexpectedEnd(err error, event []byte) error {
 	if isCleanEnd(err) && len(event) > 0 {
--- a/connection/endpoint/pool.go
+++ b/connection/endpoint/pool.go
@@ -120,9 +120,11 @@
 
 // pool holds the idle connections to all endpoints.
 type pool struct {
-	dialer net.Dialer
-	mu     sync.Mutex
-	idle   map[poolKey][]*conn
+	dialer      net.Dialer
+	socketBytes int // bound of the kernel's buffers of a connection; 0: none
+
+	mu   sync.Mutex
+	idle map[poolKey][]*conn
 }
 
 // get returns an idle connection that is still usable, or a new one. A request that may
@@ -144,6 +146,10 @@
 	if err != nil {
 		return nil, err
 	}
+	if tc, ok := nc.(*net.TCPConn); ok && p.socketBytes > 0 {
+		_ = tc.SetReadBuffer(p.socketBytes)
+		_ = tc.SetWriteBuffer(p.socketBytes)
+	}
 	c := &conn{Conn: nc, idleTimeout: idleTimeout}
 	c.reader = bufio.NewReaderSize(c, readBufferBytes)
 	return c, nil
--- a/connection/peer/client.go
+++ b/connection/peer/client.go
@@ -18,6 +18,7 @@
 	"storj.io/drpc/drpcwire"
 
 	"vetchtrail"
+	"vetchtrail/connection/buffer"
 	"vetchtrail/connection/dial"
 	"vetchtrail/schema"
 )
@@ -43,6 +44,9 @@
 	// stallTimeout is the longest interval between two messages of a forwarded response that
 	// has begun.
 	stallTimeout = 30 * time.Second
+	// minCountedPart is the size in bytes from which a part of a forwarded response is counted
+	// as buffered. The events of most streams are smaller.
+	minCountedPart = 8 << 10
 )
 
 // Translation maps the addresses that other hosts announce for a network to those by which
@@ -209,7 +213,7 @@
 	o := c.forward(ctx, h, r, w)
 	if o.HostLost && ctx.Err() != nil {
 		// The caller disconnected. The host is not at fault and must not be taken out of use.
-		o.Reason, o.HostLost = vetchtrail.ReasonCallerGone, false
+		o.Reason, o.HostLost = vetchtrail.CancelReason(ctx), false
 	}
 	return o
 }
@@ -228,7 +232,7 @@
 		return sendFailure(h, err)
 	}
 	defer func() { _ = stream.Close() }()
-	return receiveResponse(stream, h, w, deadlineTimer)
+	return receiveResponse(ctx, stream, h, r, w, deadlineTimer)
 }
 
 // forwardClient returns the client that forwards a request. Requests that may not run
@@ -251,7 +255,7 @@
 
 // receiveResponse writes the forwarded response to w and returns the outcome. Each message
 // restarts the timer, which cancels the call when it fires.
-func receiveResponse(stream schema.DRPCPeers_ForwardClient, h vetchtrail.Host, w vetchtrail.ResponseWriter, deadlineTimer *time.Timer) vetchtrail.Outcome {
+func receiveResponse(ctx context.Context, stream schema.DRPCPeers_ForwardClient, h vetchtrail.Host, r *vetchtrail.Request, w vetchtrail.ResponseWriter, deadlineTimer *time.Timer) vetchtrail.Outcome {
 	begun := false
 	failed := func(reason vetchtrail.Reason, err error) vetchtrail.Outcome {
 		o := failedOutcome(vetchtrail.OutcomeUnknown, vetchtrail.StepForward, reason, h, err)
@@ -268,19 +272,43 @@
 			begun = true
 			err = w.Begin(int(part.Begin.GetStatus()), schema.ToHeader(part.Begin.GetHeader()))
 		case *schema.ForwardReply_Body:
-			err = w.Write(part.Body)
+			if r.Buffers != nil {
+				deadlineTimer.Stop() // the caller's pace is no stall of the host
+			}
+			err = writeCounted(ctx, r, w, part.Body)
 		case *schema.ForwardReply_End:
 			o := schema.ToOutcome(part.End, time.Now())
 			o.ResponseStarted = begun
 			return o
 		}
 		if err != nil {
-			return failed(vetchtrail.ReasonCallerGone, err)
+			return failed(writeFailure(ctx, err), err)
 		}
 		deadlineTimer.Reset(stallTimeout)
 	}
 }
 
+// writeCounted writes a part of a forwarded response. A large part is counted while it waits for
+// the caller.
+func writeCounted(ctx context.Context, r *vetchtrail.Request, w vetchtrail.ResponseWriter, part []byte) error {
+	if r.Buffers == nil || len(part) <= minCountedPart {
+		return w.Write(part)
+	}
+	if err := r.Buffers.Reserve(ctx, len(part)); err != nil {
+		return err
+	}
+	defer r.Buffers.Release(len(part))
+	return w.Write(part)
+}
+
+// writeFailure is the reason why a part of a response could not be written.
+func writeFailure(ctx context.Context, err error) vetchtrail.Reason {
+	if errors.Is(err, buffer.ErrFull) {
+		return vetchtrail.ReasonOverCapacity
+	}
+	return vetchtrail.CancelReason(ctx)
+}
+
 // failedOutcome is the outcome of a request whose forwarding failed. It reports the host
 // as lost unless the caller is the reason.
 func failedOutcome(kind vetchtrail.OutcomeKind, step vetchtrail.Step, reason vetchtrail.Reason, h vetchtrail.Host, err error) vetchtrail.Outcome {
--- a/connection/peer/peer_test.go
+++ b/connection/peer/peer_test.go
@@ -13,6 +13,7 @@
 	"storj.io/drpc/drpcconn"
 
 	"vetchtrail"
+	"vetchtrail/connection/buffer"
 	"vetchtrail/schema"
 	"vetchtrail/standin/meter"
 )
@@ -33,14 +34,24 @@
 	return f.run(ctx, r, w)
 }
 
+func (fakeHost) RefuseOverBuffers(*vetchtrail.Request) vetchtrail.Outcome {
+	return vetchtrail.Outcome{Kind: vetchtrail.OutcomeNotRun, Reason: vetchtrail.ReasonOverCapacity}
+}
+
 // serve starts the server of a host and returns its address, and its listener to count
 // bytes.
 func serve(t testing.TB, f fakeHost) (netip.AddrPort, *meter.Listener) {
+	t.Helper()
+	return serveBounded(t, f, nil)
+}
+
+// serveBounded does what serve does, with a bound on buffered bytes.
+func serveBounded(t testing.TB, f fakeHost, b *buffer.Budget) (netip.AddrPort, *meter.Listener) {
 	t.Helper()
 	inner, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	l := &meter.Listener{Listener: inner}
-	s, err := NewServer(ServerConfig{Membership: f, Changes: f, Runner: f, Operators: &f})
+	s, err := NewServer(ServerConfig{Membership: f, Changes: f, Runner: f, Operators: &f, Buffers: b})
 	assert.NilError(t, err)
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
@@ -126,6 +137,35 @@
 	}
 }
 
+// TestForwardedBodiesOverBound guards against bodies of forwarded requests that don't count as
+// buffered: one that doesn't fit is not run, and one that ends makes room.
+func TestForwardedBodiesOverBound(t *testing.T) {
+	const bound = 1 << 20
+	cases := map[string]struct {
+		bodyBytes int
+		kind      vetchtrail.OutcomeKind
+	}{
+		"fits":        {bound / 4, vetchtrail.OutcomeAnswered},
+		"doesn't fit": {bound, vetchtrail.OutcomeNotRun},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			budget := buffer.NewBudget(bound)
+			addr, _ := serveBounded(t, fakeHost{run: func(_ context.Context, r *vetchtrail.Request, w vetchtrail.ResponseWriter) vetchtrail.Outcome {
+				assert.Check(t, budget.Stats().Used >= len(r.Body))
+				_ = w.Begin(200, nil)
+				return vetchtrail.Outcome{Kind: vetchtrail.OutcomeAnswered, Status: 200}
+			}}, budget)
+			client := New(Config{})
+			defer client.Close()
+			r := &vetchtrail.Request{ID: "r", Deadline: time.Now().Add(time.Minute), Body: make([]byte, c.bodyBytes)}
+			o := client.Forward(t.Context(), vetchtrail.Host{Name: "h", PeerAddr: addr}, r, &responseRecorder{})
+			assert.Equal(t, o.Kind, c.kind, o.Error())
+			assert.Equal(t, budget.Stats().Used, 0)
+		})
+	}
+}
+
 // TestInvalidMessages checks that bytes which are no message, and a request that can't be
 // decoded, break only their own connection: the server still serves others.
 func TestInvalidMessages(t *testing.T) {
--- a/connection/peer/server.go
+++ b/connection/peer/server.go
@@ -12,6 +12,7 @@
 	"storj.io/drpc/drpcwire"
 
 	"vetchtrail"
+	"vetchtrail/connection/buffer"
 	"vetchtrail/schema"
 )
 
@@ -35,6 +36,9 @@
 // Runner runs forwarded requests.
 type Runner interface {
 	Run(ctx context.Context, r *vetchtrail.Request, w vetchtrail.ResponseWriter) vetchtrail.Outcome
+	// RefuseOverBuffers records a request whose body doesn't fit within the bound on buffered
+	// bytes, and returns its outcome.
+	RefuseOverBuffers(r *vetchtrail.Request) vetchtrail.Outcome
 }
 
 // Quotas handles lease requests and demand reports for the quotas that this host owns.
@@ -64,6 +68,7 @@
 	RateLimits  RateLimits
 	Quarantines Quarantines
 	Operators   schema.DRPCOperatorsServer
+	Buffers     *buffer.Budget // bounds the bodies of forwarded requests; nil: unbounded
 }
 
 // Server serves the calls of other hosts and of operators.
@@ -147,10 +152,24 @@
 	if err != nil {
 		return err
 	}
-	o := s.cfg.Runner.Run(stream.Context(), r, &streamWriter{stream: stream})
+	o := s.run(stream.Context(), r, &streamWriter{stream: stream})
 	return stream.Send(&schema.ForwardReply{Part: &schema.ForwardReply_End{End: schema.FromOutcome(o, time.Now())}})
 }
 
+// run runs a forwarded request if its body fits within the bound on buffered bytes.
+func (s *Server) run(ctx context.Context, r *vetchtrail.Request, w vetchtrail.ResponseWriter) vetchtrail.Outcome {
+	if s.cfg.Buffers == nil {
+		return s.cfg.Runner.Run(ctx, r, w)
+	}
+	account := s.cfg.Buffers.NewAccount()
+	defer account.Close()
+	if account.ReserveRequest(len(r.Body)) != nil {
+		return s.cfg.Runner.RefuseOverBuffers(r)
+	}
+	r.Buffers = account
+	return s.cfg.Runner.Run(ctx, r, w)
+}
+
 // streamWriter is a vetchtrail.ResponseWriter that sends the response back to the
 // forwarding host.
 type streamWriter struct {
--- a/mechanism.go
+++ b/mechanism.go
@@ -32,12 +32,13 @@
 	MechanismWarmUp                                // increase the share of load gradually for endpoints that return
 	MechanismQuarantine                            // quarantine requests that make endpoints crash
 	MechanismRateLimits                            // keep to the rate limits that endpoints advertise
+	MechanismBufferLimits                          // bound the bytes buffered for callers and endpoints that read slowly
 )
 
 var mechanismNames = [...]string{
 	"affinity", "prompt-moves", "far-moves", "last-sent", "kept-elsewhere", "prompt-backlog", "pace", "urgent-first",
 	"shedding", "forwarding", "waiting", "last-chance", "retries", "failure-cost", "ejection",
-	"silence", "adaptive-limits", "warm-up", "holding-back", "rate-limits",
+	"silence", "adaptive-limits", "warm-up", "holding-back", "rate-limits", "buffer-limits",
 }
 
 // String returns the mechanism's name in the settings.
--- a/observation.go
+++ b/observation.go
@@ -15,7 +15,7 @@
 	// PredictedFirstByte is the time to the first byte of the response that the decision
 	// expected; 0: there was no prediction.
 	PredictedFirstByte time.Duration
-	Cancelled          bool // the caller disconnected, so the attempt shows nothing about the endpoint
+	Cancelled          bool // it ended for its caller or for this host's memory, so the attempt shows nothing about the endpoint
 }
 
 // EndpointTable is the state of the endpoints that a host may call.
--- a/outcome.go
+++ b/outcome.go
@@ -109,6 +109,7 @@
 	ReasonResponseBroken        Reason = "answer-broken"    // the response broke off or can't be verified
 	ReasonResponseLost          Reason = "answer-lost"      // no complete response arrived
 	ReasonCallerGone            Reason = "caller-gone"      // the caller disconnected
+	ReasonCallerSlow            Reason = "caller-slow"      // the caller read nothing while the bound on buffered bytes was reached
 	ReasonBadRequest            Reason = "bad-request"
 	ReasonUnknownService        Reason = "unknown-service"
 	ReasonIdempotencyKey        Reason = "key"              // the idempotency key is malformed or was used for another request
--- a/process/daemon/daemon.go
+++ b/process/daemon/daemon.go
@@ -20,6 +20,7 @@
 	"github.com/sourcegraph/conc"
 
 	"vetchtrail"
+	"vetchtrail/connection/buffer"
 	"vetchtrail/connection/caller"
 	"vetchtrail/connection/endpoint"
 	"vetchtrail/connection/peer"
@@ -117,6 +118,7 @@
 	poller            *poll.Poller                    // polls the endpoints' load reports unless the platform is hosted
 	server            *peer.Server                    // serves peers and operators
 	tls               *tls.Config                     // of the listener for peers; nil: no TLS
+	buffers           *buffer.Budget                  // bounds what is buffered for all connections; nil: unbounded
 	hosted            *Hosted                         // nil unless the platform is hosted
 	directory         Directory                       // nil unless the platform is hosted
 	endpoints         *endpoint.Client                // sends requests to endpoints
@@ -145,6 +147,7 @@
 	storeClient := store.New(store.Config{Addr: d.cfg.Platform.Store})
 	d.changes = changelog.New(changelog.Config{Store: storeClient, Log: d.log})
 	d.quarantineKVStore = &quarantines.KVStore{KV: storeClient, Log: d.log}
+	d.buffers = buffer.NewBudget(d.bufferBound())
 	d.membership = membership.New(membership.Config{
 		Self: d.self, Seeds: d.cfg.Seeds, Load: d.table, Revision: d.appliedRevision.Load, Log: d.log, RandomSeed: d.randomSeed(),
 		CallsWholeRegion: d.hosted != nil, RateLimits: rateReceiver{d}, LeavingEndpoints: leavingReceiver{d},
@@ -166,7 +169,7 @@
 	var err error
 	d.server, err = peer.NewServer(peer.ServerConfig{
 		Membership: d.membership, Changes: d.changes, Listings: d.lists, Runner: d.dispatcher, Quotas: d.quotas, RateLimits: d.rateLimits,
-		Quarantines: d.quarantines, Operators: &operatorServer{d: d},
+		Quarantines: d.quarantines, Operators: &operatorServer{d: d}, Buffers: d.buffers,
 	})
 	return d, err
 }
@@ -197,7 +200,7 @@
 	d.newRateLimits(switchedOff)
 	d.availability = availability.New(availability.Config{Observer: d.rateLimits, Table: d.table, Log: d.log})
 	d.endpoints = endpoint.New(endpoint.Config{
-		Dialect: dialect, Observer: d.availability,
+		Dialect: dialect, Observer: d.availability, SocketBytes: d.socketBytes(),
 		Guard: func(e vetchtrail.Endpoint, r *vetchtrail.Request) vetchtrail.Reason {
 			return d.dispatcher.CheckBeforeSend(e, r)
 		},
@@ -212,6 +215,7 @@
 		Runner: d.dispatcher, Rules: d.changes.Rules, Membership: d.membership, IssuedKeys: idempotencyKeys,
 		BodyLimit: d.cfg.Limits.Body, ExposeEndpoint: d.cfg.Explain, Region: d.cfg.Region,
 		Dialect: dialect, RoutesOnly: d.hosted != nil, RefreshConfiguration: d.refreshConfiguration,
+		Buffers: d.buffers, Log: d.log,
 	})
 	return nil
 }
@@ -230,6 +234,7 @@
 		"platform.weights": s.Platform.Weights == d.cfg.Platform.Weights,
 		"platform.store":   s.Platform.Store == d.cfg.Platform.Store, "explain": s.Explain == d.cfg.Explain,
 		"limits.body": s.Limits.Body == d.cfg.Limits.Body, "limits.records": s.Limits.Records == d.cfg.Limits.Records,
+		"limits.buffers": s.Limits.Buffers == d.cfg.Limits.Buffers,
 	} {
 		if !unchanged {
 			needRestart = append(needRestart, name)
--- a/process/load/event_interval.go
+++ b/process/load/event_interval.go
@@ -52,10 +52,10 @@
 	minSilence      = 700 * time.Millisecond
 )
 
-// silent reports whether the endpoint runs streams of this host and nothing has arrived on any of them for longer
+// silent reports whether the endpoint runs streams that this host reads and nothing has arrived on any of them for longer
 // than silentIntervals and minSilence allow. A new request there would wait too. The caller holds the lock.
 func (t *Table) silent(s *endpointState, now time.Time) bool {
-	if len(s.startedStreams) == 0 || t.switchedOff.Has(vetchtrail.MechanismSilence) {
+	if len(s.startedStreams) == s.pausedStreams || t.switchedOff.Has(vetchtrail.MechanismSilence) {
 		return false
 	}
 	threshold := max(minSilence, time.Duration(silentIntervals*s.eventInterval.mean*float64(time.Second)))
@@ -70,6 +70,32 @@
 	return ok && t.silent(s, now)
 }
 
+// StreamPaused implements vetchtrail.Observer. Nothing arrives on a stream that this host doesn't read, which is no
+// silence of its endpoint.
+func (t *Table) StreamPaused(e vetchtrail.Endpoint, r *vetchtrail.Request) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if s, ok := t.instance(e.Name, e.Born); ok && s.startedStreams[r.ID] {
+		s.startedStreams[r.ID] = false
+		s.pausedStreams++
+	}
+}
+
+// StreamResumed implements vetchtrail.Observer.
+func (t *Table) StreamResumed(e vetchtrail.Endpoint, r *vetchtrail.Request, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s, ok := t.instance(e.Name, e.Born)
+	if !ok {
+		return
+	}
+	if read, started := s.startedStreams[r.ID]; started && !read {
+		s.startedStreams[r.ID] = true
+		s.pausedStreams--
+		s.lastSeen = now
+	}
+}
+
 // expectedEventInterval is the probable time between two events of a new stream, in seconds; 0: not known. It
 // follows the mean of this host's streams at the endpoint. The older the last observation of that mean is, the more
 // it follows the fit over the service's endpoints, at the number of running requests that this one last reported.
--- a/process/load/load.go
+++ b/process/load/load.go
@@ -113,7 +113,8 @@
 	sessionUses          sessionUses
 	coldStart            coldStartLimiter
 	eventInterval        eventInterval
-	startedStreams       map[string]bool // this host's streams with a first byte, by request ID
+	startedStreams       map[string]bool // this host's streams with a first byte, by request ID; false: it is paused
+	pausedStreams        int             // started streams that this host doesn't read, as their callers read too slowly
 	lastSeen             time.Time       // when the first byte of a response or an event of a stream last arrived
 	connectFailuresInRow int
 	errorShare           average   // share of its responses that are errors
--- a/process/load/prefill_test.go
+++ b/process/load/prefill_test.go
@@ -298,6 +298,36 @@
 			t.ResponseStarted(e, stream, now)
 			t.Release("a", vetchtrail.Observation{Request: "x"}, now)
 		}, false},
+		"not read by this host": {func(t *Table) {
+			t.Acquire("a", stream, now)
+			t.ResponseStarted(e, stream, now)
+			t.StreamPaused(e, stream)
+		}, false},
+		"read again, and nothing came": {func(t *Table) {
+			t.Acquire("a", stream, now)
+			t.ResponseStarted(e, stream, now)
+			t.StreamPaused(e, stream)
+			t.StreamResumed(e, stream, now)
+		}, true},
+		"one stopped beside one that is not read": {func(t *Table) {
+			unread := request("y", 3, 0)
+			unread.Stream = true
+			for _, r := range []*vetchtrail.Request{stream, unread} {
+				t.Acquire("a", r, now)
+				t.ResponseStarted(e, r, now)
+			}
+			t.StreamPaused(e, unread)
+		}, true},
+		"one stopped after one ended that was not read": {func(t *Table) {
+			unread := request("y", 3, 0)
+			unread.Stream = true
+			for _, r := range []*vetchtrail.Request{stream, unread} {
+				t.Acquire("a", r, now)
+				t.ResponseStarted(e, r, now)
+			}
+			t.StreamPaused(e, unread)
+			t.Release("a", vetchtrail.Observation{Request: "y"}, now)
+		}, true},
 		"a resumed stream":  {func(t *Table) { t.ResponseStarted(e, stream, now) }, false},
 		"no first byte yet": {func(t *Table) { t.Acquire("a", stream, now) }, false},
 	}
--- a/process/load/release.go
+++ b/process/load/release.go
@@ -18,6 +18,9 @@
 	}
 	s.changeInFlight(now, -1)
 	delete(s.pendingPrompts, o.Request)
+	if read, started := s.startedStreams[o.Request]; started && !read {
+		s.pausedStreams--
+	}
 	delete(s.startedStreams, o.Request)
 	t.wake(s.Service)
 	if o.Outcome.ColdStart > 0 {
--- /dev/null
+++ b/process/settings/buffers.go
@@ -0,0 +1,22 @@
+package settings
+
+import "vetchtrail"
+
+// memoryDivisor is the part of the process's memory that buffers may use under pressure. The rest
+// holds the configuration, the listing, connections and what the collector has not freed yet.
+const memoryDivisor = 4
+
+// BufferBound returns the bound in bytes on what is buffered for all connections together; 0:
+// unbounded. pressure is whether the deployment asks for the bound without a setting of its own;
+// then it is a part of the memory.
+func (s *Settings) BufferBound(pressure bool) int {
+	switch {
+	case vetchtrail.MechanismsOf(s.SwitchedOff...).Has(vetchtrail.MechanismBufferLimits):
+		return 0
+	case s.Limits.Buffers > 0:
+		return s.Limits.Buffers * bytesPerMB
+	case pressure:
+		return s.Limits.Memory * bytesPerMB / memoryDivisor
+	}
+	return 0
+}
--- a/process/settings/settings.go
+++ b/process/settings/settings.go
@@ -113,6 +113,8 @@
 	Body    int `yaml:"body"`    // maximum size of a caller's request body, in bytes
 	Records int `yaml:"records"` // maximum size of the responses stored for repeated requests, in bytes
 	Memory  int `yaml:"memory"`  // memory for the process, in MB; 0: unbounded
+	// Buffers bounds what is buffered for all connections together, in MB; 0: unbounded.
+	Buffers int `yaml:"buffers"`
 	// Link and Processor are the capacity of the host, by which it is weighted against other
 	// hosts; 0: unknown.
 	Link      float64 `yaml:"link"`      // Mbit/s
@@ -160,6 +162,13 @@
 	minKnownWithin     = time.Second
 	maxKnownWithin     = time.Minute
 	maxBodyBytes       = 64 << 20
+	bytesPerMB         = 1 << 20
+	// minBuffers is the lowest bound in MB within which the largest response that is read whole,
+	// 4 MB, fits into the quarter for such responses.
+	minBuffers = 16
+	// bodiesInBuffers is the lowest ratio of limits.buffers to limits.body: half of the bound is
+	// for bodies, and one of the largest must fit.
+	bodiesInBuffers = 2
 )
 
 // Default weights of services on a hosted platform. A cost of 1 is a second of waiting for the
@@ -255,6 +264,8 @@
 		{invalidWeights(s.Platform.Weights.Model), "platform.weights.model", weightsProblem},
 		{invalidWeights(s.Platform.Weights.Plain), "platform.weights.plain", weightsProblem},
 		{s.Limits.Memory < 0, "limits.memory", "must not be below 0 MB"},
+		{s.Limits.Buffers != 0 && s.Limits.Buffers < minBuffers, "limits.buffers", fmt.Sprintf("must be 0 or at least %d MB", minBuffers)},
+		{s.Limits.Buffers != 0 && s.Limits.Buffers*bytesPerMB < bodiesInBuffers*s.Limits.Body, "limits.buffers", "must be 0 or at least twice limits.body"},
 		{!(s.Limits.Link >= 0) || !(s.Limits.Processor >= 0), "limits", "must not be below 0"},
 		{s.Retries.Window < time.Second, "retries.window", "must be 1s or more"},
 		{s.Retries.Share < 0 || s.Retries.Base < 0, "retries", "must not be below 0"},
--- a/process/settings/settings_test.go
+++ b/process/settings/settings_test.go
@@ -48,6 +48,8 @@
 		"public without TLS":      {"peers: 127.0.0.1:7070", "peers: 10.0.0.1:7070", "must be a loopback address while tls is not set"},
 		"only some TLS files":     {"timing:", "tls: {key: k}\ntiming:", "tls needs certificate, key and authority"},
 		"mechanisms switched off": {"seeds:", "switched_off: [affinity, last-chance]\nseeds:", ""},
+		"too few buffers":         {"timing:", "limits: {buffers: 8}\ntiming:", "limits.buffers must be 0 or at least 16 MB"},
+		"buffers for no body":     {"timing:", "limits: {buffers: 16, body: 16777216}\ntiming:", "limits.buffers must be 0 or at least twice limits.body"},
 		"unknown mechanism":       {"seeds:", "switched_off:\n  - affinity\n  - afinity\nseeds:", `[11:5] "afinity": no such mechanism: they are affinity,`},
 		"weights":                 {"platform:", "platform:\n  weights: {model: {tail: 1, read: 3}}", ""},
 		"negative weight":         {"platform:", "platform:\n  weights: {model: {tail: -1}}", "platform.weights.model must be from 0 to 1000 each"},
--- a/request.go
+++ b/request.go
@@ -64,6 +64,9 @@
 	// caller that is refused some time before its deadline can still be served elsewhere.
 	QueueUntil time.Time
 
+	// Buffers counts what this host holds in memory for the request; nil: not counted.
+	Buffers BufferAccount
+
 	contentHash ContentHash // see the method ContentHash; zero: not computed yet
 }
 
--- a/request/dispatch/dispatch.go
+++ b/request/dispatch/dispatch.go
@@ -35,6 +35,9 @@
 	// minRetryDelay is the shortest retry delay that this package chooses itself. Times from
 	// quotas and rate limits may be shorter.
 	minRetryDelay = 200 * time.Millisecond
+	// bufferRetryDelay is the retry delay of a request whose body doesn't fit within the bound on
+	// buffered bytes. Most requests that use them end within a second.
+	bufferRetryDelay = time.Second
 )
 
 // HTTP statuses of responses that this host creates itself.
@@ -108,14 +111,22 @@
 	return o
 }
 
-// RecordRejection records and counts a request that was refused before Run because
-// its caller sent no valid workspace key.
+// RecordRejection records and counts a request that was refused before Run, such as one whose
+// caller sent no valid workspace key.
 func (d *Dispatcher) RecordRejection(r *vetchtrail.Request, o vetchtrail.Outcome) {
 	o.Peer = d.cfg.Self.Name
 	d.cfg.Journal.Record(vetchtrail.JournalRecord{At: time.Now(), Request: r.ID, Route: r.Route, Ended: true, Outcome: o})
 	countRequest(r, o, 0)
 }
 
+// RefuseOverBuffers records and counts a request whose body doesn't fit within the bound on
+// buffered bytes, and returns its outcome.
+func (d *Dispatcher) RefuseOverBuffers(r *vetchtrail.Request) vetchtrail.Outcome {
+	o := d.refusalBeforeKeyCheck(r, d.refusal(vetchtrail.StepParse, vetchtrail.ReasonOverCapacity, time.Now().Add(bufferRetryDelay)))
+	d.RecordRejection(r, o)
+	return o
+}
+
 // run checks a request and runs it by its type: a request that resumes a stream, a
 // request with an idempotency key, or any other.
 func (d *Dispatcher) run(ctx context.Context, r *vetchtrail.Request, w vetchtrail.ResponseWriter) vetchtrail.Outcome {
@@ -396,7 +407,8 @@
 	o.FirstByte = timing.FirstByte
 	d.returnReservation(r, o)
 	d.cfg.Endpoints.Release(p.endpoint.Name, vetchtrail.Observation{
-		Request: r.ID, StartedAt: p.endpoint.Born, Route: r.Route, Outcome: o, Timing: timing, PromptTokens: r.PromptTokens(), Cancelled: ctx.Err() != nil,
+		Request: r.ID, StartedAt: p.endpoint.Born, Route: r.Route, Outcome: o, Timing: timing, PromptTokens: r.PromptTokens(),
+		Cancelled:          ctx.Err() != nil || o.Reason == vetchtrail.ReasonOverCapacity,
 		PredictedFirstByte: p.predictedTTFT,
 	}, time.Now())
 	d.reportAttempt(ctx, p.endpoint, r, o, timing, attempt)
--- a/response.go
+++ b/response.go
@@ -42,6 +42,10 @@
 	// AvailabilityReported reports the availability that a response announces. If err is
 	// not nil, the response contained a value that can't be parsed.
 	AvailabilityReported(e Endpoint, a Availability, err error)
+	// StreamPaused reports that a stream is not read, because its caller reads too slowly, and
+	// StreamResumed that it is read again. Only hosts that bound what they buffer report this.
+	StreamPaused(e Endpoint, r *Request)
+	StreamResumed(e Endpoint, r *Request, now time.Time)
 	// UnknownField reports a header field of a response that the dialect doesn't know.
 	UnknownField(e Endpoint, field string)
 }
