Test slow callers and endpoints with real sockets

Nothing showed that the bound on buffered bytes holds, or that slow callers take no other stream along.

TCP opens a caller's window in steps of some KB, so one that reads 1 KB/s can look for 5 s like one that reads nothing. It may lose its stream as caller-slow for that, and for no other reason.

--- a/connection/caller/server_test.go
+++ b/connection/caller/server_test.go
@@ -17,6 +17,7 @@
 	"gotest.tools/v3/assert"
 
 	"vetchtrail"
+	"vetchtrail/connection/buffer"
 	"vetchtrail/process/load"
 	"vetchtrail/process/membership"
 	"vetchtrail/request/idempotency"
@@ -47,6 +48,12 @@
 	return serveConfig(t, Config{Runner: run, Rules: testRules(t), BodyLimit: 4096})
 }
 
+// serveBounded starts the server that serve starts, with a bound on buffered bytes.
+func serveBounded(t *testing.T, b *buffer.Budget, run fakeRunner) netip.AddrPort {
+	t.Helper()
+	return serveConfig(t, Config{Runner: run, Rules: testRules(t), BodyLimit: testBound / 4, Buffers: b})
+}
+
 // testRules returns a configuration with one model service and one plain service.
 func testRules(t *testing.T) func() *rules.Rules {
 	t.Helper()
