--- a/process/journal/losses.go
+++ b/process/journal/losses.go
@@ -30,6 +30,7 @@
 	CauseTimeoutBeforeResponse Cause = "out of time before its answer"
 	CauseEndpointFailed        Cause = "failed at its endpoint"
 	CauseCallerGone            Cause = "left by its caller"
+	CauseCallerSlow            Cause = "ended, as its caller read too slowly"
 	CauseNoOutcome             Cause = "no end in the logs: its host ended, or lines were dropped"
 
 	// minServerErrorStatus is the lowest HTTP status of a server error.
@@ -171,6 +172,8 @@
 		return r.lateCause()
 	case e.Reason == "caller-gone":
 		return CauseCallerGone
+	case e.Reason == "caller-slow":
+		return CauseCallerSlow
 	case e.Outcome == "not-run" && e.Reason == "over-quota":
 		return CauseOverQuota
 	case e.Reason == reasonQuarantined:
--- a/process/journal/losses_test.go
+++ b/process/journal/losses_test.go
@@ -49,6 +49,7 @@
 		"deadline before the response":          {[][]string{{decision, outcome(`"outcome":"unknown","reason":"deadline"`)}}, CauseTimeoutBeforeResponse},
 		"endpoint failed":                       {[][]string{{decision, endpointFailed}}, CauseEndpointFailed},
 		"caller gone":                           {[][]string{{decision, outcome(`"outcome":"unknown","reason":"caller-gone"`)}}, CauseCallerGone},
+		"caller slow":                           {[][]string{{decision, outcome(`"outcome":"unknown","reason":"caller-slow","begun":true`)}}, CauseCallerSlow},
 		"no outcome":                            {[][]string{{decision}}, CauseNoOutcome},
 		"only the log of the host forwarded to": {[][]string{{remoteDecision, remoteAnswered}}, ""},
 		"last line cut off":                     {[][]string{{decision, answered, `{"time":"2026`}}, CauseNone},
