--- a/connection/caller/conn_tracker.go
+++ b/connection/caller/conn_tracker.go
@@ -4,6 +4,8 @@
 	"net"
 	"sync"
 	"time"
+
+	"vetchtrail/connection/buffer"
 )
 
 // connTracker is a listener that tracks its open connections, so that they can all be
@@ -13,6 +15,8 @@
 	mu     sync.Mutex
 	open   map[*trackedConn]struct{}
 	closed bool
+	// boundSockets is whether the kernel's buffers of the connections are bounded.
+	boundSockets bool
 }
 
 // trackedConn removes itself from its tracker when it is closed.
@@ -21,8 +25,8 @@
 	tracker *connTracker
 }
 
-func newConnTracker(l net.Listener) *connTracker {
-	return &connTracker{Listener: l, open: map[*trackedConn]struct{}{}}
+func newConnTracker(l net.Listener, boundSockets bool) *connTracker {
+	return &connTracker{Listener: l, boundSockets: boundSockets, open: map[*trackedConn]struct{}{}}
 }
 
 // Accept implements net.Listener.
@@ -35,6 +39,10 @@
 	if !ok {
 		return nc, nil
 	}
+	if c.boundSockets {
+		_ = tc.SetReadBuffer(buffer.SocketBytes)
+		_ = tc.SetWriteBuffer(buffer.SocketBytes)
+	}
 	t := &trackedConn{TCPConn: tc, tracker: c}
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/mechanism.go
+++ b/mechanism.go
@@ -36,13 +36,14 @@
 	MechanismAdmission                             // admit shares of the demand while a service is short of capacity
 	MechanismPlannedReturns                        // plan when the callers of refused requests retry
 	MechanismUnevenEndpoints                       // predict by the slowdown that endpoints report and by their speed
+	MechanismBufferLimits                          // bound the bytes buffered for callers and endpoints that read slowly
 )
 
 var mechanismNames = [...]string{
 	"affinity", "prompt-moves", "far-moves", "last-sent", "kept-elsewhere", "prompt-backlog", "pace", "urgent-first",
 	"shedding", "forwarding", "waiting", "last-chance", "retries", "failure-cost", "ejection",
 	"silence", "adaptive-limits", "warm-up", "holding-back", "rate-limits",
-	"final-attempts", "admission", "planned-returns", "uneven-endpoints",
+	"final-attempts", "admission", "planned-returns", "uneven-endpoints", "buffer-limits",
 }
 
 // String returns the mechanism's name in the settings.
--- a/process/load/load.go
+++ b/process/load/load.go
@@ -120,7 +120,8 @@
 	recentQueue          recentQueue
 	uneven               *uneven         // nil: it has reported no slowdown
 	restarted            bool            // an earlier instance of the same name was known
-	startedStreams       map[string]bool // this host's streams with a first byte, by request ID
+	startedStreams       map[string]bool // this host's streams with a first byte, by request ID; false: it is paused
+	pausedStreams        int             // started streams that this host doesn't read, as their callers read too slowly
 	lastSeen             time.Time       // when the first byte of a response or an event of a stream last arrived
 	connectFailuresInRow int
 	errorShare           average   // share of its responses that are errors
