--- a/process/load/load.go
+++ b/process/load/load.go
@@ -11,6 +11,7 @@
 	"sync"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/cespare/xxhash/v2"
 
 	"vetchtrail"
@@ -135,16 +136,17 @@
 
 // serviceStats are a service's observations over all of its endpoints.
 type serviceStats struct {
-	serviceTime      average // seconds that a request occupies a slot
-	tokenTime        average // seconds to the first byte, for each prompt token
-	promptStats      promptStats
-	prefillFit       linearFit // seconds to the first byte, by the prompt tokens to process
-	eventIntervalFit linearFit // seconds between two events of a stream, by the requests that run
-	errorShare       average   // share of the responses that are errors
-	streamsByRoute   map[string]*streamStats
-	uncachedTokens   average // prompt tokens that an endpoint must process for one request
-	predictionRatio  predictionRatio
-	othersQueued     float64 // mean number of other hosts' requests in an endpoint's queue
+	serviceTime         average // seconds that a request occupies a slot
+	tokenTime           average // seconds to the first byte, for each prompt token
+	promptStats         promptStats
+	prefillFit          linearFit // seconds to the first byte, by the prompt tokens to process
+	eventIntervalFit    linearFit // seconds between two events of a stream, by the requests that run
+	errorShare          average   // share of the responses that are errors
+	streamsByRoute      map[string]*streamStats
+	uncachedTokens      average // prompt tokens that an endpoint must process for one request
+	predictionRatio     predictionRatio
+	predictionHistogram *metrics.Histogram // of observed over predicted times to the first event
+	othersQueued        float64            // mean number of other hosts' requests in an endpoint's queue
 
 	reportsSlowdown       bool // an endpoint of the service has reported a slowdown
 	slowdown              serviceSlowdown
@@ -153,16 +155,17 @@
 	queueIntervalsInForce bool // see SetQueueIntervals
 }
 
-func newServiceStats() *serviceStats {
+func newServiceStats(service string) *serviceStats {
 	return &serviceStats{
-		serviceTime:      average{value: initialServiceSeconds},
-		tokenTime:        average{value: initialTokenSeconds},
-		promptStats:      newPromptStats(),
-		predictionRatio:  predictionRatio{median: 1},
-		prefillFit:       newPrefillFit(),
-		lightFit:         newPrefillFit(),
-		eventIntervalFit: linearFit{maxSlope: maxIntervalSecondsPerRequest},
-		streamsByRoute:   map[string]*streamStats{},
+		predictionHistogram: predictionHistogram(service),
+		serviceTime:         average{value: initialServiceSeconds},
+		tokenTime:           average{value: initialTokenSeconds},
+		promptStats:         newPromptStats(),
+		predictionRatio:     predictionRatio{median: 1},
+		prefillFit:          newPrefillFit(),
+		lightFit:            newPrefillFit(),
+		eventIntervalFit:    linearFit{maxSlope: maxIntervalSecondsPerRequest},
+		streamsByRoute:      map[string]*streamStats{},
 	}
 }
 
@@ -212,7 +215,7 @@
 		t.byNameHash[NameHash(e.Name)] = s
 		t.services[e.Service] = append(t.services[e.Service], s)
 		if t.serviceStats[e.Service] == nil {
-			t.serviceStats[e.Service] = newServiceStats()
+			t.serviceStats[e.Service] = newServiceStats(e.Service)
 		}
 	}
 	for name, s := range old {
--- a/process/load/queue_interval.go
+++ b/process/load/queue_interval.go
@@ -77,7 +77,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.serviceStats[service] == nil {
-		t.serviceStats[service] = newServiceStats()
+		t.serviceStats[service] = newServiceStats(service)
 	}
 	t.serviceStats[service].queueIntervalsInForce = inForce
 }
--- a/process/load/release.go
+++ b/process/load/release.go
@@ -64,6 +64,9 @@
 	}
 	if o.Outcome.Events > 0 {
 		svc.predictionRatio.observe(o.PredictedFirstByte.Seconds(), first)
+		if o.PredictedFirstByte > 0 && first > 0 {
+			svc.predictionHistogram.Update(first / o.PredictedFirstByte.Seconds())
+		}
 	}
 	s.observedAt = now
 	first, whole = t.usualSeconds(s, first, now), t.usualSeconds(s, whole, now)
--- a/process/load/slowdown.go
+++ b/process/load/slowdown.go
@@ -36,6 +36,9 @@
 	// equal, in usual prompts. Reports are up to a second old. In that time other hosts, which decide by the same
 	// reports, send each of the endpoints that seem best a few prompts.
 	uncertainPrompts = 2.0
+	// uncertainQueueShare is the share of the mean queue that is added to them: how far a queue has changed
+	// since its report grows with its length.
+	uncertainQueueShare = 0.5
 )
 
 // slowdown is how long an endpoint's work takes, as a multiple of the usual time, by its reports.
@@ -177,8 +180,8 @@
 	return s.uneven.speed.value / s.uneven.slowdown.mean
 }
 
-// uncertainty is the seconds that uncertainPrompts usually take.
+// uncertainty is the seconds up to which the predicted times to the first byte of two endpoints count as equal.
 func (svc *serviceStats) uncertainty() float64 {
 	base, token := svc.lightFit.line()
-	return uncertainPrompts * (base + token*svc.uncachedTokens.value)
+	return (uncertainPrompts + uncertainQueueShare*svc.othersQueued) * (base + token*svc.uncachedTokens.value)
 }
--- a/process/load/speed.go
+++ b/process/load/speed.go
@@ -17,11 +17,14 @@
 	maxSpeedCount = 50
 	// speedPriorCount is the weight of the service's speed (1), in observations. One observation may be wrong by a
 	// factor of 2, since the queue at the endpoint is only known from reports.
-	speedPriorCount = 3.0
+	speedPriorCount = 1.5
 	// An attempt shows the endpoint's speed if few tokens are ahead of its prompt, relative to the prompt's, and its
 	// newest report is fresh and has no queued requests.
 	maxLightAhead     = 0.25
 	maxLightReportAge = time.Second
+	// minLightObservations is how many attempts at low load show a service's usual time well enough to compare an
+	// endpoint's with it. Fewer are mostly at a part of the endpoints.
+	minLightObservations = 30
 	// speedSharedFor is how long after its last observation a host sends an endpoint's speed to others. Most hosts
 	// have no recent observation of most endpoints, which saves bytes.
 	speedSharedFor = 5 * time.Second
@@ -140,7 +143,7 @@
 			slowdown = (slowdown + p.slowdown) / 2 // by the reports at both ends of the time
 		}
 		if p.light && seconds > 0 {
-			if base, token := svc.lightFit.line(); svc.lightFit.count >= minObservations {
+			if base, token := svc.lightFit.line(); svc.lightFit.count >= minLightObservations {
 				s.uneven.speed.observe((base+token*tokens)*slowdown/seconds, now)
 			}
 			svc.lightFit.observe(tokens, seconds/slowdown)
