--- a/process/load/event_interval.go
+++ b/process/load/event_interval.go
@@ -58,7 +58,7 @@
 	if len(s.startedStreams) == 0 || t.switchedOff.Has(vetchtrail.MechanismSilence) {
 		return false
 	}
-	threshold := max(minSilence, time.Duration(silentIntervals*s.eventInterval.mean*t.timeFactor(s, 0, now)*float64(time.Second)))
+	threshold := max(minSilence, time.Duration(silentIntervals*s.eventInterval.mean*t.timeFactor(s, now)*float64(time.Second)))
 	return now.Sub(s.lastSeen) > threshold
 }
 
--- a/process/load/load_test.go
+++ b/process/load/load_test.go
@@ -204,6 +204,25 @@
 	}
 }
 
+// BenchmarkFillReports is BenchmarkFill with endpoints that have reported their load, with and without a slowdown.
+func BenchmarkFillReports(b *testing.B) {
+	for _, n := range []int{12, 267} {
+		for _, slowdown := range []float64{0, 2.5} {
+			b.Run(fmt.Sprintf("endpoints=%d/slowdown=%.1f", n, slowdown), func(b *testing.B) {
+				t := table(n)
+				for _, e := range t.Endpoints() {
+					t.LoadReported(e, vetchtrail.LoadReport{TakenAt: now, Slowdown: slowdown})
+				}
+				var v vetchtrail.View
+				for b.Loop() {
+					v.Endpoints = v.Endpoints[:0]
+					t.Fill(&v, &vetchtrail.Request{Service: "s"}, now.Add(time.Second))
+				}
+			})
+		}
+	}
+}
+
 // TestLimitStable guards against a limit that falls although the endpoint isn't overloaded. The first byte of a
 // response that isn't streamed arrives with its last one, so that half of these responses take longer to their
 // first byte than the mean response takes as a whole.
--- a/process/load/prefill.go
+++ b/process/load/prefill.go
@@ -135,7 +135,7 @@
 		tokens: tokens, tokensAhead: s.backlog(r.Priority, t.serviceStats[s.Service], now), priority: r.Priority, sentAt: now,
 	}
 	if s.uneven != nil {
-		p.slowdown, p.light = s.uneven.slowdown.expected(0, t.serviceStats[s.Service].slowdown.period(), now), s.isLightlyLoaded(&p)
+		p.slowdown, p.light = s.uneven.slowdown.expected(0, t.serviceStats[s.Service].slowdown.periodSeconds(), now), s.isLightlyLoaded(&p)
 	}
 	s.pendingPrompts[r.ID] = p
 	t.serviceStats[s.Service].uncachedTokens.observe(float64(tokens))
--- a/process/load/slowdown.go
+++ b/process/load/slowdown.go
@@ -32,6 +32,8 @@
 	// defined and few pairs don't yield an extreme duration.
 	minCorrelation = 0.02
 	maxCorrelation = 0.98
+	// minPeriods is the number of periods up to which work counts as instantaneous, so that nothing is divided by 0.
+	minPeriods = 1e-6
 	// uncertainPrompts is the difference up to which the predicted times to the first byte of two endpoints count as
 	// equal, in usual prompts. Reports are up to a second old. In that time other hosts, which decide by the same
 	// reports, send each of the endpoints that seem best a few prompts.
@@ -57,6 +59,7 @@
 	interval float64 // weighted sum of the seconds between the reports of a pair
 	weight   float64
 	pairs    int
+	period   float64 // seconds in which the correlation of two reports falls to 1/e; 0: initialPeriod
 }
 
 // observe updates the mean with a report.
@@ -75,15 +78,19 @@
 	s.interval = s.interval*pairDecay + interval.Seconds()
 	s.weight = s.weight*pairDecay + 1
 	s.pairs++
+	if s.pairs < minPairs || s.variance == 0 {
+		return
+	}
+	correlation := math.Min(math.Max(s.product/s.variance, minCorrelation), maxCorrelation)
+	s.period = math.Min(math.Max(-s.interval/s.weight/math.Log(correlation), minPeriod.Seconds()), maxPeriod.Seconds())
 }
 
-// period is the duration of a period in seconds: the time in which the correlation of two reports falls to 1/e.
-func (s *serviceSlowdown) period() float64 {
-	if s.pairs < minPairs || s.variance == 0 {
+// periodSeconds is the duration of a period.
+func (s *serviceSlowdown) periodSeconds() float64 {
+	if s.period == 0 {
 		return initialPeriod.Seconds()
 	}
-	correlation := math.Min(math.Max(s.product/s.variance, minCorrelation), maxCorrelation)
-	return math.Min(math.Max(-s.interval/s.weight/math.Log(correlation), minPeriod.Seconds()), maxPeriod.Seconds())
+	return s.period
 }
 
 // observe updates the state with a report that is newer than the last one. The mean starts at the service's, and
@@ -105,10 +112,18 @@
 // process whose correlation falls exponentially with time: the influence of the newest report falls with its age,
 // and with the time, as longer work outlasts the period of the report.
 func (s *slowdown) expected(seconds, period float64, now time.Time) float64 {
-	age := math.Max(0, now.Sub(s.at).Seconds())
-	influence := math.Exp(-age / period)
-	if relative := seconds / period; relative > 1e-6 { // for shorter times the second factor is 1
-		influence *= (1 - math.Exp(-relative)) / relative
+	return s.expectedBy(s.influence(period, now), seconds/period)
+}
+
+// influence is the influence of the newest report on the slowdown at present, 0 to 1.
+func (s *slowdown) influence(period float64, now time.Time) float64 {
+	return math.Exp(-math.Max(0, now.Sub(s.at).Seconds()) / period)
+}
+
+// expectedBy is the mean slowdown during a number of periods.
+func (s *slowdown) expectedBy(influence, periods float64) float64 {
+	if periods > minPeriods {
+		influence *= (1 - math.Exp(-periods)) / periods
 	}
 	return s.mean + (s.reported-s.mean)*influence
 }
@@ -132,14 +147,13 @@
 	s.uneven.slowdown.observe(s.report.Slowdown, s.report.TakenAt, &svc.slowdown)
 }
 
-// timeFactor is the expected time of work at the endpoint as a multiple of its usual time at the service, which is
-// given in seconds. It is 1 for an endpoint that has reported no slowdown.
-func (t *Table) timeFactor(s *endpointState, usual float64, now time.Time) float64 {
+// timeFactor is how long an instant of work takes at the endpoint at present, as a multiple of the usual time at the
+// service. It is 1 for an endpoint that has reported no slowdown.
+func (t *Table) timeFactor(s *endpointState, now time.Time) float64 {
 	if s.uneven == nil {
 		return 1
 	}
-	u := s.uneven
-	return u.slowdown.expected(usual*u.slowdown.mean/u.speed.value, t.serviceStats[s.Service].slowdown.period(), now) / u.speed.value
+	return t.pastSlowdown(s, 0, now) / s.uneven.speed.value
 }
 
 // pastSlowdown is the slowdown that the endpoint probably had during the seconds before now.
@@ -147,7 +161,7 @@
 	if s.uneven == nil {
 		return 1
 	}
-	return s.uneven.slowdown.expected(seconds, t.serviceStats[s.Service].slowdown.period(), now)
+	return s.uneven.slowdown.expected(seconds, t.serviceStats[s.Service].slowdown.periodSeconds(), now)
 }
 
 // usualSeconds converts the observed time of work that ended now to the time that it usually takes at the service.
@@ -164,7 +178,10 @@
 	if s.uneven == nil {
 		return
 	}
-	first, whole := t.timeFactor(s, v.BaseLatency+v.Prefill*tokens, now), t.timeFactor(s, v.ServiceTime, now)
+	u, period := s.uneven, t.serviceStats[s.Service].slowdown.periodSeconds()
+	influence, inPeriods := u.slowdown.influence(period, now), u.slowdown.mean/u.speed.value/period
+	first := u.slowdown.expectedBy(influence, (v.BaseLatency+v.Prefill*tokens)*inPeriods) / u.speed.value
+	whole := u.slowdown.expectedBy(influence, v.ServiceTime*inPeriods) / u.speed.value
 	v.BaseLatency *= first
 	v.Prefill *= first
 	v.ServiceTime *= whole
