--- a/process/load/event_interval.go
+++ b/process/load/event_interval.go
@@ -95,7 +95,7 @@
 	if len(s.startedStreams) == s.pausedStreams || t.switchedOff.Has(vetchtrail.MechanismSilence) || t.wasStopped(now) {
 		return false
 	}
-	threshold := max(minSilence, time.Duration(silentIntervals*s.eventInterval.mean*t.timeFactor(s, 0, now)*float64(time.Second)))
+	threshold := max(minSilence, time.Duration(silentIntervals*s.eventInterval.mean*t.timeFactor(s, now)*float64(time.Second)))
 	return now.Sub(vetchtrail.Later(s.lastSeen, t.stoppedUntil)) > threshold
 }
 
--- a/process/load/supply_test.go
+++ b/process/load/supply_test.go
@@ -35,6 +35,7 @@
 			for i := range 50 {
 				svc.prefillFit.observe(float64(1000*i), tokenSeconds*float64(1000*i))
 			}
+			svc.promptStats.idleTokenTime = tokenSeconds
 			svc.uncachedTokens = average{value: requestWork}
 			test.change(tab, tab.endpoints["e000"])
 			got := tab.Supply("s", now).Rate
