The latency objective of admission is a route's longest time left

A first attempt may have waited up to a tenth of its time, more than its whole objective where the deadline is long. The shortest time left then made the allowed wait too short, and the supply was corrected down for nothing.

--- a/process/demand/demand.go
+++ b/process/demand/demand.go
@@ -78,7 +78,7 @@
 	dataCentres admission.Measurements // of the other data centres of the region
 	liveHosts   int                    // when this host last heard from another
 	heardAt     time.Time              // when that was
-	objectives  map[int8]objective     // by priority
+	objectives  map[string]objective   // by route
 	controller  *admission.RegionShares
 	shortage    bool // as last logged
 	counters    map[int8]*counters
@@ -93,11 +93,11 @@
 	age         time.Duration            // of the oldest measurement that counts
 }
 
-// objective is the shortest latency objective of a priority's requests in the last
-// objectiveAge.
+// objective is the latency objective of a route's requests in the last objectiveAge.
 type objective struct {
 	duration time.Duration
 	at       time.Time
+	priority int8
 }
 
 // objectiveAge is how long a latency objective counts after a request that had it: longer than
@@ -112,7 +112,7 @@
 	s, ok := t.services[name]
 	if !ok {
 		s = &service{
-			name: name, objectives: map[int8]objective{}, controller: admission.NewRegionShares(t.cfg.Seed),
+			name: name, objectives: map[string]objective{}, controller: admission.NewRegionShares(t.cfg.Seed),
 			counters: map[int8]*counters{}, gauges: newGauges(name),
 		}
 		t.services[name] = s
@@ -169,31 +169,32 @@
 	return float64(all) - s.supply.CachedShare*float64(all-r.Prompt[len(r.Prompt)-1].Tokens)
 }
 
-// observeObjective records the latency objective of a first attempt.
+// observeObjective records the latency objective of a route by a first attempt. The longest one
+// is the route's: of requests that waited before, a part of the time has passed.
 func (s *service) observeObjective(r *vetchtrail.Request, now time.Time) {
 	if r.Goal.IsZero() || !r.CallerCanRetry {
 		return
 	}
 	d := r.Goal.Sub(now)
-	if o, ok := s.objectives[r.Priority]; !ok || d <= o.duration || now.Sub(o.at) > objectiveAge {
-		s.objectives[r.Priority] = objective{duration: d, at: now}
+	if o, ok := s.objectives[r.Route]; !ok || d >= o.duration || now.Sub(o.at) > objectiveAge {
+		s.objectives[r.Route] = objective{duration: d, at: now, priority: r.Priority}
 	}
 }
 
-// lowestObjective returns the latency objective of the lowest priority that is asked for; 0: not
-// known.
+// lowestObjective returns the shortest latency objective among the routes of the lowest priority
+// that is asked for; 0: not known.
 func (s *service) lowestObjective(now time.Time) time.Duration {
-	lowest, found := int8(0), objective{}
-	for priority, o := range s.objectives {
+	var lowest objective
+	for route, o := range s.objectives {
 		if now.Sub(o.at) > objectiveAge {
-			delete(s.objectives, priority)
+			delete(s.objectives, route)
 			continue
 		}
-		if found.at.IsZero() || priority < lowest {
-			lowest, found = priority, o
+		if lowest.at.IsZero() || o.priority < lowest.priority || (o.priority == lowest.priority && o.duration < lowest.duration) {
+			lowest = o
 		}
 	}
-	return found.duration
+	return lowest.duration
 }
 
 // Demand implements vetchtrail.DemandTable.
--- a/process/demand/demand_test.go
+++ b/process/demand/demand_test.go
@@ -128,6 +128,25 @@
 	assert.Assert(t, table.Admit(request("w", 100, later), later).Admitted)
 }
 
+// TestObjective guards against the objective of a more urgent route, and against the time left of a
+// request that waited, instead of the objective of the lowest priority: the supply would be
+// corrected by the wrong wait.
+func TestObjective(t *testing.T) {
+	table, now := newTable(&supplies{}, 1), start
+	for _, q := range []struct {
+		route     string
+		priority  int8
+		objective time.Duration
+	}{{"urgent", 1, time.Second}, {"slow", 0, 2 * time.Second}, {"fast", 0, 1500 * time.Millisecond}, {"fast", 0, 100 * time.Millisecond}} {
+		r := request("w", 100, now)
+		r.Route, r.Priority, r.Goal = q.route, q.priority, now.Add(q.objective)
+		table.Admit(r, now)
+	}
+	s := table.services["chat"]
+	assert.Equal(t, s.lowestObjective(now), 1500*time.Millisecond)
+	assert.Equal(t, s.lowestObjective(now.Add(2*objectiveAge)), time.Duration(0))
+}
+
 // TestReturnsPreferred guards against retries that come into the same shortage and take the
 // capacity of first attempts, which can still be in time.
 func TestReturnsPreferred(t *testing.T) {
