--- a/request/admission/load_test.go
+++ b/request/admission/load_test.go
@@ -267,7 +267,7 @@
 // digests come to all hosts of the other.
 func (m *model) exchange() {
 	for i := range m.hosts {
-		own := m.hosts[i].meter.Append(nil, m.now)
+		own := Fold(m.hosts[i].meter.Append(nil, m.now), MaxClasses)
 		for range 2 {
 			peer := (i + 2*(1+m.random.IntN(hostCount/2-1))) % hostCount
 			if !m.hosts[i].lost && !m.hosts[peer].lost && m.random.Float64() >= m.lossRate {
@@ -283,7 +283,7 @@
 		}
 		h := &m.hosts[maker]
 		n, _ := h.heard.Heard(m.now)
-		digest := h.heard.Append(nil, h.meter.Append(nil, m.now), m.liveHosts(side)/float64(n+1), m.now)
+		digest := Fold(h.heard.Append(nil, h.meter.Append(nil, m.now), m.liveHosts(side)/float64(n+1), m.now), MaxClasses)
 		for i := 1 - side; i < hostCount; i += 2 {
 			if !m.cutOff && m.random.Float64() >= m.lossRate {
 				m.hosts[i].digests.Record("other", digest, m.now.Add(-reportAge))
