Demand is sent by workspace only near a shortage

Each heartbeat and digest carried up to 12 and 32 classes of every service, also of an idle one. Below half of the supply the sums of the priorities suffice.

--- a/process/demand/demand.go
+++ b/process/demand/demand.go
@@ -22,6 +22,9 @@
 	// heartbeatClasses bounds the classes of a service in a heartbeat. A host sends and receives
 	// some eight a second, and control traffic is bounded to 4 KB/s.
 	heartbeatClasses = 12
+	// detailShare is the share of the supply from which the demand is sent by workspace. Peaks grow
+	// from there to a shortage in some seconds, longer than an exchange takes.
+	detailShare = 0.5
 )
 
 // Enforcement says where admission is in force.
--- a/process/demand/demand_test.go
+++ b/process/demand/demand_test.go
@@ -181,10 +181,12 @@
 	for i := range 100 {
 		table.Admit(request(fmt.Sprintf("workspace-%02d", i), 3000+i, start), start)
 	}
-	size := 0
-	for _, d := range table.HeartbeatDemands(start) {
-		size += proto.Size(d)
+	for rate, want := range map[float64]int{1e7: 1, 1e5: heartbeatClasses/2 + 1} { // far from a shortage, and near it
+		table.cfg.Supplies.(source).Rate = rate
+		table.services["chat"].refreshedAt = time.Time{}
+		demands := table.HeartbeatDemands(start)
+		t.Logf("%d classes in %d bytes", len(demands[0].GetClasses()), proto.Size(demands[0]))
+		assert.Equal(t, len(demands[0].GetClasses()), want)
+		assert.Assert(t, 8*proto.Size(demands[0]) <= 2048)
 	}
-	t.Logf("heartbeat: %d bytes", size)
-	assert.Assert(t, 8*size <= 2048, "%d bytes", size)
 }
--- a/process/demand/exchange.go
+++ b/process/demand/exchange.go
@@ -20,7 +20,8 @@
 		if !t.InForce(name, now) {
 			continue
 		}
-		classes := admission.Fold(s.meter.Append(nil, now), heartbeatClasses)
+		t.refresh(s, now)
+		classes := s.toSend(s.meter.Append(nil, now), heartbeatClasses)
 		out = append(out, &schema.ServiceDemand{Service: name, Classes: toMessages(classes)})
 	}
 	return out
@@ -44,7 +45,7 @@
 	defer t.mu.Unlock()
 	s := t.service(name)
 	t.refresh(s, now)
-	return toRate(s.supply.Rate), toMessages(admission.Fold(slices.Clone(s.local), admission.MaxClasses))
+	return toRate(s.supply.Rate), toMessages(s.toSend(slices.Clone(s.local), admission.MaxClasses))
 }
 
 // RecordDigest implements membership.Demands.
@@ -59,6 +60,16 @@
 	}
 }
 
+// toSend returns the classes to send of a measurement: without workspaces while the demand is far
+// from the supply, as the workspaces' shares count only in a shortage.
+func (s *service) toSend(classes []vetchtrail.ClassDemand, limit int) []vetchtrail.ClassDemand {
+	f := s.controller.Figures()
+	if f.Asked < detailShare*f.Supply || f.Supply == 0 {
+		limit = 0
+	}
+	return admission.Fold(classes, limit)
+}
+
 func toMessages(classes []vetchtrail.ClassDemand) []*schema.ClassDemand {
 	out := make([]*schema.ClassDemand, 0, len(classes))
 	for _, c := range classes {
--- a/request/admission/meter.go
+++ b/request/admission/meter.go
@@ -93,7 +93,8 @@
 }
 
 // Fold sums up the smallest classes of each priority under one without a workspace, so that at
-// most limit remain. Weight becomes the number of workspaces that are summed up.
+// most limit remain; with limit 0, only sums remain. Weight becomes the number of workspaces that
+// are summed up.
 func Fold(classes []vetchtrail.ClassDemand, limit int) []vetchtrail.ClassDemand {
 	if len(classes) <= limit {
 		return classes
@@ -109,7 +110,7 @@
 		c.Workspace, c.Weight = "", 0
 		at := slices.IndexFunc(out, func(o vetchtrail.ClassDemand) bool { return classOfDemand(o) == classOfDemand(c) })
 		if at < 0 {
-			if len(out) == limit {
+			if limit > 0 && len(out) == limit {
 				continue
 			}
 			c.Weight = workspaces
