--- a/process/demand/exchange.go
+++ b/process/demand/exchange.go
@@ -20,7 +20,8 @@
 		if !t.InForce(name, now) {
 			continue
 		}
-		classes := admission.Fold(s.meter.Append(nil, now), heartbeatClasses)
+		t.refresh(s, now)
+		classes := s.toSend(s.meter.Append(nil, now), heartbeatClasses)
 		out = append(out, &schema.ServiceDemand{Service: name, Classes: toMessages(classes)})
 	}
 	return out
@@ -49,7 +50,7 @@
 		asked += c.Asked
 	}
 	d.Supply, d.Asked = toRate(s.supply.Rate), toRate(asked)
-	d.Demands = toMessages(admission.Fold(slices.Clone(s.local), admission.MaxClasses))
+	d.Demands = toMessages(s.toSend(slices.Clone(s.local), admission.MaxClasses))
 }
 
 // RecordDigest implements membership.Demands.
@@ -70,6 +71,16 @@
 	s.dataCentres.Record(dataCentre, fromMessages(d.GetDemands()), at)
 }
 
+// toSend returns the classes to send of a measurement: without workspaces while the demand is far
+// from the supply, as the workspaces' shares count only in a shortage.
+func (s *service) toSend(classes []vetchtrail.ClassDemand, limit int) []vetchtrail.ClassDemand {
+	f := s.controller.Figures()
+	if f.Asked < detailShare*f.Supply || f.Supply == 0 {
+		limit = 0
+	}
+	return admission.Fold(classes, limit)
+}
+
 func toMessages(classes []vetchtrail.ClassDemand) []*schema.ClassDemand {
 	out := make([]*schema.ClassDemand, 0, len(classes))
 	for _, c := range classes {
