Never end a dropped response as if it were complete

A request that is answered leaves the unread rest of its response in the buffer. When its caller stalls, that rest was dropped before the connection was closed, and the reader then got the end of a complete response; for a moment the HTTP library could have written the closing chunk.

The connection is closed first, and a reader of a dropped response gets an error. TestDroppedResponseIsNotComplete and the package's tests pass.

--- a/connection/caller/body.go
+++ b/connection/caller/body.go
@@ -109,11 +109,11 @@
 	slowCallers.Inc()
 	s.pressureLog.ended(s.cfg.Buffers, time.Now())
 	p.cancel(vetchtrail.ErrCallerSlow)
-	p.paced.close()
 	if tc, ok := p.conn.(interface{ SetLinger(sec int) error }); ok {
 		_ = tc.SetLinger(0) // the kernel keeps none of the unread bytes
 	}
 	_ = p.conn.Close()
+	p.paced.close()
 }
 
 // newPipe returns the pipe of a request's response, and false if there is no room for another
--- a/connection/caller/paced_buffer.go
+++ b/connection/caller/paced_buffer.go
@@ -152,6 +152,13 @@
 	b.closed, b.pieces = true, nil
 }
 
+// isClosed reports whether close was called: what the caller has not read is lost.
+func (b *pacedBuffer) isClosed() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.closed
+}
+
 // stalled reports whether the caller has read nothing for callerStallTimeout while the bound was
 // reached: its own, or that of all callers. countAcked returns how many bytes its kernel has
 // acknowledged; the HTTP library may be in the middle of a write.
--- a/connection/caller/pipe.go
+++ b/connection/caller/pipe.go
@@ -98,8 +98,12 @@
 // of a request that was not answered.
 func (p *pipe) nextChunk() ([]byte, error) {
 	if p.paced != nil {
-		if piece := p.paced.next(p.ended); piece != nil {
+		piece := p.paced.next(p.ended)
+		switch {
+		case piece != nil:
 			return piece, nil
+		case p.paced.isClosed():
+			return nil, errCallerGone
 		}
 		return nil, p.endError()
 	}
--- a/connection/caller/slow_readers_test.go
+++ b/connection/caller/slow_readers_test.go
@@ -314,3 +314,32 @@
 	assert.Equal(t, h.started.Load(), answered.Load(), "a refused request ran")
 	assert.Equal(t, h.budget.Stats().Used, 0)
 }
+
+// TestDroppedResponseIsNotComplete guards against a response that looks complete although its unread
+// part was dropped, because its request had been answered before.
+func TestDroppedResponseIsNotComplete(t *testing.T) {
+	cases := map[string]struct {
+		drop bool
+		err  error
+	}{
+		"read to its end": {false, io.EOF},
+		"dropped":         {true, errCallerGone},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			p := &pipe{ended: make(chan struct{})}
+			p.paced, _ = newPacedBuffer(buffer.NewBudget(testBound))
+			assert.NilError(t, p.paced.write(t.Context(), []byte("part")))
+			p.outcome = vetchtrail.Outcome{Kind: vetchtrail.OutcomeAnswered}
+			close(p.ended)
+			if c.drop {
+				p.paced.close()
+			}
+			var err error
+			for err == nil {
+				_, err = p.Read(make([]byte, 1))
+			}
+			assert.ErrorIs(t, err, c.err)
+		})
+	}
+}
