vetchtrail capacity: what a service can process, and what is admitted

Cause: during a shortage operators could only read counters of single hosts; the figures by which requests are admitted, of the whole region, were nowhere to be seen. Change: a call Capacity of the operators' service, and a command for it. For each service of the configuration at the daemon asked: whether admission is in force, the shortage and its beginning, supply with its correction factor, what other regions grant, demand and admitted part by priority, workspace and attempt, planned returns of the region, age and number of hosts. The state is computed as for a request, at most once in 100 ms; a service without requests gets no state by being asked about. Requests do no more work than before.

--- a/cmd/vetchtrail/main.go
+++ b/cmd/vetchtrail/main.go
@@ -38,6 +38,7 @@
 	Workspace  workspaceCommand  `cmd:"" help:"Workspaces and their residency."`
 	Host       hostCommand       `cmd:"" help:"Entry hosts."`
 	Status     statusCommand     `cmd:"" help:"Show hosts, endpoints and data centres."`
+	Capacity   capacityCommand   `cmd:"" help:"Show what services can process, what callers ask for and what is admitted."`
 	Quarantine quarantineCommand `cmd:"" help:"Poison requests: quarantined because endpoints crashed while running them."`
 	Decisions  decisionsCommand  `cmd:"" help:"Show a host's recent decisions."`
 	Explain    explainCommand    `cmd:"" help:"Show the decisions on a request and the reasons for them."`
--- a/process/demand/demand.go
+++ b/process/demand/demand.go
@@ -105,6 +105,8 @@
 	scratch     []vetchtrail.ClassDemand   // for the controller, which changes it
 	planned     []vetchtrail.PlannedReturn // by the hosts of the region
 	age         time.Duration              // of the oldest measurement that counts
+	granted     float64                    // by other regions, to all priorities
+	grantedTo   map[int8]float64           // by other regions, to single priorities
 }
 
 // objective is the shortest latency objective of a priority's requests in the last
@@ -217,9 +219,9 @@
 	defer t.mu.Unlock()
 	s := t.service(name)
 	t.refresh(s, now)
-	d := vetchtrail.ServiceDemand{Supply: s.controller.Figures().Supply, Returns: s.planned, Hosts: max(1, s.liveHosts, t.cfg.RegionHosts()), Age: s.age}
+	d := vetchtrail.ServiceDemand{Supply: s.controller.Figures().Supply, Returns: s.planned, Hosts: s.regionHosts(t), Age: s.age}
 	for _, c := range s.classes {
-		c.Admitted = c.Asked * s.controller.Share(admission.Class{Priority: c.Priority, Return: c.Return, Workspace: c.Workspace})
+		c.Admitted = c.Asked * s.controller.Share(classKey(c))
 		d.Classes = append(d.Classes, c)
 	}
 	return d
--- a/process/demand/region.go
+++ b/process/demand/region.go
@@ -33,9 +33,9 @@
 	for _, c := range s.classes {
 		asked += c.Asked
 	}
-	granted, single := t.grant(s, asked, now)
+	s.granted, s.grantedTo = t.grant(s, asked, now)
 	s.controller.Update(admission.State{
-		Classes: s.scratch, Supply: s.supply.Rate, Granted: granted, GrantedTo: single, Wait: s.supply.Wait, Objective: s.lowestObjective(now), Queued: s.supply.Queued,
+		Classes: s.scratch, Supply: s.supply.Rate, Granted: s.granted, GrantedTo: s.grantedTo, Wait: s.supply.Wait, Objective: s.lowestObjective(now), Queued: s.supply.Queued,
 	}, now)
 	s.setGauges()
 	t.logShortage(s, now)
@@ -68,7 +68,7 @@
 	if t.cfg.Planned == nil {
 		return
 	}
-	s.planned = t.cfg.Planned(s.name, max(1, s.liveHosts, t.cfg.RegionHosts()), now)
+	s.planned = t.cfg.Planned(s.name, s.regionHosts(t), now)
 	for i := range s.planned {
 		p := s.planned[i].Priority
 		if slices.ContainsFunc(s.planned[:i], func(r vetchtrail.PlannedReturn) bool { return r.Priority == p }) {
