losses, trace, explain: refusals by admission, and what callers were told

Cause: a request refused by admission counted like one for which no endpoint was found, and a caller with a reserved slot like one that can't be served any more. explain showed the admitted share as the cost of an endpoint. Change: losses has causes of its own for refusals by admission, at the first attempt and at the return, and for first attempts with a slot or too late by the outcome's retry_plan. Returns never get a slot, so they have none of these. The verdict of trace and explain name admission and the planned retry; decision records for operators carry it (fields 17 and 18). In deployments without admission and planned returns the causes are as before.

--- a/cmd/vetchtrail/decisions.go
+++ b/cmd/vetchtrail/decisions.go
@@ -2,11 +2,14 @@
 
 import (
 	"fmt"
+	"io"
 	"text/tabwriter"
 	"time"
 
 	"github.com/go-faster/errors"
 
+	"vetchtrail"
+	"vetchtrail/process/journal"
 	"vetchtrail/schema"
 )
 
@@ -82,14 +85,19 @@
 
 // printRecord prints how a request ended, or a decision on it with the candidates that
 // were not chosen.
-func printRecord(w *tabwriter.Writer, r *schema.DecisionRecord) {
+func printRecord(w io.Writer, r *schema.DecisionRecord) {
 	if r.GetOutcome() != "" {
-		_, _ = fmt.Fprintf(w, "%s  ended: %s at %s (step %s, reason %s)\n", formatTime(r), r.GetOutcome(), r.GetTarget(), r.GetStep(), r.GetReason())
+		_, _ = fmt.Fprintf(w, "%s  ended: %s at %s (step %s, reason %s)%s\n", formatTime(r), r.GetOutcome(), r.GetTarget(), r.GetStep(), r.GetReason(),
+			journal.DescribeRetry(r.GetRetryPlan(), time.Duration(r.GetRetryIn())))
 		return
 	}
 	_, _ = fmt.Fprintf(w, "%s  attempt %d on revision %d, home %s: %s %s (%s), cost %.4f, of %d candidates\n", formatTime(r), r.GetAttempt(),
 		r.GetRevision(), r.GetHome(), r.GetDecision(), r.GetTarget(), r.GetReason(), r.GetCost(), r.GetLooked())
 	for _, c := range r.GetCandidates() {
+		if c.GetReason() == string(vetchtrail.ReasonAdmission) {
+			_, _ = fmt.Fprintf(w, "\tnot admitted to %s\t%.1f%% of its class are admitted\t%s\n", c.GetName(), 100*c.GetCost(), c.GetReason())
+			continue
+		}
 		_, _ = fmt.Fprintf(w, "\tnot %s\tcost %.4f\t%s\n", c.GetName(), c.GetCost(), c.GetReason())
 	}
 }
--- a/process/daemon/operators.go
+++ b/process/daemon/operators.go
@@ -187,6 +187,9 @@
 	}
 	if r.Ended {
 		m.Outcome, m.Step, m.Target, m.Reason = r.Outcome.Kind.String(), string(r.Outcome.Step), r.Outcome.Peer, string(r.Outcome.Reason)
+		if r.Outcome.RetryPlan != "" {
+			m.RetryPlan, m.RetryIn = string(r.Outcome.RetryPlan), int64(r.Outcome.RetryAt.Sub(r.At.Add(r.Took)))
+		}
 		return m
 	}
 	m.Decision, m.Target, m.Reason = r.Decision.Kind.String(), r.Decision.Name, string(r.Decision.Reason)
--- a/process/journal/history.go
+++ b/process/journal/history.go
@@ -102,7 +102,7 @@
 	endpointOutcome := h.endpointOutcome()
 	switch {
 	case finalOutcome.Outcome == "not-run":
-		return "refused without being run: " + finalOutcome.Reason + " at " + finalOutcome.Step
+		return "refused without being run: " + finalOutcome.Reason + " at " + finalOutcome.Step + h.refusedByAdmission() + DescribeRetry(finalOutcome.RetryPlan, finalOutcome.RetryIn)
 	case finalOutcome.Outcome == "unknown":
 		return "it may have run: " + finalOutcome.Reason + " at " + finalOutcome.Step + ", at " + cmp.Or(finalOutcome.Peer, "no endpoint") + " after " + finalOutcome.Took.Round(time.Millisecond).String()
 	case endpointOutcome.First > 0 && endpointOutcome.First > 2*h.predicted():
@@ -112,6 +112,16 @@
 	return "answered as predicted"
 }
 
+// refusedByAdmission returns a text if admission refused the request.
+func (h *History) refusedByAdmission() string {
+	for i := range h.Lines {
+		if h.Lines[i].refusedByAdmission() {
+			return ", by admission"
+		}
+	}
+	return ""
+}
+
 // finalOutcome returns the outcome at the host that received the request from its caller.
 func (h *History) finalOutcome() (Line, bool) {
 	for _, l := range slices.Backward(h.Lines) {
--- a/process/journal/losses.go
+++ b/process/journal/losses.go
@@ -180,10 +180,8 @@
 		return CauseQuarantined
 	case e.Outcome == "not-run" && e.Reason == reasonRateLimited:
 		return CauseRateLimited
-	case e.Outcome == "not-run" && r.firstDecision.CallerCanRetry:
-		return CauseRefusedFirstAttempt
 	case e.Outcome == "not-run":
-		return CauseRefusedRetry
+		return r.refusalCause()
 	case e.HostLost:
 		return CauseHostLost
 	case e.Reason == "deadline" && e.ResponseStarted:
