Admission is observed by default: admission.enforce: observe

Change: a value that measures and exchanges the demand and plans returns where that is called for, and refuses nothing; it is the default.

--- a/process/demand/capacity.go
+++ b/process/demand/capacity.go
@@ -29,7 +29,7 @@
 // Capacity returns the state of a service. It creates no state for a service that has had no
 // request yet.
 func (t *Table) Capacity(name string, now time.Time) Capacity {
-	if !t.InForce(name, now) {
+	if !t.Measures(name, now) {
 		return Capacity{}
 	}
 	t.mu.Lock()
--- a/process/demand/demand.go
+++ b/process/demand/demand.go
@@ -27,18 +27,20 @@
 	detailShare = 0.5
 )
 
-// Enforcement says where admission is in force.
+// Enforcement says where demand is measured and where admission is in force.
 type Enforcement string
 
-// Values of the setting admission.enforce.
+// Values of the setting admission.enforce. The platform's contracts or a service's endpoints call
+// for admission.
 const (
-	EnforceAlways Enforcement = "always"
-	EnforceNever  Enforcement = "never"
-	EnforceAuto   Enforcement = "auto" // where the platform's contracts or a service's endpoints call for it
+	EnforceAlways  Enforcement = "always"  // for all services
+	EnforceAuto    Enforcement = "auto"    // where it is called for
+	EnforceObserve Enforcement = "observe" // nowhere, but demand is measured where it is called for
+	EnforceNever   Enforcement = "never"   // nowhere, and nothing is measured
 )
 
 // Enforcements are all values of the setting.
-var Enforcements = []Enforcement{EnforceAlways, EnforceNever, EnforceAuto}
+var Enforcements = []Enforcement{EnforceAlways, EnforceAuto, EnforceObserve, EnforceNever}
 
 // SupplySource knows the endpoints' supply. *load.Table implements it.
 type SupplySource interface {
@@ -140,9 +142,14 @@
 }
 
 // InForce implements vetchtrail.Admission.
-func (t *Table) InForce(service string, _ time.Time) bool {
+func (t *Table) InForce(service string, now time.Time) bool {
+	return t.cfg.Enforce != EnforceObserve && !t.cfg.SwitchedOff && t.Measures(service, now)
+}
+
+// Measures reports whether the demand for a service is measured and exchanged.
+func (t *Table) Measures(service string, _ time.Time) bool {
 	switch {
-	case t.cfg.SwitchedOff || t.cfg.Enforce == EnforceNever:
+	case t.cfg.Enforce == EnforceNever:
 		return false
 	case t.cfg.Enforce == EnforceAlways || t.cfg.Pressure:
 		return true
@@ -152,9 +159,10 @@
 
 // Admit implements vetchtrail.Admission.
 func (t *Table) Admit(r *vetchtrail.Request, now time.Time) vetchtrail.AdmissionVerdict {
-	if !t.InForce(r.Service, now) {
+	if !t.Measures(r.Service, now) {
 		return vetchtrail.AdmissionVerdict{Admitted: true, Share: 1}
 	}
+	inForce := t.InForce(r.Service, now)
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.service(r.Service)
@@ -163,7 +171,10 @@
 	s.observeReach(r, now)
 	class, work := admission.ClassOf(r), s.work(r)
 	class.Return = class.Return && t.cfg.PlansReturns
-	share, admitted := s.controller.Share(class), s.controller.Admit(class)
+	share, admitted := 1.0, true
+	if inForce {
+		share, admitted = s.controller.Share(class), s.controller.Admit(class)
+	}
 	s.meter.Count(class, work, admitted, now)
 	s.count(r.Priority, work, admitted)
 	f := s.controller.Figures()
--- a/process/demand/demand_test.go
+++ b/process/demand/demand_test.go
@@ -60,12 +60,15 @@
 		"an endpoint":                      {enforce: EnforceAuto, slowdown: true, want: true},
 		"always":                           {enforce: EnforceAlways, want: true},
 		"never":                            {enforce: EnforceNever, pressure: true, slowdown: true},
+		"only observed":                    {enforce: EnforceObserve, pressure: true, slowdown: true},
 		"always, but the mechanism is off": {enforce: EnforceAlways, switchedOff: true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			table := newTable(&supplies{slowdown: test.slowdown}, 1)
 			table.cfg.Enforce, table.cfg.Pressure, table.cfg.SwitchedOff = test.enforce, test.pressure, test.switchedOff
 			assert.Equal(t, table.InForce("chat", start), test.want)
+			measures := test.enforce == EnforceAlways || (test.enforce != EnforceNever && (test.pressure || test.slowdown))
+			assert.Equal(t, table.Measures("chat", start), measures)
 		})
 	}
 }
--- a/process/demand/exchange.go
+++ b/process/demand/exchange.go
@@ -17,7 +17,7 @@
 	defer t.mu.Unlock()
 	var out []*schema.ServiceDemand
 	for name, s := range t.services {
-		if !t.InForce(name, now) {
+		if !t.Measures(name, now) {
 			continue
 		}
 		t.refresh(s, now)
@@ -38,7 +38,7 @@
 
 // DigestDemand implements membership.Demands.
 func (t *Table) DigestDemand(name string, now time.Time, d *schema.ServiceDigest) {
-	if !t.InForce(name, now) {
+	if !t.Measures(name, now) {
 		return
 	}
 	t.mu.Lock()
--- a/process/settings/settings.go
+++ b/process/settings/settings.go
@@ -109,7 +109,7 @@
 // Admission sets where requests are admitted by shares of the supply while a service is short of
 // capacity.
 type Admission struct {
-	Enforce demand.Enforcement `yaml:"enforce"` // always, never or auto
+	Enforce demand.Enforcement `yaml:"enforce"` // always, auto, observe or never
 }
 
 // Translation maps the addresses of a network to those under which this host reaches it.
@@ -211,7 +211,7 @@
 		Retries: Retries{Window: 10 * time.Second, Share: 0.1, Base: 5},
 		// Without overage and slack, the hosts together may not exceed a quota.
 		Quotas:    Quotas{Strategy: quotas.StrategyLeased, Window: 10 * time.Second},
-		Admission: Admission{Enforce: demand.EnforceAuto},
+		Admission: Admission{Enforce: demand.EnforceObserve},
 		Platform: Platform{Kind: PlatformOwn, KnownWithin: defaultKnownWithin, Weights: Weights{
 			Model: document.Weights{Tail: tailWeight, Away: awayWeight, Cost: costWeight, Read: readWeight},
 			Plain: document.Weights{Tail: tailWeight, Away: awayWeight},
@@ -281,7 +281,7 @@
 		{s.Retries.Window < time.Second, "retries.window", "must be 1s or more"},
 		{s.Retries.Share < 0 || s.Retries.Base < 0, "retries", "must not be below 0"},
 		{!slices.Contains(quotas.Strategies, s.Quotas.Strategy), "quotas.way", "is not one of " + strings.Join(quotas.Strategies, ", ")},
-		{!slices.Contains(demand.Enforcements, s.Admission.Enforce), "admission.enforce", "is not one of always, never, auto"},
+		{!slices.Contains(demand.Enforcements, s.Admission.Enforce), "admission.enforce", "is not one of always, auto, observe, never"},
 		{s.Quotas.Window < time.Second, "quotas.window", "must be 1s or more"},
 		{!(s.Quotas.Overage >= 0) || !(s.Quotas.Slack >= 0), "quotas", "must not be below 0"},
 		{s.TLS.On() && s.TLS.PrivateNetwork, "tls.private_network", "can't be combined with certificate, key and authority"},
--- a/process/settings/settings_test.go
+++ b/process/settings/settings_test.go
@@ -57,7 +57,7 @@
 		"unknown weight":          {"platform:", "platform:\n  weights: {model: {tall: 1}}", `unknown field "tall"`},
 		"known_within too short":  {"platform:", "platform:\n  known_within: 10ms", "platform.known_within must be from 1s to 1m0s"},
 		"admission and contracts": {"platform:", "admission: {enforce: always}\nplatform:\n  contracts: [pressure, other]", ""},
-		"unknown enforcement":     {"timing:", "admission: {enforce: sometimes}\ntiming:", "admission.enforce is not one of always, never, auto"},
+		"unknown enforcement":     {"timing:", "admission: {enforce: sometimes}\ntiming:", "admission.enforce is not one of always, auto, observe, never"},
 		"not YAML":                {"host: a", "host: [", "[1:"},
 		"wrong kind of value":     {"poll: 1s", "poll: [1]", "15"},
 	}
