soak: callers that send three times what the engines can process

Cause: the soak's callers send one request after the other, so that hosts and engines were never short of capacity under faults. The check of regions takes the allowed ones of a workspace, which are the same as before for the workspaces that were there. TestSoak of package scenario is not run yet.

--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -33,6 +33,7 @@
 	Rates    bool    `default:"true" negatable:"" help:"Engines advertise rate limits in their responses."`
 	Words    bool    `default:"true" negatable:"" help:"Engines announce that they are leaving, or reject requests with a Retry-After."`
 	Deadly   bool    `default:"true" negatable:"" help:"A caller sends a poison request, which crashes engines."`
+	Overload bool    `default:"true" negatable:"" help:"Callers send three times what the engines can process, for some seconds at a time."`
 	Slot     int     `default:"200" help:"Subnet: third byte of the loopback addresses; it must differ from that of other deployments on the machine."`
 	Binaries string  `default:"target" type:"existingdir" help:"Directory of the programs vetchtraild, vetchtrail and standin."`
 	Out      string  `default:"soak-out" help:"Directory for logs, reports and timelines."`
@@ -93,7 +94,7 @@
 	}
 	report, err := soak.Run(ctx, soak.Config{
 		Seed: seed, RunLength: time.Duration(a.Minutes * float64(time.Minute)), FaultRate: a.Rate, CallersPerHost: a.Callers, Spec: spec,
-		Binaries: a.Binaries, WorkDir: dir, Progress: os.Stderr, PoisonRequests: a.Deadly, RateLimits: a.Rates, Announcements: a.Words,
+		Binaries: a.Binaries, WorkDir: dir, Progress: os.Stderr, PoisonRequests: a.Deadly, RateLimits: a.Rates, Announcements: a.Words, Overload: a.Overload,
 	})
 	if err != nil {
 		return false, err
--- a/scenario/soak_test.go
+++ b/scenario/soak_test.go
@@ -29,7 +29,7 @@
 			report, err := soak.Run(context.Background(), soak.Config{
 				Seed: seed, RunLength: length, FaultRate: rate, CallersPerHost: callers, Spec: spec, Binaries: binaries, WorkDir: t.TempDir(),
 				// The failed seeds run with the configuration with which they failed.
-				PoisonRequests: seed == regularSeed, RateLimits: seed == regularSeed, Announcements: seed == regularSeed,
+				PoisonRequests: seed == regularSeed, RateLimits: seed == regularSeed, Announcements: seed == regularSeed, Overload: seed == regularSeed,
 			})
 			assert.NilError(t, err)
 			assert.Equal(t, len(report.Violations), 0, "%v", report.Violations)
--- a/soak/check.go
+++ b/soak/check.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -69,10 +70,13 @@
 }
 
 // note counts an observation that breaks no promise.
-func (c *checker) note(what string) {
+func (c *checker) note(what string) { c.noteCount(what, 1) }
+
+// noteCount counts n observations that break no promise.
+func (c *checker) noteCount(what string, n int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.notes[what]++
+	c.notes[what] += n
 }
 
 // processEnded records that a host's process has ended. The next process may start with an older
@@ -264,14 +268,14 @@
 // an idempotency key may run only once, which checkKeyedRequest checks.
 const maxExecutions = 2
 
-// checkRegion checks that a request of a workspace that is bound to a region ran there.
+// checkRegion checks that a request of a workspace ran in one of the regions that it is bound to.
 func (c *checker) checkRegion(endpoint string, e ledger.Execution) {
 	for _, w := range c.d.Document.Workspaces {
 		if w.Name != e.Workspace {
 			continue
 		}
 		for _, x := range c.d.Document.Endpoints {
-			if x.Name == endpoint && x.Region != w.Home {
+			if x.Name == endpoint && !slices.Contains(w.Allowed, x.Region) {
 				c.recordViolation("a workspace's requests run in its region", "%s ran at %s", w.Name, endpoint)
 			}
 		}
--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -80,6 +80,12 @@
 			c.recordRevision("h", process{revision: 4}, 4)
 			c.recordRevision("h", process{number: 1}, 0)
 		}, ""},
+		"each priority served in an overload": {func(c *checker) {
+			c.checkPrioritiesServed(began, began, map[string]Tally{urgentWorkspace: {"answered": 1}, ordinaryWorkspace: {"answered": 1, "not-run": 9}})
+		}, ""},
+		"one priority not served in an overload": {func(c *checker) {
+			c.checkPrioritiesServed(began, began, map[string]Tally{urgentWorkspace: {"answered": 1}, ordinaryWorkspace: {"not-run": 9}})
+		}, "each priority is served under overload"},
 	}
 	for name, k := range cases {
 		t.Run(name, func(t *testing.T) {
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -40,6 +40,9 @@
 	// Announcements makes engines announce that they are leaving, or reject requests with a
 	// Retry-After, one engine at a time.
 	Announcements bool
+	// Overload makes callers send three times what the engines can process, for some seconds at
+	// a time.
+	Overload bool
 }
 
 // Limits of a run, so that one machine can run the processes in an acceptable time.
@@ -86,6 +89,9 @@
 		return nil, err
 	}
 	d := deployment.Build(c.Spec)
+	if c.Overload {
+		d.Document.Workspaces = append(d.Document.Workspaces, overloadWorkspaces(&d)...)
+	}
 	f, err := fleet.Start(ctx, fleet.Config{
 		Deployment: d, Binaries: c.Binaries, WorkDir: c.WorkDir, EngineArgs: c.engineArgs(),
 		LeaveTime: leaveDelay, PollInterval: pollInterval,
@@ -107,7 +113,7 @@
 
 // engineArgs returns the flags of the stand-in engines.
 func (c *Config) engineArgs() []string {
-	args := []string{"--step=5ms"}
+	args := []string{"--step=" + engineStep.String()}
 	if c.PoisonRequests {
 		args = append(args, "--deadly="+poisonPrompt, "--back="+poisonRestartDelay.String())
 	}
@@ -115,6 +121,7 @@
 }
 
 const (
+	engineStep   = 5 * time.Millisecond   // between two tokens of a response, while an engine is idle
 	leaveDelay   = 500 * time.Millisecond // how long a stopping host announces that it is leaving, before it closes its listeners
 	pollInterval = 200 * time.Millisecond // between two load reports that a host reads from an endpoint
 )
@@ -187,6 +194,10 @@
 	if r.cfg.Announcements {
 		faultGroup.Go(func() { r.checks.announceAvailability(announceCtx, rand.New(rand.NewPCG(r.cfg.Seed, 1<<22))) })
 	}
+	if r.cfg.Overload {
+		c := &caller{d: r.d, checks: r.checks, client: client.New(), rnd: rand.New(rand.NewPCG(r.cfg.Seed, 1<<23))}
+		faultGroup.Go(func() { c.sendOverloads(announceCtx) })
+	}
 	errs := make(chan error, len(r.report.Faults)+1)
 	for _, f := range r.report.Faults {
 		faultGroup.Go(func() {
