--- a/cmd/vetchtrail/capacity.go
+++ b/cmd/vetchtrail/capacity.go
@@ -70,14 +70,17 @@
 	if !s.GetInForce() {
 		return s.GetService() + "\tnot in force" + strings.Repeat("\t-", 8)
 	}
-	shortage, admitted := "none", 0.0
+	shortage, supply, admitted := "none", "unknown", 0.0
+	if s.GetSupply() > 0 {
+		supply = fmt.Sprintf("%.0f", s.GetSupply())
+	}
 	if s.GetShortage() {
 		shortage = "since " + formatAge(s.GetSince())
 	}
 	for _, c := range s.GetClasses() {
 		admitted += c.GetAdmitted()
 	}
-	return fmt.Sprintf("%s\tin force\t%s\t%.0f\t%.2f\t%.0f\t%.0f\t%.0f\t%d\t%s", s.GetService(), shortage, s.GetSupply(), s.GetFactor(),
+	return fmt.Sprintf("%s\tin force\t%s\t%s\t%.2f\t%.0f\t%.0f\t%.0f\t%d\t%s", s.GetService(), shortage, supply, s.GetFactor(),
 		s.GetGranted(), s.GetAsked(), admitted, s.GetHosts(), time.Duration(s.GetAge()).Round(time.Millisecond))
 }
 
