--- a/process/daemon/daemon.go
+++ b/process/daemon/daemon.go
@@ -140,6 +140,7 @@
 func New(c Config) (*Daemon, error) {
 	d := &Daemon{cfg: c.Settings, log: c.Log, table: load.New(), hosted: c.Hosted, leaveRequested: make(chan struct{})}
 	d.table.SetSwitchedOff(vetchtrail.MechanismsOf(d.cfg.SwitchedOff...))
+	d.table.SetPlacesBySpeed(d.cfg.Placement.BySpeed)
 	d.timing.Store(&d.cfg.Timing)
 	d.log = c.Log.With("host", c.Settings.Host)
 	d.self = vetchtrail.Host{
@@ -242,7 +243,7 @@
 	for name, unchanged := range map[string]bool{
 		"host": s.Host == d.cfg.Host, "region": s.Region == d.cfg.Region, "data_centre": s.DataCentre == d.cfg.DataCentre,
 		"listen": s.Listen == d.cfg.Listen, "policy": s.Policy == d.cfg.Policy,
-		"admission": s.Admission == d.cfg.Admission, "platform.contracts": slices.Equal(s.Platform.Contracts, d.cfg.Platform.Contracts),
+		"admission": s.Admission == d.cfg.Admission, "placement": s.Placement == d.cfg.Placement, "platform.contracts": slices.Equal(s.Platform.Contracts, d.cfg.Platform.Contracts),
 		"switched_off": slices.Equal(s.SwitchedOff, d.cfg.SwitchedOff), "tls": s.TLS == d.cfg.TLS,
 		"platform.weights": s.Platform.Weights == d.cfg.Platform.Weights,
 		"platform.store":   s.Platform.Store == d.cfg.Platform.Store, "explain": s.Explain == d.cfg.Explain,
--- a/process/load/load.go
+++ b/process/load/load.go
@@ -77,20 +77,21 @@
 
 // Table is the state of the endpoints of one data centre. It is safe for concurrent use.
 type Table struct {
-	mu           sync.Mutex
-	endpoints    map[string]*endpointState        // by name
-	services     map[string][]*endpointState      // by service
-	byNameHash   map[uint32]*endpointState        // see NameHash
-	serviceStats map[string]*serviceStats         // by service
-	freed        map[string]chan struct{}         // by service; closed when capacity is freed
-	switchedOff  vetchtrail.Mechanisms            // mechanisms that are not used
-	remote       map[string][]remoteEndpoint      // by service; in other regions, sources of cached prompts
-	unlisted     map[instanceKey]unlistedInstance // announcements of instances that are not listed now
-	leavingLog   []leavingLogEntry                // oldest first
-	reportLog    []reportLogEntry                 // oldest first
-	reportNumber uint64                           // reports accepted so far
-	runningAt    time.Time                        // of the last call of RecordRunning; zero: there was none
-	stoppedUntil time.Time                        // when this host's process last went on after it was stopped
+	mu            sync.Mutex
+	endpoints     map[string]*endpointState        // by name
+	services      map[string][]*endpointState      // by service
+	byNameHash    map[uint32]*endpointState        // see NameHash
+	serviceStats  map[string]*serviceStats         // by service
+	freed         map[string]chan struct{}         // by service; closed when capacity is freed
+	switchedOff   vetchtrail.Mechanisms            // mechanisms that are not used
+	remote        map[string][]remoteEndpoint      // by service; in other regions, sources of cached prompts
+	unlisted      map[instanceKey]unlistedInstance // announcements of instances that are not listed now
+	leavingLog    []leavingLogEntry                // oldest first
+	reportLog     []reportLogEntry                 // oldest first
+	reportNumber  uint64                           // reports accepted so far
+	runningAt     time.Time                        // of the last call of RecordRunning; zero: there was none
+	placesBySpeed bool                             // see SetPlacesBySpeed
+	stoppedUntil  time.Time                        // when this host's process last went on after it was stopped
 }
 
 // endpointState is what is known of one process instance of an endpoint.
@@ -304,7 +305,7 @@
 		svc.othersQueued = meanOthersQueued(states, now)
 	}
 	session, sticky := r.Session()
-	if svc := t.serviceStats[r.Service]; svc != nil && svc.reportsSlowdown {
+	if svc := t.serviceStats[r.Service]; svc != nil && svc.reportsSlowdown && t.placesBySpeed {
 		v.Uncertainty = svc.uncertainty()
 	}
 	preferred := -1
--- a/process/load/slowdown.go
+++ b/process/load/slowdown.go
@@ -172,6 +172,15 @@
 	return observed * s.uneven.speed.value / t.pastSlowdown(s, observed, now)
 }
 
+// SetPlacesBySpeed sets whether the speed and the slowdown of endpoints enter the times by which endpoints are chosen,
+// and not only the event intervals. Faster endpoints then get more requests, also such whose prompts
+// others have cached.
+func (t *Table) SetPlacesBySpeed(on bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.placesBySpeed = on
+}
+
 // scalePredictions applies the endpoint's slowdown and speed to the usual times of its service in a view. tokens are
 // the prompt tokens that the endpoint processes before a response starts.
 func (t *Table) scalePredictions(s *endpointState, v *vetchtrail.EndpointView, tokens float64, now time.Time) {
@@ -182,10 +191,13 @@
 	influence, inPeriods := u.slowdown.influence(period, now), u.slowdown.mean/u.speed.value/period
 	first := u.slowdown.expectedBy(influence, (v.BaseLatency+v.Prefill*tokens)*inPeriods) / u.speed.value
 	whole := u.slowdown.expectedBy(influence, v.ServiceTime*inPeriods) / u.speed.value
+	v.EventInterval *= whole
+	if !t.placesBySpeed {
+		return
+	}
 	v.BaseLatency *= first
 	v.Prefill *= first
 	v.ServiceTime *= whole
-	v.EventInterval *= whole
 }
 
 // throughput is the work that the endpoint does in a time, as a multiple of an endpoint's that reports no slowdown.
--- a/process/load/uneven_load_test.go
+++ b/process/load/uneven_load_test.go
@@ -101,6 +101,7 @@
 	}
 	for range simHosts {
 		t := New()
+		t.SetPlacesBySpeed(true)
 		t.SetSwitchedOff(switchedOff)
 		s.hosts = append(s.hosts, t)
 		s.configure(t)
--- a/process/load/uneven_test.go
+++ b/process/load/uneven_test.go
@@ -42,6 +42,7 @@
 		return []EndpointInRegion{{Endpoint: vetchtrail.Endpoint{Name: "a", Service: "s", Slots: 4, Born: born}}}
 	}
 	tab := New()
+	tab.SetPlacesBySpeed(true)
 	report := func(at time.Time) {
 		tab.RecordReport("a", vetchtrail.LoadReport{TakenAt: at, Slowdown: 1}, time.Time{})
 	}
--- a/process/settings/settings.go
+++ b/process/settings/settings.go
@@ -42,6 +42,7 @@
 	TLS         TLS                    `yaml:"tls"`
 	Retries     Retries                `yaml:"retries"`
 	Quotas      Quotas                 `yaml:"quotas"`
+	Placement   Placement              `yaml:"placement"`
 	Admission   Admission              `yaml:"admission"`
 }
 
@@ -106,6 +107,13 @@
 	Slack    float64       `yaml:"slack"` // units
 }
 
+// Placement sets by what endpoints are chosen.
+type Placement struct {
+	// BySpeed lets the speed and the slowdown of endpoints enter the choice, where they report a
+	// slowdown. It takes prompts away from the endpoints that have cached them.
+	BySpeed bool `yaml:"by_speed"`
+}
+
 // Admission sets where requests are admitted by shares of the supply while a service is short of
 // capacity.
 type Admission struct {
