--- a/process/load/mechanisms_test.go
+++ b/process/load/mechanisms_test.go
@@ -62,6 +62,7 @@
 			return views(tab, request("x", session, 0))["a"].InFlightLimit < before
 		}},
 		"uneven endpoints": {vetchtrail.MechanismUnevenEndpoints, func(tab *Table) bool {
+			tab.SetPlacesBySpeed(true)
 			before := views(tab, request("x", session, 0))["a"].Prefill
 			tab.LoadReported(vetchtrail.Endpoint{Name: "a"}, vetchtrail.LoadReport{TakenAt: now, Slowdown: 2})
 			return views(tab, request("x", session, 0))["a"].Prefill > before
