--- a/process/daemon/daemon.go
+++ b/process/daemon/daemon.go
@@ -20,12 +20,14 @@
 	"github.com/sourcegraph/conc"
 
 	"vetchtrail"
+	"vetchtrail/connection/buffer"
 	"vetchtrail/connection/caller"
 	"vetchtrail/connection/endpoint"
 	"vetchtrail/connection/peer"
 	"vetchtrail/connection/store"
 	"vetchtrail/process/availability"
 	"vetchtrail/process/clock"
+	"vetchtrail/process/demand"
 	"vetchtrail/process/journal"
 	"vetchtrail/process/lists"
 	"vetchtrail/process/load"
@@ -34,6 +36,7 @@
 	"vetchtrail/process/quarantines"
 	"vetchtrail/process/quotas"
 	"vetchtrail/process/ratelimits"
+	"vetchtrail/process/returns"
 	"vetchtrail/process/settings"
 	"vetchtrail/request/budget"
 	"vetchtrail/request/dispatch"
@@ -83,6 +86,8 @@
 	Registry   vetchtrail.HostRegistry    // registers this host with the platform
 	Quarantine vetchtrail.QuarantineStore // persists quarantine entries on the platform
 	Dialect    vetchtrail.Dialect         // translates the platform's request and response headers
+	Admission  bool                       // the platform's contracts call for admission by shares of the supply
+	Buffers    bool                       // the platform's contracts call for a bound on what is buffered for slow readers
 	// Directory returns the directory server. bestRegions returns the regions that may process
 	// the most requests to a host name that callers use; known is false while the host has no
 	// configuration.
@@ -108,6 +113,8 @@
 	dispatcher        *dispatch.Dispatcher
 	quotas            *quotas.Quotas
 	rateLimits        *ratelimits.RateLimits
+	demand            *demand.Table          // demand for services and admission
+	returns           *returns.Returns       // plans when refused callers retry
 	availability      *availability.Observer // availability that endpoints announce: leaving, paused
 	quarantines       *quarantines.Quarantines
 	quarantineKVStore *quarantines.KVStore // persists quarantine entries unless the platform is hosted
@@ -117,6 +124,7 @@
 	poller            *poll.Poller                    // polls the endpoints' load reports unless the platform is hosted
 	server            *peer.Server                    // serves peers and operators
 	tls               *tls.Config                     // of the listener for peers; nil: no TLS
+	buffers           *buffer.Budget                  // bounds what is buffered for all connections; nil: unbounded
 	hosted            *Hosted                         // nil unless the platform is hosted
 	directory         Directory                       // nil unless the platform is hosted
 	endpoints         *endpoint.Client                // sends requests to endpoints
@@ -132,6 +140,7 @@
 func New(c Config) (*Daemon, error) {
 	d := &Daemon{cfg: c.Settings, log: c.Log, table: load.New(), hosted: c.Hosted, leaveRequested: make(chan struct{})}
 	d.table.SetSwitchedOff(vetchtrail.MechanismsOf(d.cfg.SwitchedOff...))
+	d.table.SetPlacesBySpeed(d.cfg.Placement.BySpeed)
 	d.timing.Store(&d.cfg.Timing)
 	d.log = c.Log.With("host", c.Settings.Host)
 	d.self = vetchtrail.Host{
@@ -145,9 +154,10 @@
 	storeClient := store.New(store.Config{Addr: d.cfg.Platform.Store})
 	d.changes = changelog.New(changelog.Config{Store: storeClient, Log: d.log})
 	d.quarantineKVStore = &quarantines.KVStore{KV: storeClient, Log: d.log}
+	d.buffers = buffer.NewBudget(d.bufferBound())
 	d.membership = membership.New(membership.Config{
 		Self: d.self, Seeds: d.cfg.Seeds, Load: d.table, Revision: d.appliedRevision.Load, Log: d.log, RandomSeed: d.randomSeed(),
-		CallsWholeRegion: d.hosted != nil, RateLimits: rateReceiver{d}, LeavingEndpoints: leavingReceiver{d},
+		CallsWholeRegion: d.hosted != nil, RateLimits: rateReceiver{d}, LeavingEndpoints: leavingReceiver{d}, Demands: demandExchange{d},
 	})
 	d.journal = journal.New(journal.Config{Log: d.log})
 	if err := d.newTLS(); err != nil {
@@ -166,7 +176,7 @@
 	var err error
 	d.server, err = peer.NewServer(peer.ServerConfig{
 		Membership: d.membership, Changes: d.changes, Listings: d.lists, Runner: d.dispatcher, Quotas: d.quotas, RateLimits: d.rateLimits,
-		Quarantines: d.quarantines, Operators: &operatorServer{d: d},
+		Quarantines: d.quarantines, Operators: &operatorServer{d: d}, Buffers: d.buffers,
 	})
 	return d, err
 }
@@ -195,25 +205,30 @@
 	})
 	switchedOff := vetchtrail.MechanismsOf(d.cfg.SwitchedOff...)
 	d.newRateLimits(switchedOff)
+	d.newDemand(switchedOff)
+	d.newReturns(switchedOff)
 	d.availability = availability.New(availability.Config{Observer: d.rateLimits, Table: d.table, Log: d.log})
 	d.endpoints = endpoint.New(endpoint.Config{
-		Dialect: dialect, Observer: d.availability,
+		Dialect: dialect, Observer: d.availability, SocketBytes: d.socketBytes(),
 		Guard: func(e vetchtrail.Endpoint, r *vetchtrail.Request) vetchtrail.Reason {
 			return d.dispatcher.CheckBeforeSend(e, r)
 		},
 		Replaceable: func(e vetchtrail.Endpoint, r *vetchtrail.Request) bool { return d.dispatcher.Replaceable(e, r) },
 	})
 	d.newQuarantines(switchedOff)
-	d.dispatcher = dispatch.New(dispatch.Config{
+	dispatchConfig := dispatch.Config{
 		Self: d.self, Policy: p, Rules: d.changes.Rules, Endpoints: d.table, Membership: d.membership,
 		EndpointCaller: d.endpoints, Peers: d.peers, IssuedKeys: idempotencyKeys, Journal: d.journal, Seed: d.randomSeed(),
-		RetryBudget: d.budget(d.cfg.Retries), Quotas: d.quotas, Quarantine: d.quarantines, RateLimits: d.rateLimits, SwitchedOff: switchedOff,
+		RetryBudget: d.budget(d.cfg.Retries), Quotas: d.quotas, Quarantine: d.quarantines, RateLimits: d.rateLimits, Admission: d.demand, SwitchedOff: switchedOff,
 		RefusesConnection: d.endpoints.RefusesConnection,
-	})
+	}
+	dispatchConfig.Returns, dispatchConfig.ReturnsInForce = d.returns, d.returns.InForce
+	d.dispatcher = dispatch.New(dispatchConfig)
 	d.callers = caller.New(caller.Config{
 		Runner: d.dispatcher, Rules: d.changes.Rules, Membership: d.membership, IssuedKeys: idempotencyKeys,
 		BodyLimit: d.cfg.Limits.Body, ExposeEndpoint: d.cfg.Explain, Region: d.cfg.Region,
 		Dialect: dialect, RoutesOnly: d.hosted != nil, RefreshConfiguration: d.refreshConfiguration,
+		Buffers: d.buffers, Log: d.log,
 	})
 	return nil
 }
@@ -228,10 +243,12 @@
 	for name, unchanged := range map[string]bool{
 		"host": s.Host == d.cfg.Host, "region": s.Region == d.cfg.Region, "data_centre": s.DataCentre == d.cfg.DataCentre,
 		"listen": s.Listen == d.cfg.Listen, "policy": s.Policy == d.cfg.Policy,
+		"admission": s.Admission == d.cfg.Admission, "placement": s.Placement == d.cfg.Placement, "platform.contracts": slices.Equal(s.Platform.Contracts, d.cfg.Platform.Contracts),
 		"switched_off": slices.Equal(s.SwitchedOff, d.cfg.SwitchedOff), "tls": s.TLS == d.cfg.TLS,
 		"platform.weights": s.Platform.Weights == d.cfg.Platform.Weights,
 		"platform.store":   s.Platform.Store == d.cfg.Platform.Store, "explain": s.Explain == d.cfg.Explain,
 		"limits.body": s.Limits.Body == d.cfg.Limits.Body, "limits.records": s.Limits.Records == d.cfg.Limits.Records,
+		"limits.buffers": s.Limits.Buffers == d.cfg.Limits.Buffers,
 	} {
 		if !unchanged {
 			needRestart = append(needRestart, name)
@@ -266,6 +283,7 @@
 	defer stop()
 	var tasks conc.WaitGroup
 	tasks.Go(func() { d.journal.Run(ctx) })
+	tasks.Go(func() { d.table.Run(ctx) })
 	tasks.Go(func() { _ = d.server.Serve(ctx, peers) })
 	tasks.Go(func() { d.membership.RunHeartbeats(ctx, d.peers) })
 	tasks.Go(func() { d.membership.RunDigestExchanges(ctx, d.peers) })
--- a/process/load/event_interval.go
+++ b/process/load/event_interval.go
@@ -1,6 +1,7 @@
 package load
 
 import (
+	"context"
 	"math"
 	"time"
 
@@ -50,16 +51,52 @@
 	// intervals and at least minSilence: a long prompt delays its streams by some hundred milliseconds.
 	silentIntervals = 10
 	minSilence      = 700 * time.Millisecond
+	// runningInterval is how often RecordRunning is called while this host's process runs.
+	runningInterval = 100 * time.Millisecond
+	// maxRunningAge is the age from which the last call of RecordRunning shows that the process was stopped, or gets
+	// too little processor time to read what endpoints send. It is well below minSilence.
+	maxRunningAge = 300 * time.Millisecond
 )
 
-// silent reports whether the endpoint runs streams of this host and nothing has arrived on any of them for longer
+// Run calls RecordRunning until ctx ends.
+func (t *Table) Run(ctx context.Context) {
+	ticker := time.NewTicker(runningInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			t.RecordRunning(time.Now())
+		}
+	}
+}
+
+// RecordRunning records that this host's process runs. Without regular calls, each silence counts as an endpoint's.
+// After a gap between two calls the endpoints get the time of a whole silence again, as what they sent in the gap
+// has not been read yet.
+func (t *Table) RecordRunning(now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.wasStopped(now) {
+		t.stoppedUntil = now
+	}
+	t.runningAt = now
+}
+
+// wasStopped reports whether this host's process was stopped just before now. The caller holds the lock.
+func (t *Table) wasStopped(now time.Time) bool {
+	return !t.runningAt.IsZero() && now.Sub(t.runningAt) > maxRunningAge
+}
+
+// silent reports whether the endpoint runs streams that this host reads and nothing has arrived on any of them for longer
 // than silentIntervals and minSilence allow. A new request there would wait too. The caller holds the lock.
 func (t *Table) silent(s *endpointState, now time.Time) bool {
-	if len(s.startedStreams) == 0 || t.switchedOff.Has(vetchtrail.MechanismSilence) {
+	if len(s.startedStreams) == s.pausedStreams || t.switchedOff.Has(vetchtrail.MechanismSilence) || t.wasStopped(now) {
 		return false
 	}
-	threshold := max(minSilence, time.Duration(silentIntervals*s.eventInterval.mean*float64(time.Second)))
-	return now.Sub(s.lastSeen) > threshold
+	threshold := max(minSilence, time.Duration(silentIntervals*s.eventInterval.mean*t.timeFactor(s, now)*float64(time.Second)))
+	return now.Sub(vetchtrail.Later(s.lastSeen, t.stoppedUntil)) > threshold
 }
 
 // Silent implements vetchtrail.Observer.
@@ -70,15 +107,48 @@
 	return ok && t.silent(s, now)
 }
 
-// expectedEventInterval is the probable time between two events of a new stream, in seconds; 0: not known. It
+// StreamPaused implements vetchtrail.Observer. Nothing arrives on a stream that this host doesn't read, which is no
+// silence of its endpoint.
+func (t *Table) StreamPaused(e vetchtrail.Endpoint, r *vetchtrail.Request) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if s, ok := t.instance(e.Name, e.Born); ok && s.startedStreams[r.ID] {
+		s.startedStreams[r.ID] = false
+		s.pausedStreams++
+	}
+}
+
+// StreamResumed implements vetchtrail.Observer.
+func (t *Table) StreamResumed(e vetchtrail.Endpoint, r *vetchtrail.Request, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s, ok := t.instance(e.Name, e.Born)
+	if !ok {
+		return
+	}
+	if read, started := s.startedStreams[r.ID]; started && !read {
+		s.startedStreams[r.ID] = true
+		s.pausedStreams--
+		s.lastSeen = now
+	}
+}
+
+// expectedEventInterval is the usual time between two events of a new stream, in seconds; 0: not known. It
 // follows the mean of this host's streams at the endpoint. The older the last observation of that mean is, the more
-// it follows the fit over the service's endpoints, at the number of running requests that this one last reported.
-func (s *endpointState) expectedEventInterval(svc *serviceStats, now time.Time) float64 {
-	if !svc.eventIntervalFit.known() || !s.hasReport || now.Sub(s.report.TakenAt) > maxIntervalReportAge {
+// it follows the service's mean for the queue in the endpoint's reports where that is in force, or else the fit over
+// the service's endpoints, at the number of running requests that this one last reported.
+func (t *Table) expectedEventInterval(s *endpointState, svc *serviceStats, now time.Time) float64 {
+	if !s.hasReport || now.Sub(s.report.TakenAt) > maxIntervalReportAge {
 		return s.eventInterval.decayedMean(now)
 	}
-	base, slope := svc.eventIntervalFit.line()
-	usual := base + slope*float64(s.report.Running)
+	usual := t.queueInterval(s, svc)
+	if usual == 0 {
+		if !svc.eventIntervalFit.known() {
+			return s.eventInterval.decayedMean(now)
+		}
+		base, slope := svc.eventIntervalFit.line()
+		usual = base + slope*float64(s.report.Running)
+	}
 	if s.eventInterval.observedAt.IsZero() {
 		return usual
 	}
@@ -90,11 +160,18 @@
 func (t *Table) EventReceived(e vetchtrail.Endpoint, interval time.Duration, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if s, ok := t.instance(e.Name, e.Born); ok {
-		s.eventInterval.observe(interval, now)
-		s.lastSeen = now
-		if s.hasReport && now.Sub(s.report.TakenAt) < maxIntervalReportAge {
-			t.serviceStats[s.Service].eventIntervalFit.observe(float64(s.report.Running), interval.Seconds())
-		}
+	s, ok := t.instance(e.Name, e.Born)
+	if !ok {
+		return
+	}
+	s.lastSeen = now
+	if s.uneven != nil {
+		interval = time.Duration(float64(time.Second) * t.usualSeconds(s, interval.Seconds(), now))
+	}
+	s.eventInterval.observe(interval, now)
+	if s.hasReport && now.Sub(s.report.TakenAt) < maxIntervalReportAge {
+		svc := t.serviceStats[s.Service]
+		svc.eventIntervalFit.observe(float64(s.report.Running), interval.Seconds())
+		svc.queueIntervals.observe(s.report.Queued, interval.Seconds())
 	}
 }
--- a/process/load/load.go
+++ b/process/load/load.go
@@ -7,10 +7,12 @@
 package load
 
 import (
+	"cmp"
 	"math"
 	"sync"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/cespare/xxhash/v2"
 
 	"vetchtrail"
@@ -75,18 +77,21 @@
 
 // Table is the state of the endpoints of one data centre. It is safe for concurrent use.
 type Table struct {
-	mu           sync.Mutex
-	endpoints    map[string]*endpointState        // by name
-	services     map[string][]*endpointState      // by service
-	byNameHash   map[uint32]*endpointState        // see NameHash
-	serviceStats map[string]*serviceStats         // by service
-	freed        map[string]chan struct{}         // by service; closed when capacity is freed
-	switchedOff  vetchtrail.Mechanisms            // mechanisms that are not used
-	remote       map[string][]remoteEndpoint      // by service; in other regions, sources of cached prompts
-	unlisted     map[instanceKey]unlistedInstance // announcements of instances that are not listed now
-	leavingLog   []leavingLogEntry                // oldest first
-	reportLog    []reportLogEntry                 // oldest first
-	reportNumber uint64                           // reports accepted so far
+	mu            sync.Mutex
+	endpoints     map[string]*endpointState        // by name
+	services      map[string][]*endpointState      // by service
+	byNameHash    map[uint32]*endpointState        // see NameHash
+	serviceStats  map[string]*serviceStats         // by service
+	freed         map[string]chan struct{}         // by service; closed when capacity is freed
+	switchedOff   vetchtrail.Mechanisms            // mechanisms that are not used
+	remote        map[string][]remoteEndpoint      // by service; in other regions, sources of cached prompts
+	unlisted      map[instanceKey]unlistedInstance // announcements of instances that are not listed now
+	leavingLog    []leavingLogEntry                // oldest first
+	reportLog     []reportLogEntry                 // oldest first
+	reportNumber  uint64                           // reports accepted so far
+	runningAt     time.Time                        // of the last call of RecordRunning; zero: there was none
+	placesBySpeed bool                             // see SetPlacesBySpeed
+	stoppedUntil  time.Time                        // when this host's process last went on after it was stopped
 }
 
 // endpointState is what is known of one process instance of an endpoint.
@@ -112,8 +117,13 @@
 	pendingPrompts       map[string]pendingPrompt // of this host's requests without a first byte, by request ID
 	sessionUses          sessionUses
 	coldStart            coldStartLimiter
+	totalColdRate        float64 // requests per second that it accepts from all hosts together during its cold start
 	eventInterval        eventInterval
-	startedStreams       map[string]bool // this host's streams with a first byte, by request ID
+	recentQueue          recentQueue
+	uneven               *uneven         // nil: it has reported no slowdown
+	restarted            bool            // an earlier instance of the same name was known
+	startedStreams       map[string]bool // this host's streams with a first byte, by request ID; false: it is paused
+	pausedStreams        int             // started streams that this host doesn't read, as their callers read too slowly
 	lastSeen             time.Time       // when the first byte of a response or an event of a stream last arrived
 	connectFailuresInRow int
 	errorShare           average   // share of its responses that are errors
@@ -132,27 +142,36 @@
 
 // serviceStats are a service's observations over all of its endpoints.
 type serviceStats struct {
-	serviceTime      average // seconds that a request occupies a slot
-	tokenTime        average // seconds to the first byte, for each prompt token
-	promptStats      promptStats
-	prefillFit       linearFit // seconds to the first byte, by the prompt tokens to process
-	eventIntervalFit linearFit // seconds between two events of a stream, by the requests that run
-	errorShare       average   // share of the responses that are errors
-	streamsByRoute   map[string]*streamStats
-	uncachedTokens   average // prompt tokens that an endpoint must process for one request
-	predictionRatio  predictionRatio
-	othersQueued     float64 // mean number of other hosts' requests in an endpoint's queue
+	serviceTime         average // seconds that a request occupies a slot
+	tokenTime           average // seconds to the first byte, for each prompt token
+	promptStats         promptStats
+	prefillFit          linearFit // seconds to the first byte, by the prompt tokens to process
+	eventIntervalFit    linearFit // seconds between two events of a stream, by the requests that run
+	errorShare          average   // share of the responses that are errors
+	streamsByRoute      map[string]*streamStats
+	uncachedTokens      average // prompt tokens that an endpoint must process for one request
+	predictionRatio     predictionRatio
+	predictionHistogram *metrics.Histogram // of observed over predicted times to the first event
+	othersQueued        float64            // mean number of other hosts' requests in an endpoint's queue
+
+	reportsSlowdown       bool // an endpoint of the service has reported a slowdown
+	slowdown              serviceSlowdown
+	lightFit              linearFit // seconds to the first byte at low load and without slowdown, by the prompt tokens to process
+	queueIntervals        queueIntervals
+	queueIntervalsInForce bool // see SetQueueIntervals
 }
 
-func newServiceStats() *serviceStats {
+func newServiceStats(service string) *serviceStats {
 	return &serviceStats{
-		serviceTime:      average{value: initialServiceSeconds},
-		tokenTime:        average{value: initialTokenSeconds},
-		promptStats:      newPromptStats(),
-		predictionRatio:  predictionRatio{median: 1},
-		prefillFit:       newPrefillFit(),
-		eventIntervalFit: linearFit{maxSlope: maxIntervalSecondsPerRequest},
-		streamsByRoute:   map[string]*streamStats{},
+		predictionHistogram: predictionHistogram(service),
+		serviceTime:         average{value: initialServiceSeconds},
+		tokenTime:           average{value: initialTokenSeconds},
+		promptStats:         newPromptStats(),
+		predictionRatio:     predictionRatio{median: 1},
+		prefillFit:          newPrefillFit(),
+		lightFit:            newPrefillFit(),
+		eventIntervalFit:    linearFit{maxSlope: maxIntervalSecondsPerRequest},
+		streamsByRoute:      map[string]*streamStats{},
 	}
 }
 
@@ -171,6 +190,9 @@
 type EndpointInRegion struct {
 	vetchtrail.Endpoint
 	RegionID vetchtrail.RegionID
+	// TotalColdRate is the rate that the endpoint accepts from all hosts together during its cold start, if ColdRate
+	// is only this host's share; 0: ColdRate is that of all hosts.
+	TotalColdRate float64
 }
 
 // Configure replaces the table's endpoints. An endpoint that stays keeps its state if it has the same address,
@@ -191,17 +213,18 @@
 			}
 			t.restoreAnnouncements(s, e.Endpoint)
 			if ok {
+				s.restarted = true
 				s.carryOver(old[e.Name], e.Born)
 			}
 			t.logLeaving(keyOf(NameHash(e.Name), e.Born), &s.availability.announcements)
 		}
 		s.coldStart.configure(e.ColdUntil, e.ColdRate)
-		s.Endpoint, s.region = e.Endpoint, e.RegionID
+		s.Endpoint, s.region, s.totalColdRate = e.Endpoint, e.RegionID, cmp.Or(e.TotalColdRate, e.ColdRate)
 		t.endpoints[e.Name] = s
 		t.byNameHash[NameHash(e.Name)] = s
 		t.services[e.Service] = append(t.services[e.Service], s)
 		if t.serviceStats[e.Service] == nil {
-			t.serviceStats[e.Service] = newServiceStats()
+			t.serviceStats[e.Service] = newServiceStats(e.Service)
 		}
 	}
 	for name, s := range old {
@@ -278,26 +301,33 @@
 		svc.recordStreamRequest(r, now)
 		v.IdlePrefill, v.CachedShare, v.PredictionRatio = svc.promptStats.idleTokenTime, svc.promptStats.cachedShare.value, svc.predictionRatio.median
 		v.ExpectedEvents, v.UrgentInterval = svc.expectedEvents(r.Route), svc.urgentEventInterval(r, now)
+		v.MoreUrgent = svc.moreUrgentRequested(r.Priority, now)
 		svc.othersQueued = meanOthersQueued(states, now)
 	}
 	session, sticky := r.Session()
+	if svc := t.serviceStats[r.Service]; svc != nil && svc.reportsSlowdown && t.placesBySpeed {
+		v.Uncertainty = svc.uncertainty()
+	}
 	preferred := -1
 	if sticky {
 		preferred = preferredEndpoint(states, session.ID, now)
 	}
 	for i, s := range states {
-		e := s.view(t, now)
+		e, backlog := s.view(t, now), 0.0
 		if !t.switchedOff.Has(vetchtrail.MechanismPromptBacklog) {
-			e.Backlog = e.Prefill * s.backlog(r.Priority, t.serviceStats[r.Service], now)
+			backlog = s.backlog(r.Priority, t.serviceStats[r.Service], now)
 		}
 		if sticky && !t.switchedOff.Has(vetchtrail.MechanismAffinity) {
 			e.CachedTokens = t.cachedTokens(s, r, session, i == preferred, now)
 		}
+		t.scalePredictions(s, &e, backlog+float64(r.PromptTokens()-e.CachedTokens), now)
+		e.Backlog = e.Prefill * backlog
 		v.Endpoints = append(v.Endpoints, e)
 	}
 }
 
-// view returns the endpoint's state and estimates as of now, for a decision. The caller holds the lock.
+// view returns the endpoint's state and estimates as of now, for a decision. The times are the usual ones of the
+// service, see scalePredictions. The caller holds the lock.
 func (s *endpointState) view(t *Table, now time.Time) vetchtrail.EndpointView {
 	svc := t.serviceStats[s.Service]
 	weight := math.Exp(-now.Sub(s.observedAt).Seconds() / observationDecay.Seconds())
@@ -306,11 +336,14 @@
 		Running: s.report.Running, Queued: s.report.Queued, ReportAge: -1,
 		Prefill:     svc.tokenTime.value * significantSlowdown(1+weight*(s.tokenSlowdown.value-1), s.tokenSlowdown.count),
 		ServiceTime: svc.serviceTime.value * significantSlowdown(1+weight*(s.serviceTime.value/svc.serviceTime.value-1), s.serviceTime.count),
-		WarmUpShare: s.warmUp, ExcessFailureRate: s.excessErrorShare(svc, now), EventInterval: s.expectedEventInterval(svc, now), RateLimited: s.rateLimit.Advertised, Rate: s.rateLimit.Rate, RateLeft: s.rateLeft,
+		WarmUpShare: s.warmUp, ExcessFailureRate: s.excessErrorShare(svc, now), EventInterval: t.expectedEventInterval(s, svc, now), RateLimited: s.rateLimit.Advertised, Rate: s.rateLimit.Rate, RateLeft: s.rateLeft,
 	}
 	if svc.prefillFit.known() {
 		v.BaseLatency, v.Prefill = svc.prefillFit.line()
 	}
+	if s.uneven != nil && svc.lightFit.count >= minObservations {
+		v.BaseLatency, v.Prefill = svc.lightFit.line()
+	}
 	if s.hasReport {
 		v.ReportAge = now.Sub(s.report.TakenAt)
 		v.InFlightChange = s.inFlight - s.inFlightAt(s.report.TakenAt)
--- a/process/load/prefill_test.go
+++ b/process/load/prefill_test.go
@@ -275,19 +275,31 @@
 }
 
 // TestSilent guards against an endpoint that stays in use although nothing arrives on its started streams, and
-// against an endpoint that counts as silent without such a stream. A resumed stream isn't in flight and doesn't
-// count.
+// against an endpoint that counts as silent without such a stream, or because this host's process was stopped. A
+// resumed stream isn't in flight and doesn't count.
 func TestSilent(t *testing.T) {
 	e := vetchtrail.Endpoint{Name: "a"}
 	stream := request("x", 3, 0)
 	stream.Stream = true
 	long := now.Add(time.Minute)
+	stopped := func(t *Table, wentOn, last time.Time) {
+		t.Acquire("a", stream, now)
+		t.ResponseStarted(e, stream, now)
+		t.RecordRunning(now)
+		for at := wentOn; !at.After(last); at = at.Add(runningInterval) {
+			t.RecordRunning(at)
+		}
+	}
 	cases := map[string]struct {
 		do     func(t *Table)
 		silent bool
 	}{
-		"nothing runs":     {func(*Table) {}, false},
-		"a stream stopped": {func(t *Table) { t.Acquire("a", stream, now); t.ResponseStarted(e, stream, now) }, true},
+		"this host runs":             {func(t *Table) { stopped(t, now, long) }, true},
+		"this host was stopped":      {func(t *Table) { stopped(t, long.Add(time.Second), long) }, false},
+		"this host has just gone on": {func(t *Table) { stopped(t, long.Add(-minSilence), long) }, false},
+		"this host went on before":   {func(t *Table) { stopped(t, long.Add(-minSilence-runningInterval), long) }, true},
+		"nothing runs":               {func(*Table) {}, false},
+		"a stream stopped":           {func(t *Table) { t.Acquire("a", stream, now); t.ResponseStarted(e, stream, now) }, true},
 		"an event arrived": {func(t *Table) {
 			t.Acquire("a", stream, now)
 			t.ResponseStarted(e, stream, now)
@@ -298,6 +310,36 @@
 			t.ResponseStarted(e, stream, now)
 			t.Release("a", vetchtrail.Observation{Request: "x"}, now)
 		}, false},
+		"not read by this host": {func(t *Table) {
+			t.Acquire("a", stream, now)
+			t.ResponseStarted(e, stream, now)
+			t.StreamPaused(e, stream)
+		}, false},
+		"read again, and nothing came": {func(t *Table) {
+			t.Acquire("a", stream, now)
+			t.ResponseStarted(e, stream, now)
+			t.StreamPaused(e, stream)
+			t.StreamResumed(e, stream, now)
+		}, true},
+		"one stopped beside one that is not read": {func(t *Table) {
+			unread := request("y", 3, 0)
+			unread.Stream = true
+			for _, r := range []*vetchtrail.Request{stream, unread} {
+				t.Acquire("a", r, now)
+				t.ResponseStarted(e, r, now)
+			}
+			t.StreamPaused(e, unread)
+		}, true},
+		"one stopped after one ended that was not read": {func(t *Table) {
+			unread := request("y", 3, 0)
+			unread.Stream = true
+			for _, r := range []*vetchtrail.Request{stream, unread} {
+				t.Acquire("a", r, now)
+				t.ResponseStarted(e, r, now)
+			}
+			t.StreamPaused(e, unread)
+			t.Release("a", vetchtrail.Observation{Request: "y"}, now)
+		}, true},
 		"a resumed stream":  {func(t *Table) { t.ResponseStarted(e, stream, now) }, false},
 		"no first byte yet": {func(t *Table) { t.Acquire("a", stream, now) }, false},
 	}
--- a/process/load/release.go
+++ b/process/load/release.go
@@ -18,6 +18,9 @@
 	}
 	s.changeInFlight(now, -1)
 	delete(s.pendingPrompts, o.Request)
+	if read, started := s.startedStreams[o.Request]; started && !read {
+		s.pausedStreams--
+	}
 	delete(s.startedStreams, o.Request)
 	t.wake(s.Service)
 	if o.Outcome.ColdStart > 0 {
@@ -64,8 +67,12 @@
 	}
 	if o.Outcome.Events > 0 {
 		svc.predictionRatio.observe(o.PredictedFirstByte.Seconds(), first)
+		if o.PredictedFirstByte > 0 && first > 0 {
+			svc.predictionHistogram.Update(first / o.PredictedFirstByte.Seconds())
+		}
 	}
 	s.observedAt = now
+	first, whole = t.usualSeconds(s, first, now), t.usualSeconds(s, whole, now)
 	s.serviceTime.observe(whole)
 	svc.serviceTime.observe(whole)
 	if o.PromptTokens > 0 && s.inFlight < s.Slots {
--- a/process/settings/settings.go
+++ b/process/settings/settings.go
@@ -17,6 +17,7 @@
 
 	"vetchtrail"
 	"vetchtrail/connection/peer"
+	"vetchtrail/process/demand"
 	"vetchtrail/process/quotas"
 	"vetchtrail/request/policy"
 	"vetchtrail/version/document"
@@ -41,6 +42,8 @@
 	TLS         TLS                    `yaml:"tls"`
 	Retries     Retries                `yaml:"retries"`
 	Quotas      Quotas                 `yaml:"quotas"`
+	Placement   Placement              `yaml:"placement"`
+	Admission   Admission              `yaml:"admission"`
 }
 
 // Listen holds the addresses that the daemon listens on. Callers and Peers are required.
@@ -69,6 +72,8 @@
 	// KnownWithin is the time within which a leaving endpoint or a new configuration must be
 	// known to all hosts of a hosted platform.
 	KnownWithin time.Duration `yaml:"known_within"`
+	// Contracts are the names of the hosted platform's contracts that the deployment is under.
+	Contracts []string `yaml:"contracts"`
 }
 
 // Weights holds the weights of services by their kind.
@@ -102,6 +107,19 @@
 	Slack    float64       `yaml:"slack"` // units
 }
 
+// Placement sets by what endpoints are chosen.
+type Placement struct {
+	// BySpeed lets the speed and the slowdown of endpoints enter the choice, where they report a
+	// slowdown. It takes prompts away from the endpoints that have cached them.
+	BySpeed bool `yaml:"by_speed"`
+}
+
+// Admission sets where requests are admitted by shares of the supply while a service is short of
+// capacity.
+type Admission struct {
+	Enforce demand.Enforcement `yaml:"enforce"` // always, auto, observe or never
+}
+
 // Translation maps the addresses of a network to those under which this host reaches it.
 type Translation struct {
 	From netip.Prefix `yaml:"from"`
@@ -113,6 +131,8 @@
 	Body    int `yaml:"body"`    // maximum size of a caller's request body, in bytes
 	Records int `yaml:"records"` // maximum size of the responses stored for repeated requests, in bytes
 	Memory  int `yaml:"memory"`  // memory for the process, in MB; 0: unbounded
+	// Buffers bounds what is buffered for all connections together, in MB; 0: unbounded.
+	Buffers int `yaml:"buffers"`
 	// Link and Processor are the capacity of the host, by which it is weighted against other
 	// hosts; 0: unknown.
 	Link      float64 `yaml:"link"`      // Mbit/s
@@ -160,6 +180,13 @@
 	minKnownWithin     = time.Second
 	maxKnownWithin     = time.Minute
 	maxBodyBytes       = 64 << 20
+	bytesPerMB         = 1 << 20
+	// minBuffers is the lowest bound in MB within which the largest response that is read whole,
+	// 4 MB, fits into the quarter for such responses.
+	minBuffers = 16
+	// bodiesInBuffers is the lowest ratio of limits.buffers to limits.body: half of the bound is
+	// for bodies, and one of the largest must fit.
+	bodiesInBuffers = 2
 )
 
 // Default weights of services on a hosted platform. A cost of 1 is a second of waiting for the
@@ -191,7 +218,8 @@
 		// A tenth of the requests, and a few retries more for a service with little traffic.
 		Retries: Retries{Window: 10 * time.Second, Share: 0.1, Base: 5},
 		// Without overage and slack, the hosts together may not exceed a quota.
-		Quotas: Quotas{Strategy: quotas.StrategyLeased, Window: 10 * time.Second},
+		Quotas:    Quotas{Strategy: quotas.StrategyLeased, Window: 10 * time.Second},
+		Admission: Admission{Enforce: demand.EnforceObserve},
 		Platform: Platform{Kind: PlatformOwn, KnownWithin: defaultKnownWithin, Weights: Weights{
 			Model: document.Weights{Tail: tailWeight, Away: awayWeight, Cost: costWeight, Read: readWeight},
 			Plain: document.Weights{Tail: tailWeight, Away: awayWeight},
@@ -255,10 +283,13 @@
 		{invalidWeights(s.Platform.Weights.Model), "platform.weights.model", weightsProblem},
 		{invalidWeights(s.Platform.Weights.Plain), "platform.weights.plain", weightsProblem},
 		{s.Limits.Memory < 0, "limits.memory", "must not be below 0 MB"},
+		{s.Limits.Buffers != 0 && s.Limits.Buffers < minBuffers, "limits.buffers", fmt.Sprintf("must be 0 or at least %d MB", minBuffers)},
+		{s.Limits.Buffers != 0 && s.Limits.Buffers*bytesPerMB < bodiesInBuffers*s.Limits.Body, "limits.buffers", "must be 0 or at least twice limits.body"},
 		{!(s.Limits.Link >= 0) || !(s.Limits.Processor >= 0), "limits", "must not be below 0"},
 		{s.Retries.Window < time.Second, "retries.window", "must be 1s or more"},
 		{s.Retries.Share < 0 || s.Retries.Base < 0, "retries", "must not be below 0"},
 		{!slices.Contains(quotas.Strategies, s.Quotas.Strategy), "quotas.way", "is not one of " + strings.Join(quotas.Strategies, ", ")},
+		{!slices.Contains(demand.Enforcements, s.Admission.Enforce), "admission.enforce", "is not one of always, auto, observe, never"},
 		{s.Quotas.Window < time.Second, "quotas.window", "must be 1s or more"},
 		{!(s.Quotas.Overage >= 0) || !(s.Quotas.Slack >= 0), "quotas", "must not be below 0"},
 		{s.TLS.On() && s.TLS.PrivateNetwork, "tls.private_network", "can't be combined with certificate, key and authority"},
--- a/request/dispatch/dispatch.go
+++ b/request/dispatch/dispatch.go
@@ -23,7 +23,8 @@
 )
 
 const (
-	// defaultAttemptLimit allows one retry for requests that belong to no route.
+	// defaultAttemptLimit allows one retry for requests that belong to no route. Refusals by
+	// endpoints of this data centre don't count.
 	defaultAttemptLimit = 2
 	// maxTotalAttempts bounds all attempts of one request, including those at
 	// targets that could not be reached.
@@ -35,6 +36,9 @@
 	// minRetryDelay is the shortest retry delay that this package chooses itself. Times from
 	// quotas and rate limits may be shorter.
 	minRetryDelay = 200 * time.Millisecond
+	// bufferRetryDelay is the retry delay of a request whose body doesn't fit within the bound on
+	// buffered bytes. Most requests that use them end within a second.
+	bufferRetryDelay = time.Second
 )
 
 // HTTP statuses of responses that this host creates itself.
@@ -68,7 +72,12 @@
 	// RefusesConnection reports whether an endpoint refuses connections, as one does whose
 	// process has ended; nil: not checked.
 	RefusesConnection func(ctx context.Context, e vetchtrail.Endpoint) bool
-	SwitchedOff       vetchtrail.Mechanisms // mechanisms that are switched off
+	Admission         vetchtrail.Admission     // nil: every request is admitted
+	SwitchedOff       vetchtrail.Mechanisms    // mechanisms that are switched off
+	Returns           vetchtrail.ReturnPlanner // nil: the policy chooses the times of retries
+	// ReturnsInForce returns whether returns to a service are planned; nil: for all services.
+	// It is only used with Returns.
+	ReturnsInForce func(service string, now time.Time) bool
 }
 
 // Dispatcher runs requests. It is safe for concurrent use.
@@ -101,8 +110,8 @@
 func (d *Dispatcher) Run(ctx context.Context, r *vetchtrail.Request, w vetchtrail.ResponseWriter) vetchtrail.Outcome {
 	d.inFlight.Add(1)
 	defer d.inFlight.Add(-1)
-	started := time.Now()
-	o := d.run(ctx, r, w)
+	started, callerCanRetry := time.Now(), r.CallerCanRetry
+	o := d.planReturn(r, d.run(ctx, r, w), callerCanRetry)
 	d.cfg.Journal.Record(vetchtrail.JournalRecord{
 		At: started, Request: r.ID, Service: r.Service, Route: r.Route, Workspace: r.Workspace, Hops: r.Hops,
 		Ended: true, Outcome: o, Took: time.Since(started),
@@ -111,14 +120,22 @@
 	return o
 }
 
-// RecordRejection records and counts a request that was refused before Run because
-// its caller sent no valid workspace key.
+// RecordRejection records and counts a request that was refused before Run, such as one whose
+// caller sent no valid workspace key.
 func (d *Dispatcher) RecordRejection(r *vetchtrail.Request, o vetchtrail.Outcome) {
 	o.Peer = d.cfg.Self.Name
 	d.cfg.Journal.Record(vetchtrail.JournalRecord{At: time.Now(), Request: r.ID, Route: r.Route, Ended: true, Outcome: o})
 	countRequest(r, o, 0)
 }
 
+// RefuseOverBuffers records and counts a request whose body doesn't fit within the bound on
+// buffered bytes, and returns its outcome.
+func (d *Dispatcher) RefuseOverBuffers(r *vetchtrail.Request) vetchtrail.Outcome {
+	o := d.refusalBeforeKeyCheck(r, d.refusal(vetchtrail.StepParse, vetchtrail.ReasonOverCapacity, time.Now().Add(bufferRetryDelay)))
+	d.RecordRejection(r, o)
+	return o
+}
+
 // run checks a request and runs it by its type: a request that resumes a stream, a
 // request with an idempotency key, or any other.
 func (d *Dispatcher) run(ctx context.Context, r *vetchtrail.Request, w vetchtrail.ResponseWriter) vetchtrail.Outcome {
@@ -251,6 +268,9 @@
 		if o, ok := use.take(ctx, n); !ok {
 			return d.replayFailure(history.overallOutcome(o), w)
 		}
+		if o, ok := d.admit(r, n); !ok {
+			return o
+		}
 		p, o, ok := d.findPlacement(ctx, r, history, n)
 		if !ok {
 			return d.replayFailure(history.overallOutcome(o), w)
@@ -270,7 +290,7 @@
 		if o.Kind == vetchtrail.OutcomeAnswered {
 			return o
 		}
-		history.add(p, o, d.processEnded(ctx, r, p, o))
+		history.add(r, p, o, d.processEnded(ctx, r, p, o))
 		o = history.overallOutcome(o)
 		if !d.mayRetry(ctx, r, o, &history, n) {
 			return d.replayFailure(d.withRetryTime(r, p, o), w)
@@ -303,10 +323,18 @@
 
 // add records an attempt that was not answered. An attempt at an endpoint whose process has
 // ended doesn't count towards the route's limit.
-func (h *attemptHistory) add(p placement, o vetchtrail.Outcome, processEnded bool) {
+func (h *attemptHistory) add(r *vetchtrail.Request, p placement, o vetchtrail.Outcome, processEnded bool) {
 	if reached(o) {
 		h.reached++
 	}
+	h.refusedHere = h.refusedHere || (o.Reason == vetchtrail.ReasonEndpointRefused && p.dataCentre == "")
+	if r.Route == "" && o.Reason == vetchtrail.ReasonEndpointRefused && p.dataCentre == "" {
+		// A request without a route may wait until its deadline, and the endpoint table keeps
+		// the endpoint out of use until it accepts requests again. So it neither counts nor is
+		// excluded: when one endpoint pauses, its load fills the queues of the others for
+		// some milliseconds, and two refusals in a row are likely.
+		return
+	}
 	// With ReasonOtherProcess, the request reached another process that now has the
 	// endpoint's address.
 	if reached(o) && o.Reason != vetchtrail.ReasonOtherProcess && !processEnded {
@@ -317,7 +345,6 @@
 	if o.Reason != vetchtrail.ReasonLeaving {
 		h.excluded = append(h.excluded, p.name())
 	}
-	h.refusedHere = h.refusedHere || (o.Reason == vetchtrail.ReasonEndpointRefused && p.dataCentre == "")
 }
 
 // reached reports whether an attempt reached, or may have reached, any process.
@@ -406,7 +433,8 @@
 	o.FirstByte = timing.FirstByte
 	d.returnReservation(r, o)
 	d.cfg.Endpoints.Release(p.endpoint.Name, vetchtrail.Observation{
-		Request: r.ID, StartedAt: p.endpoint.Born, Route: r.Route, Outcome: o, Timing: timing, PromptTokens: r.PromptTokens(), Cancelled: ctx.Err() != nil,
+		Request: r.ID, StartedAt: p.endpoint.Born, Route: r.Route, Outcome: o, Timing: timing, PromptTokens: r.PromptTokens(),
+		Cancelled:          ctx.Err() != nil || o.Reason == vetchtrail.ReasonOverCapacity,
 		PredictedFirstByte: p.predictedTTFT,
 	}, time.Now())
 	d.reportAttempt(ctx, p.endpoint, r, o, timing, attempt)
--- a/request/policy/weighted.go
+++ b/request/policy/weighted.go
@@ -192,7 +192,7 @@
 	chosen := drawEndpoint(d, ev, r, v, rnd)
 	e := &v.Endpoints[chosen]
 	d.Wait = cappedDuration(timeToFirstToken(e, r, estimateRequests(e, ev.otherRequests)))
-	if missesGoal(ev, expectedWait(d.Wait, v), r) || callerLeavesFirst(ev, d.Wait, r) {
+	if missesGoal(ev, expectedWait(d.Wait, v), r, v) || callerLeavesFirst(ev, d.Wait, r) {
 		return refuse(d, vetchtrail.ReasonOverCapacity, now, retryDelay(now, r))
 	}
 	if now.Add(d.Wait).After(r.Deadline) {
@@ -212,7 +212,9 @@
 // total is the sum of the weights so far. One random number is used for the whole pass.
 func drawEndpoint(d *vetchtrail.Decision, ev *evaluation, r *vetchtrail.Request, v *vetchtrail.View, rnd *rand.Rand) int {
 	chosen, total := ev.bestIndex, 0.0
-	inverseRange := 1 / (maxSpreads * costSpread(&v.Endpoints[ev.bestIndex], v.Weights.Tail))
+	// Endpoints of uneven speed rarely have about the same cost, so that without the second
+	// term all hosts would choose the few best ones by the same reports.
+	inverseRange := 1 / max(maxSpreads*costSpread(&v.Endpoints[ev.bestIndex], v.Weights.Tail), v.Weights.Tail*v.Uncertainty)
 	u := rnd.Float64()
 	for i := range v.Endpoints {
 		cost := ev.cost(i, r, v)
