vetchtrail capacity tells admission in force from demand that is only observed

Cause: the command took a measured demand for admission in force, and the default measures only. Change: a field of its own; admitted is what is asked where nothing is refused. Measured: the tests of the command and of process/demand.

--- a/cmd/vetchtrail/capacity.go
+++ b/cmd/vetchtrail/capacity.go
@@ -67,7 +67,7 @@
 
 // capacityRow returns the row of a service.
 func capacityRow(s *schema.ServiceCapacity) string {
-	if !s.GetInForce() {
+	if !s.GetMeasured() {
 		return s.GetService() + "\tnot in force" + strings.Repeat("\t-", 8)
 	}
 	shortage, supply, admitted := "none", "unknown", 0.0
@@ -80,7 +80,11 @@
 	for _, c := range s.GetClasses() {
 		admitted += c.GetAdmitted()
 	}
-	return fmt.Sprintf("%s\tin force\t%s\t%s\t%.2f\t%.0f\t%.0f\t%.0f\t%d\t%s", s.GetService(), shortage, supply, s.GetFactor(),
+	state := "observed"
+	if s.GetInForce() {
+		state = "in force"
+	}
+	return fmt.Sprintf("%s\t%s\t%s\t%s\t%.2f\t%.0f\t%.0f\t%.0f\t%d\t%s", s.GetService(), state, shortage, supply, s.GetFactor(),
 		s.GetGranted(), s.GetAsked(), admitted, s.GetHosts(), time.Duration(s.GetAge()).Round(time.Millisecond))
 }
 
--- a/process/daemon/capacity.go
+++ b/process/daemon/capacity.go
@@ -26,7 +26,7 @@
 // and within a priority and attempt the workspaces that ask for most.
 func toServiceCapacity(name string, c demand.Capacity, now time.Time) *schema.ServiceCapacity {
 	m := &schema.ServiceCapacity{
-		Service: name, InForce: c.InForce, Shortage: c.Shortage, Since: unixNanos(c.Since), Supply: c.Supply, Factor: c.Factor, Granted: c.Granted,
+		Service: name, Measured: c.Measured, InForce: c.InForce, Shortage: c.Shortage, Since: unixNanos(c.Since), Supply: c.Supply, Factor: c.Factor, Granted: c.Granted,
 		Asked: c.Asked, Returns: schema.FromPlannedReturns(c.Returns, now), Hosts: int32(c.Hosts), Age: int64(c.Age),
 	}
 	for _, priority := range slices.Backward(slices.Sorted(maps.Keys(c.GrantedTo))) {
--- a/process/demand/capacity.go
+++ b/process/demand/capacity.go
@@ -12,7 +12,8 @@
 // Capacity is the state by which the requests for a service are admitted, for operators. Rates
 // are of the region, in prompt tokens per second.
 type Capacity struct {
-	InForce   bool // otherwise nothing is measured, and no other field is set
+	Measured  bool // otherwise no other field is set
+	InForce   bool // requests are refused by their shares
 	Shortage  bool
 	Since     time.Time // when the shortage began; zero: there is none
 	Supply    float64   // corrected rate that the region's endpoints can process, without grants
@@ -36,12 +37,12 @@
 	defer t.mu.Unlock()
 	s, ok := t.services[name]
 	if !ok {
-		return Capacity{InForce: true, Factor: 1, Supply: t.cfg.Supplies.Supply(name, now).Rate, Hosts: max(1, t.cfg.RegionHosts())}
+		return Capacity{Measured: true, InForce: t.InForce(name, now), Factor: 1, Supply: t.cfg.Supplies.Supply(name, now).Rate, Hosts: max(1, t.cfg.RegionHosts())}
 	}
 	t.refresh(s, now)
 	f := s.controller.Figures()
 	c := Capacity{
-		InForce: true, Shortage: f.Shortage.Active, Supply: f.Supply - s.granted, Factor: f.Factor, Granted: s.granted,
+		Measured: true, InForce: t.InForce(name, now), Shortage: f.Shortage.Active, Supply: f.Supply - s.granted, Factor: f.Factor, Granted: s.granted,
 		GrantedTo: maps.Clone(s.grantedTo), Asked: f.Asked, Returns: slices.Clone(s.planned), Hosts: s.regionHosts(t), Age: s.age,
 	}
 	if c.Shortage {
@@ -51,7 +52,10 @@
 		if class.Workspace == reservedWorkspace {
 			continue // nobody has asked for it yet; it is in Returns
 		}
-		class.Admitted = class.Asked * s.controller.Share(classKey(class))
+		class.Admitted = class.Asked
+		if c.InForce {
+			class.Admitted *= s.controller.Share(classKey(class))
+		}
 		c.Classes = append(c.Classes, class)
 	}
 	return c
