--- a/mechanism.go
+++ b/mechanism.go
@@ -37,6 +37,7 @@
 	MechanismPlannedReturns                        // plan when the callers of refused requests retry
 	MechanismUnevenEndpoints                       // predict by the slowdown that endpoints report and by their speed
 	MechanismBufferLimits                          // bound the bytes buffered for callers and endpoints that read slowly
+	MechanismGrants                                // let admission count on the spare supply of other regions
 )
 
 var mechanismNames = [...]string{
@@ -44,6 +45,7 @@
 	"shedding", "forwarding", "waiting", "last-chance", "retries", "failure-cost", "ejection",
 	"silence", "adaptive-limits", "warm-up", "holding-back", "rate-limits",
 	"final-attempts", "admission", "planned-returns", "uneven-endpoints", "buffer-limits",
+	"grants",
 }
 
 // String returns the mechanism's name in the settings.
--- a/process/daemon/demand.go
+++ b/process/daemon/demand.go
@@ -15,7 +15,7 @@
 		Planned: func(service string, hosts int, now time.Time) []vetchtrail.PlannedReturn {
 			return d.returns.Planned(service, hosts, now)
 		},
-		Region: d.cfg.Region,
+		Region: d.cfg.Region, WithoutGrants: switchedOff.Has(vetchtrail.MechanismGrants),
 		RegionID: func(name string) (vetchtrail.RegionID, bool) {
 			region, ok := d.changes.Rules().Region(name)
 			return region.ID, ok
--- a/process/demand/demand.go
+++ b/process/demand/demand.go
@@ -62,11 +62,12 @@
 	Planned func(service string, hosts int, now time.Time) []vetchtrail.PlannedReturn
 	// Region is the name of this region, and RegionID returns the id of a region. Without it, no
 	// spare supply of other regions is used.
-	Region   string
-	RegionID func(name string) (vetchtrail.RegionID, bool)
-	Quota    func(workspace string) vetchtrail.Quota // for the weights of workspaces; its rate is 0 without one
-	Enforce  Enforcement
-	Pressure bool // the platform's contracts call for admission
+	Region        string
+	WithoutGrants bool // the spare supply of other regions isn't used
+	RegionID      func(name string) (vetchtrail.RegionID, bool)
+	Quota         func(workspace string) vetchtrail.Quota // for the weights of workspaces; its rate is 0 without one
+	Enforce       Enforcement
+	Pressure      bool // the platform's contracts call for admission
 	// PlansReturns is set if refusals tell callers when they can be served. Otherwise their retries
 	// come into the same shortage, and are not preferred to first attempts: those can still be in
 	// time.
--- a/process/demand/metrics.go
+++ b/process/demand/metrics.go
@@ -10,13 +10,13 @@
 type counters struct{ asked, admitted, refused *metrics.FloatCounter }
 
 // gauges show the figures by which a service's requests are admitted.
-type gauges struct{ supply, factor, age *metrics.Gauge }
+type gauges struct{ supply, factor, age, granted *metrics.Gauge }
 
 func newGauges(service string) *gauges {
 	gauge := func(name string) *metrics.Gauge {
 		return metrics.GetOrCreateGauge(fmt.Sprintf(`vetchtrail_admission_%s{service=%q}`, name, service), nil)
 	}
-	return &gauges{supply: gauge("supply_tokens"), factor: gauge("supply_factor"), age: gauge("measurement_age_seconds")}
+	return &gauges{supply: gauge("supply_tokens"), factor: gauge("supply_factor"), age: gauge("measurement_age_seconds"), granted: gauge("granted_tokens")}
 }
 
 // count counts a request's work.
@@ -42,4 +42,9 @@
 	s.gauges.supply.Set(f.Supply)
 	s.gauges.factor.Set(f.Factor)
 	s.gauges.age.Set(s.age.Seconds())
+	granted := s.granted
+	for _, rate := range s.grantedTo {
+		granted += rate
+	}
+	s.gauges.granted.Set(granted)
 }
--- a/process/demand/spare.go
+++ b/process/demand/spare.go
@@ -65,7 +65,7 @@
 // for single ones where not all may use a region. The caller holds the lock.
 func (t *Table) grant(s *service, asked float64, now time.Time) (common float64, single map[int8]float64) {
 	names, balances := s.regionBalances(now)
-	if len(names) == 0 || t.cfg.RegionID == nil {
+	if len(names) == 0 || t.cfg.RegionID == nil || t.cfg.WithoutGrants {
 		return 0, nil
 	}
 	for i, rate := range admission.Grants(admission.Balance{Supply: s.supply.Rate, Asked: asked}, balances) {
