Reading of the joined parts: one sum, one name for who may use a region

Cause: the code that joins the parts had two loops for one sum, a loop within a loop, and comments from before. Measured: tests of process/demand, membership, daemon.

--- a/process/daemon/daemon.go
+++ b/process/daemon/daemon.go
@@ -216,14 +216,12 @@
 		Replaceable: func(e vetchtrail.Endpoint, r *vetchtrail.Request) bool { return d.dispatcher.Replaceable(e, r) },
 	})
 	d.newQuarantines(switchedOff)
-	dispatchConfig := dispatch.Config{
+	d.dispatcher = dispatch.New(dispatch.Config{
 		Self: d.self, Policy: p, Rules: d.changes.Rules, Endpoints: d.table, Membership: d.membership,
 		EndpointCaller: d.endpoints, Peers: d.peers, IssuedKeys: idempotencyKeys, Journal: d.journal, Seed: d.randomSeed(),
 		RetryBudget: d.budget(d.cfg.Retries), Quotas: d.quotas, Quarantine: d.quarantines, RateLimits: d.rateLimits, Admission: d.demand, SwitchedOff: switchedOff,
-		RefusesConnection: d.endpoints.RefusesConnection,
-	}
-	dispatchConfig.Returns, dispatchConfig.ReturnsInForce = d.returns, d.returns.InForce
-	d.dispatcher = dispatch.New(dispatchConfig)
+		RefusesConnection: d.endpoints.RefusesConnection, Returns: d.returns, ReturnsInForce: d.returns.InForce,
+	})
 	d.callers = caller.New(caller.Config{
 		Runner: d.dispatcher, Rules: d.changes.Rules, Membership: d.membership, IssuedKeys: idempotencyKeys,
 		BodyLimit: d.cfg.Limits.Body, ExposeEndpoint: d.cfg.Explain, Region: d.cfg.Region,
--- a/process/demand/exchange.go
+++ b/process/demand/exchange.go
@@ -45,11 +45,7 @@
 	defer t.mu.Unlock()
 	s := t.service(name)
 	t.refresh(s, now)
-	asked := 0.0
-	for _, c := range s.local {
-		asked += c.Asked
-	}
-	d.Supply, d.Asked = toRate(s.supply.Rate), toRate(asked)
+	d.Supply, d.Asked = toRate(s.supply.Rate), toRate(totalAsked(s.local))
 	d.Demands = toMessages(s.toSend(slices.Clone(s.local), admission.MaxClasses))
 }
 
--- a/process/demand/region.go
+++ b/process/demand/region.go
@@ -29,11 +29,7 @@
 	t.reserve(s, now)
 	t.weigh(s)
 	s.scratch = append(s.scratch[:0], s.classes...)
-	asked := 0.0
-	for _, c := range s.classes {
-		asked += c.Asked
-	}
-	s.granted, s.grantedTo = t.grant(s, asked, now)
+	s.granted, s.grantedTo = t.grant(s, totalAsked(s.classes), now)
 	s.controller.Update(admission.State{
 		Classes: s.scratch, Supply: s.supply.Rate, Granted: s.granted, GrantedTo: s.grantedTo, Wait: s.supply.Wait, Objective: s.lowestObjective(now), Queued: s.supply.Queued,
 	}, now)
@@ -41,6 +37,15 @@
 	t.logShortage(s, now)
 }
 
+// totalAsked returns the rate that all classes ask for.
+func totalAsked(classes []vetchtrail.ClassDemand) float64 {
+	sum := 0.0
+	for _, c := range classes {
+		sum += c.Asked
+	}
+	return sum
+}
+
 // dataCentreDemand returns the demand of this data centre's hosts: the mean of the measurements
 // of this host and those that it heard from, times the number of live hosts. A host that hears
 // from nobody keeps the number that it last knew for aloneTime.
--- a/process/demand/spare.go
+++ b/process/demand/spare.go
@@ -73,21 +73,11 @@
 		if rate == 0 || !known {
 			continue
 		}
-		highest, all, any := int8(0), true, false
-		for priority, r := range s.reaches {
-			switch {
-			case now.Sub(r.at) > objectiveAge:
-			case !r.regions.Has(id):
-				all = false
-			case !any || priority > highest:
-				highest, any = priority, true
-			}
-		}
+		highest, some, all := s.prioritiesIn(id, now)
 		switch {
-		case !any:
-		case all:
+		case some && all:
 			common += rate
-		default:
+		case some:
 			if single == nil {
 				single = map[int8]float64{}
 			}
@@ -96,3 +86,19 @@
 	}
 	return common, single
 }
+
+// prioritiesIn returns whether some or all of the priorities that are currently asked for may use
+// a region, and the highest of them that may.
+func (s *service) prioritiesIn(region vetchtrail.RegionID, now time.Time) (highest int8, some, all bool) {
+	all = true
+	for priority, r := range s.reaches {
+		switch {
+		case now.Sub(r.at) > objectiveAge: // no longer asked for
+		case !r.regions.Has(region):
+			all = false
+		case !some || priority > highest:
+			highest, some = priority, true
+		}
+	}
+	return highest, some, all
+}
--- a/process/membership/membership.go
+++ b/process/membership/membership.go
@@ -91,10 +91,10 @@
 	HeartbeatDemands(now time.Time) []*schema.ServiceDemand
 	// RecordHeartbeat receives the demand of another host of this data centre.
 	RecordHeartbeat(from string, demands []*schema.ServiceDemand, now time.Time)
-	// DigestDemand returns the demand for a service in this data centre, and the supply; 0: not
-	// known.
+	// DigestDemand sets the supply of a service and the demand of this data centre in the digest of
+	// the service. They stay 0 where nothing is measured.
 	DigestDemand(service string, now time.Time, d *schema.ServiceDigest)
-	// RecordDigest receives the demand of another data centre of this region.
+	// RecordDigest receives the supply and the demand of another data centre.
 	RecordDigest(region, dataCentre string, s *schema.ServiceDigest, at time.Time)
 }
 
