--- a/connection/caller/slow_readers_test.go
+++ b/connection/caller/slow_readers_test.go
@@ -53,6 +53,7 @@
 	budget  *buffer.Budget
 	mu      sync.Mutex
 	reasons map[string]map[vetchtrail.Reason]int // outcomes by the kind of caller
+	notRun  []vetchtrail.Outcome                 // of requests that ended without having run
 	flood   chan struct{}                        // closed: endless streams go on after their first event
 	started atomic.Int64                         // requests at the endpoint
 }
@@ -64,6 +65,11 @@
 	h := &slowHost{budget: buffer.NewBudget(testBound), reasons: map[string]map[vetchtrail.Reason]int{}, flood: make(chan struct{})}
 	engine := httptest.NewServer(http.HandlerFunc(h.engine))
 	t.Cleanup(engine.Close)
+	t.Cleanup(func() {
+		if t.Failed() {
+			t.Logf("outcomes by caller and reason: %v; not run: %v", h.reasons, h.notRun)
+		}
+	})
 	client := endpoint.New(endpoint.Config{
 		SocketBytes: buffer.SocketBytes,
 		Guard:       func(vetchtrail.Endpoint, *vetchtrail.Request) vetchtrail.Reason { return "" },
@@ -73,6 +79,9 @@
 		o, _ := client.Call(ctx, e, r, w)
 		h.mu.Lock()
 		defer h.mu.Unlock()
+		if o.Kind == vetchtrail.OutcomeNotRun {
+			h.notRun = append(h.notRun, o)
+		}
 		if h.reasons[r.Workspace] == nil {
 			h.reasons[r.Workspace] = map[vetchtrail.Reason]int{}
 		}
