Age and revision of the listing in decisions, changes of the listing in the log

Change: listing and listing_age in decisions, the line 'listing changed' at each host, histograms of the age at sending and of queries to peers, a counter of sends by an outdated listing; no logic is changed. Measured: tests of the packages touched.

--- a/process/daemon/daemon.go
+++ b/process/daemon/daemon.go
@@ -221,6 +221,7 @@
 		EndpointCaller: d.endpoints, Peers: d.peers, IssuedKeys: idempotencyKeys, Journal: d.journal, Seed: d.randomSeed(),
 		RetryBudget: d.budget(d.cfg.Retries), Quotas: d.quotas, Quarantine: d.quarantines, RateLimits: d.rateLimits, Admission: d.demand, SwitchedOff: switchedOff,
 		RefusesConnection: d.endpoints.RefusesConnection, Returns: d.returns, ReturnsInForce: d.returns.InForce,
+		Listing: d.lists.Listing, KnownWithin: d.cfg.Platform.KnownWithin,
 	})
 	d.callers = caller.New(caller.Config{
 		Runner: d.dispatcher, Rules: d.changes.Rules, Membership: d.membership, IssuedKeys: idempotencyKeys,
--- a/process/journal/journal.go
+++ b/process/journal/journal.go
@@ -136,7 +136,7 @@
 		"cost", r.Decision.Cost, "wait", r.Decision.Wait,
 		"backlog", r.Decision.Backlog, "holds", r.Decision.CachedTokens, "gap", r.Decision.EventInterval, "report_age", r.Decision.ReportAge,
 		"running", r.Decision.Running, "queued", r.Decision.Queued, "own", r.Decision.InFlight, "limited", r.Decision.RateLimited, "rate", r.Decision.Rate, "rate_left", r.Decision.RateLeft, "looked", r.Decision.Considered,
-		"candidates", loggedCandidates(&r.Decision), "revision", r.Revision, "hops", r.Hops, "attempt", r.Attempt,
+		"candidates", loggedCandidates(&r.Decision), "revision", r.Revision, "listing", r.ListingRevision, "listing_age", r.ListingAge, "hops", r.Hops, "attempt", r.Attempt,
 		"goal", timeUntil(r.Goal, r.At), "left", timeUntil(r.Deadline, r.At), "fresh", r.CallerCanRetry,
 		"charge", r.Cost, "quota_here", r.Quota.HostLeft, "quota_region", r.Quota.RegionLeft, "quota_age", r.Quota.ReportAge)
 }
--- a/process/journal/lines.go
+++ b/process/journal/lines.go
@@ -39,23 +39,25 @@
 	Revision  uint64 `json:"revision,omitempty"`
 
 	// Fields of a decision.
-	Decision       string            `json:"decision,omitempty"`
-	Target         string            `json:"target,omitempty"` // endpoint, host or data centre that was chosen
-	Home           string            `json:"home,omitempty"`   // the workspace's home region, or the region in which the request arrived
-	Attempt        int               `json:"attempt,omitempty"`
-	PromptTokens   int               `json:"prompt,omitempty"`     // tokens
-	Wait           time.Duration     `json:"wait,omitempty"`       // predicted time to the first byte of the response; of wait-here: until there is capacity
-	Backlog        time.Duration     `json:"backlog,omitempty"`    // until the target has read the prompts sent to it before
-	CachedTokens   int               `json:"holds,omitempty"`      // prompt tokens that the target probably has cached
-	EventInterval  time.Duration     `json:"gap,omitempty"`        // interval between events of the target's streams
-	ReportAge      time.Duration     `json:"report_age,omitempty"` // age of the target's load report; negative: it has sent none
-	Running        int               `json:"running,omitempty"`    // requests running at the target, as reported
-	Queued         int               `json:"queued,omitempty"`     // requests queued at the target, as reported
-	Considered     int               `json:"looked,omitempty"`     // candidates considered
-	Candidates     []loggedCandidate `json:"candidates,omitempty"` // some of those that were not chosen
-	Goal           time.Duration     `json:"goal,omitempty"`       // from the decision to the request's latency goal
-	Left           time.Duration     `json:"left,omitempty"`       // from the decision to the request's deadline
-	CallerCanRetry bool              `json:"fresh,omitempty"`      // the caller has most of its time left, so it can retry after a refusal
+	Decision        string            `json:"decision,omitempty"`
+	Target          string            `json:"target,omitempty"` // endpoint, host or data centre that was chosen
+	Home            string            `json:"home,omitempty"`   // the workspace's home region, or the region in which the request arrived
+	Attempt         int               `json:"attempt,omitempty"`
+	PromptTokens    int               `json:"prompt,omitempty"`      // tokens
+	Wait            time.Duration     `json:"wait,omitempty"`        // predicted time to the first byte of the response; of wait-here: until there is capacity
+	Backlog         time.Duration     `json:"backlog,omitempty"`     // until the target has read the prompts sent to it before
+	CachedTokens    int               `json:"holds,omitempty"`       // prompt tokens that the target probably has cached
+	EventInterval   time.Duration     `json:"gap,omitempty"`         // interval between events of the target's streams
+	ReportAge       time.Duration     `json:"report_age,omitempty"`  // age of the target's load report; negative: it has sent none
+	Running         int               `json:"running,omitempty"`     // requests running at the target, as reported
+	Queued          int               `json:"queued,omitempty"`      // requests queued at the target, as reported
+	ListingRevision uint64            `json:"listing,omitempty"`     // of the listing by which the decision was made
+	ListingAge      time.Duration     `json:"listing_age,omitempty"` // time since that listing was read from the platform
+	Considered      int               `json:"looked,omitempty"`      // candidates considered
+	Candidates      []loggedCandidate `json:"candidates,omitempty"`  // some of those that were not chosen
+	Goal            time.Duration     `json:"goal,omitempty"`        // from the decision to the request's latency goal
+	Left            time.Duration     `json:"left,omitempty"`        // from the decision to the request's deadline
+	CallerCanRetry  bool              `json:"fresh,omitempty"`       // the caller has most of its time left, so it can retry after a refusal
 
 	// Cost of the request and remaining quota at this host and in its region, in units of the
 	// workspace's quota. QuotaAge is the age of the oldest quota report from another region;
--- a/process/lists/fetch.go
+++ b/process/lists/fetch.go
@@ -144,8 +144,9 @@
 // host's listing and whether the platform rejects the host. A host without a listing counts
 // as rejected.
 func (l *Lists) fetchFrom(ctx context.Context, h vetchtrail.Host) (age time.Duration, rejected bool, err error) {
-	current := l.current.Load()
+	current, began := l.current.Load(), time.Now()
 	reply, err := l.query(ctx, h.PeerAddr, current.Revision)
+	countQuery(reply, err, time.Since(began))
 	if err != nil {
 		return 0, false, err
 	}
--- a/process/lists/lists.go
+++ b/process/lists/lists.go
@@ -151,11 +151,36 @@
 		}
 		l.history.record(current.Revision, next.Revision, d, !slices.Equal(current.Hosts, next.Hosts))
 		l.checksum += d.checksum
+		l.logChange(current, next, &d)
 	}
 	l.current.Store(next)
 	l.cfg.Hosts.SetListedHosts(next.Hosts)
 }
 
+// maxLoggedNames is how many endpoints a log line about a change of the listing names.
+const maxLoggedNames = 16
+
+// logChange logs which endpoints differ between two listings, and how long ago the platform was read for each.
+func (l *Lists) logChange(current, next *vetchtrail.Listing, d *endpointDiff) {
+	if d.empty() {
+		return
+	}
+	var draining, changed []string
+	for _, e := range d.changed {
+		if e.Draining {
+			draining = append(draining, e.Name)
+		} else {
+			changed = append(changed, e.Name)
+		}
+	}
+	now := time.Now()
+	l.cfg.Log.Info("listing changed", "listing", next.Revision, "store_revision", next.ConfirmedRevision, "age", now.Sub(next.ReadAt),
+		"was", current.Revision, "was_age", now.Sub(current.ReadAt), "draining", firstNames(draining), "changed", firstNames(changed), "gone", firstNames(d.removed))
+}
+
+// firstNames returns at most maxLoggedNames of some names.
+func firstNames(names []string) []string { return names[:min(len(names), maxLoggedNames)] }
+
 // platformStatus tracks whether the platform responds to this host.
 type platformStatus struct {
 	callStarted    atomic.Pointer[time.Time] // start of the call in flight; nil: none
--- a/record.go
+++ b/record.go
@@ -21,6 +21,9 @@
 	Cost           float64 // in units of the workspace's quota; 0: none
 	Quota          QuotaVerdict
 	Revision       uint64
+	// ListingRevision and ListingAge are those of the listing by which the decision was made; 0: there was none.
+	ListingRevision uint64
+	ListingAge      time.Duration
 	Ended          bool // the record is the outcome of the request
 	Lost           bool // the record is an attempt whose outcome is unknown
 	ContentHash    ContentHash
--- a/request/dispatch/dispatch.go
+++ b/request/dispatch/dispatch.go
@@ -75,6 +75,11 @@
 	Admission         vetchtrail.Admission     // nil: every request is admitted
 	SwitchedOff       vetchtrail.Mechanisms    // mechanisms that are switched off
 	Returns           vetchtrail.ReturnPlanner // nil: the policy chooses the times of retries
+	// Listing returns the listing by which endpoints are chosen, or nil if there is none yet; nil: endpoints
+	// don't come from a platform's listing.
+	Listing func() *vetchtrail.Listing
+	// KnownWithin is the age from which a listing counts as outdated.
+	KnownWithin time.Duration
 	// ReturnsInForce returns whether returns to a service are planned; nil: for all services.
 	// It is only used with Returns.
 	ReturnsInForce func(service string, now time.Time) bool
@@ -226,6 +231,7 @@
 	if d.cfg.RateLimits != nil && !d.cfg.RateLimits.Allows(r.Reservation, e) {
 		return vetchtrail.ReasonRateLimited
 	}
+	d.recordListingAge(now)
 	return ""
 }
 
--- a/request/dispatch/metrics.go
+++ b/request/dispatch/metrics.go
@@ -24,6 +24,39 @@
 	metrics.GetOrCreateHistogram(fmt.Sprintf(`vetchtrail_request_seconds{service=%q}`, service)).Update(duration.Seconds())
 }
 
+// Metrics of the age of the listing by which requests are sent to endpoints.
+const (
+	ListingAgeMetric    = "vetchtrail_listing_age_at_send_seconds"
+	OutdatedSendsMetric = "vetchtrail_outdated_listing_sends_total"
+)
+
+var (
+	listingAge    = metrics.GetOrCreateHistogram(ListingAgeMetric)
+	outdatedSends = metrics.GetOrCreateCounter(OutdatedSendsMetric)
+)
+
+// recordListingAge records the age of the listing by which a request is sent now, and counts the
+// request if the listing is outdated.
+func (d *Dispatcher) recordListingAge(now time.Time) {
+	listing := d.currentListing()
+	if listing == nil {
+		return
+	}
+	age := now.Sub(listing.ReadAt)
+	listingAge.Update(age.Seconds())
+	if age > d.cfg.KnownWithin {
+		outdatedSends.Inc()
+	}
+}
+
+// currentListing returns the listing by which endpoints are chosen; nil: there is none.
+func (d *Dispatcher) currentListing() *vetchtrail.Listing {
+	if d.cfg.Listing == nil {
+		return nil
+	}
+	return d.cfg.Listing()
+}
+
 // RetriesMetric returns the name of the metric that counts a service's retries:
 // either those that were made, or those that were not made because the retry budget
 // was used up or retries are switched off.
--- a/request/dispatch/placement.go
+++ b/request/dispatch/placement.go
@@ -193,9 +193,14 @@
 
 // recordDecision records a decision on an attempt in the journal.
 func (d *Dispatcher) recordDecision(r *vetchtrail.Request, dec vetchtrail.Decision, attempt int) {
-	d.cfg.Journal.Record(vetchtrail.JournalRecord{
-		At: time.Now(), Request: r.ID, Service: r.Service, Route: r.Route, PromptTokens: r.PromptTokens(), Workspace: r.Workspace,
+	now := time.Now()
+	record := vetchtrail.JournalRecord{
+		At: now, Request: r.ID, Service: r.Service, Route: r.Route, PromptTokens: r.PromptTokens(), Workspace: r.Workspace,
 		Home: d.cfg.Rules().RegionName(r.HomeRegion), Decision: dec, Attempt: attempt, Hops: r.Hops, Revision: r.Revision,
 		Goal: r.Goal, Deadline: r.Deadline, CallerCanRetry: r.CallerCanRetry, Cost: r.Cost, Quota: r.Quota,
-	})
+	}
+	if listing := d.currentListing(); listing != nil {
+		record.ListingRevision, record.ListingAge = listing.Revision, now.Sub(listing.ReadAt)
+	}
+	d.cfg.Journal.Record(record)
 }
