--- a/process/lists/region_test.go
+++ b/process/lists/region_test.go
@@ -284,6 +284,32 @@
 	}
 }
 
+// TestUnchangedReplyForOtherEndpoints guards against a host that keeps an endpoint, and takes its listing to be as new as a
+// peer's, although the peer's listing of the same revision lacks that endpoint.
+func TestUnchangedReplyForOtherEndpoints(t *testing.T) {
+	cases := map[string]struct {
+		confirmed uint64 // revision up to which the peer's listing is confirmed
+		kept      bool
+	}{
+		"the peer's listing is newer": {12, false},
+		"the peer's listing is older": {10, true},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				r, now := newSimRegion(2, 1), time.Now()
+				peer, h := r.hosts[0], r.hosts[1]
+				peer.Update(vetchtrail.Listing{Revision: 9, ConfirmedRevision: c.confirmed, ReadAt: now.Add(-100 * time.Millisecond)})
+				h.Update(vetchtrail.Listing{Revision: 9, ConfirmedRevision: 11, ReadAt: now.Add(-3 * time.Second), Endpoints: []*vetchtrail.Endpoint{{Name: "gone"}}})
+				h.fetchFromPeers(t.Context())
+				listing := h.Listing()
+				assert.Equal(t, listing.Endpoint("gone") != nil, c.kept)
+				assert.Equal(t, time.Since(listing.ReadAt) >= 3*time.Second, c.kept, "age %s", time.Since(listing.ReadAt))
+			})
+		})
+	}
+}
+
 // TestStartupFetch checks that a starting host fetches its first listing within 150 ms after the
 // first seed can serve it, and only once, although other seeds are down or start a little later.
 // It guards against a host that waits for seeds that do not respond, or that fetches the listing
