The waits between the store and the last host add up to less than the bound

What callers saw: nothing; endpoints got requests later than the bound after their leaving, on deployments with a bound of 3 s, when a polling host was stopped, slow or refused. Cause: the waits (1.3 s until a takeover, 1 s for each rank, 0.5 s between fetches, 0.7 s for each peer that doesn't respond, one after the other, 5 s until it is asked again) were the same for every bound; nobody added them up. With 3 s they came to more than 4 s, and a host whose peers were all slow once asked nobody for 5 s. Why this works: the waits hold for a bound of 5 s and shrink in proportion below it; the next peer is queried 250 ms after one that doesn't respond, at most three at a time; if no peer is left to ask, those that did not respond lately are asked.

--- a/feed.go
+++ b/feed.go
@@ -28,6 +28,11 @@
 	ShouldPoll() bool
 	// PollInterval returns the interval between two polls.
 	PollInterval() time.Duration
+	// WatchTimeout returns how long a poll waits for a change.
+	WatchTimeout() time.Duration
+	// RoleCheckInterval returns the interval between two calls of ShouldPoll on a host that is
+	// not to poll.
+	RoleCheckInterval() time.Duration
 	// ShouldWatchConfiguration returns whether this host watches the configuration,
 	// independently of polling the listing.
 	ShouldWatchConfiguration() bool
--- a/process/lists/configuration.go
+++ b/process/lists/configuration.go
@@ -70,7 +70,7 @@
 // pollsPlatform reports whether this host is to poll the platform and has a recent listing.
 func (l *Lists) pollsPlatform(now time.Time) bool {
 	current := l.current.Load()
-	return current != nil && now.Sub(current.ReadAt) < l.PollInterval()+takeoverSlack && l.ShouldPoll()
+	return current != nil && now.Sub(current.ReadAt) < l.takeoverAge() && l.ShouldPoll()
 }
 
 // checkPeer queries a host for the revision of its configuration and pulls that if it is newer. It
@@ -86,5 +86,5 @@
 			return false, err
 		}
 	}
-	return reply.GetSeen() > 0 && time.Duration(reply.GetAge()) < l.PollInterval()+takeoverSlack, nil
+	return reply.GetSeen() > 0 && time.Duration(reply.GetAge()) < l.takeoverAge(), nil
 }
--- a/process/lists/fetch.go
+++ b/process/lists/fetch.go
@@ -4,6 +4,7 @@
 	"context"
 	"math"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -20,11 +21,15 @@
 	// queryTimeout bounds such a query: the queried host is of the same region, some
 	// milliseconds away.
 	queryTimeout = 700 * time.Millisecond
+	// hedgeDelay is how long a host may take to respond before the next one is queried too.
+	hedgeDelay = 250 * time.Millisecond
+	// maxConcurrentQueries bounds the queries of one round that wait for a response.
+	maxConcurrentQueries = 3
 	// peerAgeSlack is how much older than the poll interval a queried host's listing may be.
 	// If it is older, the host is taken to be cut off from the platform and the next one is
 	// queried too. takeoverSlack is the corresponding bound for this host's own listing.
 	peerAgeSlack = 800 * time.Millisecond
-	// maxPeers is how many hosts are queried in turn until one of them has a recent listing.
+	// maxPeers is how many hosts are queried until one of them has a recent listing.
 	maxPeers = 12
 	// rejectedRetryDelay is how long a host that reported being rejected by the platform is
 	// not queried again. Such a query costs a round trip within the region.
@@ -43,7 +48,7 @@
 			wait(ctx, startupQueryPause(time.Since(l.startedAt)))
 			continue
 		}
-		wait(ctx, fetchInterval)
+		wait(ctx, l.scaled(fetchInterval))
 		now := time.Now()
 		if now.Sub(l.current.Load().ReadAt) < l.PollInterval() && l.ShouldPoll() {
 			continue
@@ -60,28 +65,56 @@
 	}
 }
 
-// fetchFromPeers queries hosts in turn until one has a recent listing. If the platform rejects a
-// host, the host's reply says so and the next host is queried at once.
+// fetchFromPeers queries hosts until one has a recent listing. If the platform rejects a host, the
+// host's reply says so and the next host is queried at once. If a host does not respond within
+// hedgeDelay, the next one is queried too.
 func (l *Lists) fetchFromPeers(ctx context.Context) {
 	now := time.Now()
-	for _, h := range l.peersToQuery(now) {
-		if ctx.Err() != nil || l.inBackoff(h.Name, now) {
-			continue
-		}
-		age, rejected, err := l.fetchFrom(ctx, h)
-		if err != nil {
-			l.cfg.Log.Info("lists not borrowed", "peer", h.Name, "error", err)
-		}
-		if errors.Is(err, ErrBusy) {
-			return // the remaining hosts fetch the same listing from the busy ones
+	peers := l.peersToQuery(now)
+	if others := slices.DeleteFunc(slices.Clone(peers), func(h vetchtrail.Host) bool { return l.inBackoff(h.Name, now) }); len(others) > 0 {
+		peers = others
+	}
+	ended, responded := make(chan bool, len(peers)), make(chan struct{}, len(peers))
+	for pending := 0; ctx.Err() == nil && len(peers)+pending > 0; {
+		var hedge <-chan time.Time
+		if len(peers) > 0 && pending < maxConcurrentQueries {
+			h := peers[0]
+			peers = peers[1:]
+			pending++
+			go func() { ended <- l.fetchRecent(ctx, h, func() { responded <- struct{}{} }) }()
+			hedge = time.After(l.scaled(hedgeDelay))
 		}
-		l.recordPeer(h.Name, rejected, err != nil, time.Now())
-		if err == nil && !rejected && age < l.PollInterval()+peerAgeSlack {
-			return
+		for next := false; !next; {
+			select {
+			case done := <-ended:
+				if done {
+					return
+				}
+				pending--
+				next = true
+			case <-responded: // a long listing may take longer
+				hedge = nil
+			case <-hedge:
+				next = true
+			}
 		}
 	}
 }
 
+// fetchRecent fetches the listing of a host and reports whether no further host needs to be queried.
+// It calls responded once the host has responded.
+func (l *Lists) fetchRecent(ctx context.Context, h vetchtrail.Host, responded func()) bool {
+	age, rejected, err := l.fetchFrom(ctx, h, responded)
+	if err != nil {
+		l.cfg.Log.Info("lists not borrowed", "peer", h.Name, "error", err)
+	}
+	if errors.Is(err, ErrBusy) {
+		return true // the remaining hosts fetch the same listing from the busy ones
+	}
+	l.recordPeer(h.Name, rejected, err != nil, time.Now())
+	return err == nil && !rejected && age < l.PollInterval()+l.scaled(peerAgeSlack)
+}
+
 // inBackoff reports whether a host is not to be queried now, because it did not respond or
 // reported being rejected by the platform.
 func (l *Lists) inBackoff(host string, now time.Time) bool {
@@ -98,10 +131,10 @@
 	defer l.mu.Unlock()
 	switch {
 	case unreachable:
-		l.unreachableUntil[host] = now.Add(unreachableRetryDelay)
-		l.rejectedUntil[host] = now.Add(unreachableRetryDelay)
+		l.unreachableUntil[host] = now.Add(l.scaled(unreachableRetryDelay))
+		l.rejectedUntil[host] = now.Add(l.scaled(unreachableRetryDelay))
 	case rejected:
-		l.rejectedUntil[host] = now.Add(rejectedRetryDelay)
+		l.rejectedUntil[host] = now.Add(l.scaled(rejectedRetryDelay))
 	default:
 		delete(l.rejectedUntil, host)
 		delete(l.unreachableUntil, host)
@@ -143,9 +176,9 @@
 // fetchFrom fetches a newer listing and configuration from a host. It returns the age of that
 // host's listing and whether the platform rejects the host. A host without a listing counts
 // as rejected.
-func (l *Lists) fetchFrom(ctx context.Context, h vetchtrail.Host) (age time.Duration, rejected bool, err error) {
+func (l *Lists) fetchFrom(ctx context.Context, h vetchtrail.Host, responded func()) (age time.Duration, rejected bool, err error) {
 	current, began := l.current.Load(), time.Now()
-	reply, err := l.query(ctx, h.PeerAddr, current.Revision)
+	reply, err := l.query(ctx, h.PeerAddr, current.Revision, responded)
 	countQuery(reply, err, time.Since(began))
 	if err != nil {
 		return 0, false, err
@@ -156,7 +189,7 @@
 		}
 	}
 	if reply.GetSeen() == 0 {
-		return queryTimeout, true, nil
+		return l.scaled(queryTimeout), true, nil
 	}
 	return time.Duration(reply.GetAge()), reply.GetCut(), l.applyReply(ctx, reply, h, current)
 }
@@ -212,7 +245,7 @@
 	}
 	if errors.Is(err, ErrBaseMismatch) {
 		l.cfg.Log.Warn("difference of lists not taken, asking for them whole", "peer", h.Name, "error", err)
-		if reply, err = l.query(ctx, h.PeerAddr, 0); err != nil {
+		if reply, err = l.query(ctx, h.PeerAddr, 0, noCallback); err != nil {
 			return err
 		}
 		fetched, err = l.decodeReply(reply, nil)
--- a/process/lists/lists.go
+++ b/process/lists/lists.go
@@ -207,7 +207,7 @@
 // current one is slow.
 func (l *Lists) selfRejected(now time.Time) bool {
 	since := l.platform.callStarted.Load()
-	return l.platform.lastCallFailed.Load() || (since != nil && now.Sub(*since) > slowCallThreshold)
+	return l.platform.lastCallFailed.Load() || (since != nil && now.Sub(*since) > l.scaled(slowCallThreshold))
 }
 
 // jitter returns a fraction from 0 to 1 that is derived from this host's name. It spreads actions
--- a/process/lists/poll.go
+++ b/process/lists/poll.go
@@ -7,6 +7,15 @@
 // hash this text to rank themselves for the task, so it must not change.
 const pollTask = "follow the platform"
 
+// referenceBound is the KnownWithin for which this package's waits are given. Within a shorter one
+// they are shorter in proportion, so that their sum stays below it.
+const referenceBound = 5 * time.Second
+
+// scaled returns a wait that is given for referenceBound.
+func (l *Lists) scaled(wait time.Duration) time.Duration {
+	return time.Duration(float64(wait) * min(1, float64(l.cfg.KnownWithin)/float64(referenceBound)))
+}
+
 const (
 	// takeoverSlack is how much older than the poll interval a host's listing may be before
 	// the host takes over: it polls in place of the assigned host. The slack covers the time
@@ -33,6 +42,10 @@
 	// startupTakeoverSteps is the number of takeover steps over which hosts that have not
 	// settled spread their takeovers by jitter, because they can't rank themselves yet.
 	startupTakeoverSteps = 3
+	// watchTimeout is how long a poll waits for a change. Endpoints write about every second.
+	watchTimeout = time.Second
+	// roleCheckInterval is the interval between two checks of whether a host is to poll.
+	roleCheckInterval = 200 * time.Millisecond
 	// startupPollDelay is how long a starting host queries its seeds for a listing before it
 	// polls the platform itself.
 	startupPollDelay = 700 * time.Millisecond
@@ -48,7 +61,8 @@
 	seed             bool          // the host is a seed; without seeds in the settings every host is one
 	uptime           time.Duration
 	jitter           float64       // fraction from 0 to 1 that is fixed for this host
-	pollInterval     time.Duration // between two polls of one host
+	takeoverAge      time.Duration // age of the listing at which the first host takes over
+	takeoverStep     time.Duration // how much longer the next one waits
 	rankInRegion     int           // hosts of its region that rank before it
 	rankInDataCentre int           // hosts of its data centre that rank before it
 	rejectedBefore   int           // how many of the rankInRegion hosts the platform is known to reject
@@ -73,13 +87,13 @@
 // overdue reports whether the listing is old enough for a takeover by a host that waits rank
 // takeover steps longer than the first.
 func (s pollState) overdue(rank float64) bool {
-	return s.listingAge > s.pollInterval+takeoverSlack+time.Duration(rank*float64(takeoverStep))
+	return s.listingAge > s.takeoverAge+time.Duration(rank*float64(s.takeoverStep))
 }
 
 // pollState returns this host's poll state.
 func (l *Lists) pollState(now time.Time) pollState {
 	s := pollState{
-		seed: l.isSeed(), uptime: now.Sub(l.startedAt), jitter: l.jitter(), pollInterval: l.PollInterval(), sinceTakeover: -1,
+		seed: l.isSeed(), uptime: now.Sub(l.startedAt), jitter: l.jitter(), takeoverAge: l.takeoverAge(), takeoverStep: l.scaled(takeoverStep), sinceTakeover: -1,
 	}
 	if current := l.current.Load(); current != nil {
 		s.hasListing, s.listingAge = true, now.Sub(current.ReadAt)
@@ -143,3 +157,13 @@
 func (l *Lists) PollInterval() time.Duration {
 	return time.Duration(pollFraction * float64(l.cfg.KnownWithin))
 }
+
+// takeoverAge returns the age of the listing at which the first host takes over.
+func (l *Lists) takeoverAge() time.Duration { return l.PollInterval() + l.scaled(takeoverSlack) }
+
+// WatchTimeout implements vetchtrail.PollCoordinator: it returns how long a poll waits for a change.
+func (l *Lists) WatchTimeout() time.Duration { return l.scaled(watchTimeout) }
+
+// RoleCheckInterval implements vetchtrail.PollCoordinator: it returns the interval between two calls of ShouldPoll on a
+// host that is not to poll.
+func (l *Lists) RoleCheckInterval() time.Duration { return l.scaled(roleCheckInterval) }
--- a/process/lists/poll_test.go
+++ b/process/lists/poll_test.go
@@ -19,7 +19,7 @@
 	const pollInterval = 2 * time.Second
 	// settled returns the state of a host that has been up long and ranks second in its region.
 	settled := func(change func(*pollState)) pollState {
-		s := pollState{hasListing: true, uptime: time.Hour, pollInterval: pollInterval, sinceTakeover: -1, rankInRegion: 1}
+		s := pollState{hasListing: true, uptime: time.Hour, takeoverAge: pollInterval + takeoverSlack, takeoverStep: takeoverStep, sinceTakeover: -1, rankInRegion: 1}
 		if change != nil {
 			change(&s)
 		}
@@ -46,10 +46,10 @@
 		"recently started, the first host is rejected":     {settled(func(s *pollState) { s.uptime, s.rejectedBefore = settleTime/2, 1 }), false},
 		"took over a second ago":                           {settled(func(s *pollState) { s.sinceTakeover = time.Second }), true},
 		"took over long ago":                               {settled(func(s *pollState) { s.sinceTakeover = takeoverDuration }), false},
-		"no listing, seed":                                 {pollState{seed: true, pollInterval: pollInterval, sinceTakeover: -1}, true},
-		"no listing, seeds may still serve one":            {pollState{uptime: startupPollDelay, pollInterval: pollInterval, sinceTakeover: -1}, false},
-		"no listing, no seed served one":                   {pollState{uptime: startupPollDelay + 1, pollInterval: pollInterval, sinceTakeover: -1}, true},
-		"no listing, no seed served one, jitter":           {pollState{uptime: startupPollDelay + 1, jitter: 0.5, pollInterval: pollInterval, sinceTakeover: -1}, false},
+		"no listing, seed":                                 {pollState{seed: true, takeoverAge: pollInterval + takeoverSlack, takeoverStep: takeoverStep, sinceTakeover: -1}, true},
+		"no listing, seeds may still serve one":            {pollState{uptime: startupPollDelay, takeoverAge: pollInterval + takeoverSlack, takeoverStep: takeoverStep, sinceTakeover: -1}, false},
+		"no listing, no seed served one":                   {pollState{uptime: startupPollDelay + 1, takeoverAge: pollInterval + takeoverSlack, takeoverStep: takeoverStep, sinceTakeover: -1}, true},
+		"no listing, no seed served one, jitter":           {pollState{uptime: startupPollDelay + 1, jitter: 0.5, takeoverAge: pollInterval + takeoverSlack, takeoverStep: takeoverStep, sinceTakeover: -1}, false},
 		"recently started, first of the hosts it knows":    {settled(func(s *pollState) { s.uptime, s.rankInRegion = settleTime/2, 0 }), false},
 		"recently started, seed":                           {settled(func(s *pollState) { s.uptime, s.seed = settleTime/2, true }), true},
 		"recently started, listing very old":               {settled(func(s *pollState) { s.uptime, s.listingAge = settleTime/2, maxAge(1)+1 }), true},
@@ -71,7 +71,7 @@
 	const hosts = 50
 	polling := func(listingAge time.Duration) (n int) {
 		for rank := range hosts {
-			s := pollState{hasListing: true, uptime: time.Hour, pollInterval: 2 * time.Second, sinceTakeover: -1, rankInRegion: rank, rankInDataCentre: rank, listingAge: listingAge}
+			s := pollState{hasListing: true, uptime: time.Hour, takeoverAge: 2*time.Second + takeoverSlack, takeoverStep: takeoverStep, sinceTakeover: -1, rankInRegion: rank, rankInDataCentre: rank, listingAge: listingAge}
 			if s.shouldPoll() {
 				n++
 			}
--- a/process/lists/query.go
+++ b/process/lists/query.go
@@ -31,9 +31,9 @@
 
 // query queries a host for a listing newer than a revision. If the host's link is busy, query goes
 // on with the hosts that it refers to. A reply without a listing means that the host has no newer
-// one.
-func (l *Lists) query(ctx context.Context, to netip.AddrPort, revision uint64) (*schema.Listing, error) {
-	first, err := l.queryOne(ctx, to, revision)
+// one. query calls responded once the host has responded, before a listing that takes longer.
+func (l *Lists) query(ctx context.Context, to netip.AddrPort, revision uint64, responded func()) (*schema.Listing, error) {
+	first, err := l.queryOne(ctx, to, revision, responded)
 	if err != nil || !first.GetBusy() {
 		return first, err
 	}
@@ -47,7 +47,7 @@
 			continue
 		}
 		queried[addr] = true
-		reply, err := l.queryOne(ctx, addr, revision)
+		reply, err := l.queryOne(ctx, addr, revision, noCallback)
 		switch {
 		case err != nil:
 			l.cfg.Log.Debug("query to a referred host failed", "peer", addr, "error", err)
@@ -60,6 +60,8 @@
 	return first, errors.Wrapf(ErrBusy, "queried %d hosts", len(queried)-1)
 }
 
+func noCallback() {}
+
 // parseReferrals returns the addresses of the hosts that a busy host refers to. It skips malformed
 // ones and those beyond maxReferrals.
 func (l *Lists) parseReferrals(reply *schema.Listing) []netip.AddrPort {
@@ -77,11 +79,12 @@
 
 // queryOne queries one host. If the reply would have more than maxShortReply endpoints, it queries
 // again with a longer timeout.
-func (l *Lists) queryOne(ctx context.Context, to netip.AddrPort, revision uint64) (*schema.Listing, error) {
+func (l *Lists) queryOne(ctx context.Context, to netip.AddrPort, revision uint64, responded func()) (*schema.Listing, error) {
 	q := &schema.ListRequest{Revision: revision, From: l.cfg.Self.PeerAddr.String(), Most: maxShortReply}
-	short, cancel := context.WithTimeout(ctx, queryTimeout)
+	short, cancel := context.WithTimeout(ctx, l.scaled(queryTimeout))
 	defer cancel()
 	reply, err := l.cfg.Peers.List(short, to, q)
+	responded()
 	if err != nil || reply.GetLarge() == 0 {
 		return reply, err
 	}
--- a/process/lists/region_test.go
+++ b/process/lists/region_test.go
@@ -310,6 +310,38 @@
 	}
 }
 
+// TestUnresponsivePeersDelayNoFetch guards against a host that keeps an old listing because peers do not respond, or did not
+// respond lately, although others have a newer one.
+func TestUnresponsivePeersDelayNoFetch(t *testing.T) {
+	cases := map[string]func(r *simRegion, h *simHost){
+		"the first peer does not respond": func(r *simRegion, _ *simHost) { r.disconnected[0] = true },
+		"no peer responded lately": func(r *simRegion, h *simHost) {
+			for _, peer := range r.hosts[:2] {
+				h.recordPeer(peer.cfg.Self.Name, false, true, time.Now())
+			}
+		},
+	}
+	for name, strike := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				r, began := newSimRegion(3, 1), time.Now()
+				for _, peer := range r.hosts[:2] {
+					peer.Update(vetchtrail.Listing{Revision: 9, ConfirmedRevision: 9, ReadAt: began})
+				}
+				h := r.hosts[2]
+				h.Update(vetchtrail.Listing{Revision: 1, ConfirmedRevision: 1, ReadAt: began.Add(-4 * time.Second)})
+				h.startedAt = began.Add(-time.Minute)
+				strike(r, h)
+				h.fetchFromPeers(t.Context())
+				took := time.Since(began)
+				time.Sleep(time.Second) // until all queries have ended
+				assert.Equal(t, h.Listing().Revision, uint64(9))
+				assert.Assert(t, took < 400*time.Millisecond, "%s", took)
+			})
+		})
+	}
+}
+
 // TestStartupFetch checks that a starting host fetches its first listing within 150 ms after the
 // first seed can serve it, and only once, although other seeds are down or start a little later.
 // It guards against a host that waits for seeds that do not respond, or that fetches the listing
--- a/process/lists/serve_test.go
+++ b/process/lists/serve_test.go
@@ -298,7 +298,7 @@
 			in.ReadAt = time.Now().Add(-time.Minute)
 			l.Update(in)
 			l.recordPeerPoll(c.reply, time.Now())
-			assert.Equal(t, l.pollState(time.Now()).listingAge > l.PollInterval()+takeoverSlack, c.old)
+			assert.Equal(t, l.pollState(time.Now()).listingAge > l.takeoverAge(), c.old)
 		})
 	}
 }
--- a/process/lists/startup.go
+++ b/process/lists/startup.go
@@ -88,7 +88,7 @@
 			l.cfg.Log.Info("configuration not pulled", "peer", h.Name, "error", err)
 		}
 	}()
-	reply, err := l.query(ctx, h.PeerAddr, 0)
+	reply, err := l.query(ctx, h.PeerAddr, 0, noCallback)
 	<-pulled
 	if err == nil && reply.GetSeen() > 0 && l.current.Load() == nil {
 		err = l.applyReply(ctx, reply, h, nil)
--- a/record.go
+++ b/record.go
@@ -24,11 +24,11 @@
 	// ListingRevision and ListingAge are those of the listing by which the decision was made; 0: there was none.
 	ListingRevision uint64
 	ListingAge      time.Duration
-	Ended          bool // the record is the outcome of the request
-	Lost           bool // the record is an attempt whose outcome is unknown
-	ContentHash    ContentHash
-	Outcome        Outcome
-	Took           time.Duration // with Ended: duration of the request; with Lost: time since the attempt was sent
+	Ended           bool // the record is the outcome of the request
+	Lost            bool // the record is an attempt whose outcome is unknown
+	ContentHash     ContentHash
+	Outcome         Outcome
+	Took            time.Duration // with Ended: duration of the request; with Lost: time since the attempt was sent
 }
 
 // Recorder stores journal records. Record doesn't block.
