A host that was stopped fetches the listing before it sends by it

What callers saw: nothing; a host whose process was stopped or starved for seconds sends the requests that wait in its sockets as soon as it goes on, by the listing from before. Cause: the last check before the first byte looks at the listing that is there, and a newer one is fetched some milliseconds later. Why this works: if the pause between two fetches ended more than a second late and the listing is older than the bound, a request waits for that fetch, 0.3 s at most, and then looks at the endpoint again. While peers or the platform don't respond but the process runs, nothing waits.

--- a/connection/caller/slow_readers_test.go
+++ b/connection/caller/slow_readers_test.go
@@ -72,7 +72,7 @@
 	})
 	client := endpoint.New(endpoint.Config{
 		SocketBytes: buffer.SocketBytes,
-		Guard:       func(vetchtrail.Endpoint, *vetchtrail.Request) vetchtrail.Reason { return "" },
+		Guard:       func(context.Context, vetchtrail.Endpoint, *vetchtrail.Request) vetchtrail.Reason { return "" },
 	})
 	e := vetchtrail.Endpoint{Name: "e", Addr: netip.MustParseAddrPort(engine.Listener.Addr().String())}
 	h.addr = serveBounded(t, h.budget, func(ctx context.Context, r *vetchtrail.Request, w vetchtrail.ResponseWriter) vetchtrail.Outcome {
--- a/connection/endpoint/endpoint.go
+++ b/connection/endpoint/endpoint.go
@@ -53,7 +53,7 @@
 // Guard is called just before the first byte is sent to an endpoint, and decides by the
 // newest configuration of this host. It returns the reason not to send the request, or
 // nothing if the request may be sent.
-type Guard func(e vetchtrail.Endpoint, r *vetchtrail.Request) vetchtrail.Reason
+type Guard func(ctx context.Context, e vetchtrail.Endpoint, r *vetchtrail.Request) vetchtrail.Reason
 
 // Config configures a Client.
 type Config struct {
@@ -111,7 +111,7 @@
 	t.conn = conn
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	defer stop()
-	if reason := c.cfg.Guard(e, r); reason != "" {
+	if reason := c.cfg.Guard(ctx, e, r); reason != "" {
 		c.pool.put(poolKeyOf(e), conn)
 		return t.notRun(vetchtrail.StepResidency, reason, nil), t.timing
 	}
--- a/process/daemon/daemon.go
+++ b/process/daemon/daemon.go
@@ -210,7 +210,8 @@
 	d.availability = availability.New(availability.Config{Observer: d.rateLimits, Table: d.table, Log: d.log})
 	d.endpoints = endpoint.New(endpoint.Config{
 		Dialect: dialect, Observer: d.availability, SocketBytes: d.socketBytes(),
-		Guard: func(e vetchtrail.Endpoint, r *vetchtrail.Request) vetchtrail.Reason {
+		Guard: func(ctx context.Context, e vetchtrail.Endpoint, r *vetchtrail.Request) vetchtrail.Reason {
+			d.lists.AwaitResumed(ctx)
 			return d.dispatcher.CheckBeforeSend(e, r)
 		},
 		Replaceable: func(e vetchtrail.Endpoint, r *vetchtrail.Request) bool { return d.dispatcher.Replaceable(e, r) },
--- a/process/lists/fetch.go
+++ b/process/lists/fetch.go
@@ -48,7 +48,7 @@
 			wait(ctx, startupQueryPause(time.Since(l.startedAt)))
 			continue
 		}
-		wait(ctx, l.scaled(fetchInterval))
+		l.pause(ctx)
 		now := time.Now()
 		if now.Sub(l.current.Load().ReadAt) < l.PollInterval() && l.ShouldPoll() {
 			continue
--- a/process/lists/lists.go
+++ b/process/lists/lists.go
@@ -92,6 +92,7 @@
 	configCheck     configCheck
 	startupQueries  atomic.Int64 // startup queries in flight
 	startupFetching atomic.Bool  // the first listing is being fetched from a peer
+	rounds          rounds
 
 	mu       sync.Mutex // guards replacing current, and all fields below
 	history  history
--- a/request/dispatch/silence_test.go
+++ b/request/dispatch/silence_test.go
@@ -70,7 +70,9 @@
 	})
 	d := newDispatcher(t, nil, 3)
 	d.cfg.EndpointCaller = &addressedInTurn{addrs: []netip.AddrPort{broken, stalling}, client: endpoint.New(endpoint.Config{
-		Guard: d.CheckBeforeSend, Observer: d.cfg.Endpoints.(vetchtrail.Observer),
+		Guard: func(_ context.Context, e vetchtrail.Endpoint, r *vetchtrail.Request) vetchtrail.Reason {
+			return d.CheckBeforeSend(e, r)
+		}, Observer: d.cfg.Endpoints.(vetchtrail.Observer),
 	})}
 	r := &vetchtrail.Request{
 		ID: "x", Service: "s", Route: "r", Method: "GET", Path: "/", Stream: true, Resumable: true, Repeatable: true, MaxAttempts: 2, EstimatedTokens: 10,
