The age in a peer's reply includes the time that the query took

What callers saw: nothing; a host that fetched a listing over a full link or from a busy peer took it to be younger than it was. Cause: the same as of the age of a call to the store, at the next hop: the peer's age was subtracted from the moment of receipt. Found by looking for the cause elsewhere. Why this works: the listing is at least as old as the peer said when the query began.

--- a/process/lists/fetch.go
+++ b/process/lists/fetch.go
@@ -215,7 +215,7 @@
 // probe queries how new a host's listing and configuration are. The query gives the highest
 // possible revision as its own, so that the reply has no listing and is a few bytes long.
 func (l *Lists) probe(ctx context.Context, h vetchtrail.Host) (*schema.Listing, error) {
-	return l.cfg.Peers.List(ctx, h.PeerAddr, &schema.ListRequest{Revision: math.MaxUint64})
+	return l.list(ctx, h.PeerAddr, &schema.ListRequest{Revision: math.MaxUint64})
 }
 
 // pullConfiguration fetches and applies the configuration changes that another host has and this
--- a/process/lists/query.go
+++ b/process/lists/query.go
@@ -83,7 +83,7 @@
 	q := &schema.ListRequest{Revision: revision, From: l.cfg.Self.PeerAddr.String(), Most: maxShortReply}
 	short, cancel := context.WithTimeout(ctx, l.scaled(queryTimeout))
 	defer cancel()
-	reply, err := l.cfg.Peers.List(short, to, q)
+	reply, err := l.list(short, to, q)
 	responded()
 	if err != nil || reply.GetLarge() == 0 {
 		return reply, err
@@ -91,7 +91,19 @@
 	q.Most = 0
 	long, cancel := context.WithTimeout(ctx, longQueryTimeout)
 	defer cancel()
-	return l.cfg.Peers.List(long, to, q)
+	return l.list(long, to, q)
+}
+
+// list sends one query. The age in the reply includes the time that the query took, because the
+// message may have been in transit for long.
+func (l *Lists) list(ctx context.Context, to netip.AddrPort, q *schema.ListRequest) (*schema.Listing, error) {
+	began := time.Now()
+	reply, err := l.cfg.Peers.List(ctx, to, q)
+	if err != nil {
+		return nil, err
+	}
+	reply.Age += int64(time.Since(began))
+	return reply, nil
 }
 
 // recordPeerPoll records when the platform was last polled according to the reply of a busy host.
