--- a/process/lists/region_test.go
+++ b/process/lists/region_test.go
@@ -284,8 +284,7 @@
 	}
 }
 
-// TestUnchangedReplyForOtherEndpoints guards against a host that keeps an endpoint, and takes its listing to be as new as a
-// peer's, although the peer's listing of the same revision lacks that endpoint.
+// TestUnchangedReplyForOtherEndpoints guards against "no change" from a peer that has other endpoints at the same revision.
 func TestUnchangedReplyForOtherEndpoints(t *testing.T) {
 	cases := map[string]struct {
 		confirmed uint64 // revision up to which the peer's listing is confirmed
@@ -310,8 +309,7 @@
 	}
 }
 
-// TestUnresponsivePeersDelayNoFetch guards against a host that keeps an old listing because peers do not respond, or did not
-// respond lately, although others have a newer one.
+// TestUnresponsivePeersDelayNoFetch guards against an old listing that is kept because some peers do not respond.
 func TestUnresponsivePeersDelayNoFetch(t *testing.T) {
 	cases := map[string]func(r *simRegion, h *simHost){
 		"the first peer does not respond": func(r *simRegion, _ *simHost) { r.disconnected[0] = true },
--- a/process/lists/suspension_test.go
+++ b/process/lists/suspension_test.go
@@ -11,8 +11,7 @@
 	"vetchtrail"
 )
 
-// TestNoSendByListingFromBeforeStop guards against a host that sends requests by an outdated listing right after its
-// process was stopped, before it has fetched a newer one. In other cases requests don't wait.
+// TestNoSendByListingFromBeforeStop guards against requests sent by an outdated listing right after a stop of the process.
 func TestNoSendByListingFromBeforeStop(t *testing.T) {
 	cases := map[string]struct {
 		pauseEnd  time.Duration // when the pause of the current round was to end, from now
