Log what ends an endpoint's unreachability, and forwards that weren't run

The lines of a host didn't show when it held an endpoint for unreachable and what ended that, nor which host returned a forwarded request. No decision changes.

--- a/process/daemon/daemon.go
+++ b/process/daemon/daemon.go
@@ -143,6 +143,7 @@
 	d.table.SetPlacesBySpeed(d.cfg.Placement.BySpeed)
 	d.timing.Store(&d.cfg.Timing)
 	d.log = c.Log.With("host", c.Settings.Host)
+	d.table.SetLog(d.log)
 	d.self = vetchtrail.Host{
 		Name: d.cfg.Host, Region: d.cfg.Region, DataCentre: d.cfg.DataCentre,
 		CallerAddr: d.cfg.Listen.Callers, PeerAddr: d.cfg.Listen.Peers,
--- a/process/journal/journal.go
+++ b/process/journal/journal.go
@@ -47,12 +47,12 @@
 }
 
 // Record implements vetchtrail.Recorder: it queues a record for the log and, unless the record
-// describes a lost attempt, keeps it for operators. It doesn't block: if the queue is full, the
+// describes a lost attempt or a forward, keeps it for operators. It doesn't block: if the queue is full, the
 // record is not logged.
 func (j *Journal) Record(r vetchtrail.JournalRecord) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	if !r.Lost {
+	if !r.Lost && r.ForwardedTo == "" {
 		j.addRecent(r)
 	}
 	if len(j.queued) >= maxQueued {
@@ -116,9 +116,15 @@
 	}
 }
 
-// write writes a record to the log. Its message depends on whether the record describes a lost
-// attempt, an outcome or a decision.
+// write writes a record to the log. Its message depends on whether the record describes a forward
+// that did not run, a lost attempt, an outcome or a decision.
 func (j *Journal) write(r *vetchtrail.JournalRecord) {
+	if r.ForwardedTo != "" {
+		j.log.Info(MsgForwardNotRun, "request", r.Request, "service", r.Service, "route", r.Route, "workspace", r.Workspace, "peer", r.Outcome.Peer,
+			"data_centre", r.ForwardedTo, "step", string(r.Outcome.Step), "reason", string(r.Outcome.Reason), "attempt", r.Attempt,
+			"took", r.Took, "host_lost", r.Outcome.HostLost, "error", errorText(r.Outcome.Err))
+		return
+	}
 	if r.Lost {
 		j.log.Info(MsgLost, "request", r.Request, "service", r.Service, "route", r.Route, "workspace", r.Workspace, "peer", r.Outcome.Peer,
 			"step", string(r.Outcome.Step), "reason", string(r.Outcome.Reason), "attempt", r.Attempt, "hops", r.Hops, "prompt", r.PromptTokens,
--- a/process/journal/lines.go
+++ b/process/journal/lines.go
@@ -21,6 +21,8 @@
 	// MsgLost is logged for each attempt that may have run but got no complete response.
 	// The outcome line describes only the last attempt.
 	MsgLost = "attempt lost"
+	// MsgForwardNotRun is logged for each forwarded request that the other host did not run.
+	MsgForwardNotRun = "forward not run"
 )
 
 // Line is a line of a host's log, with the fields that help to explain a request.
--- a/process/load/load.go
+++ b/process/load/load.go
@@ -8,6 +8,7 @@
 
 import (
 	"cmp"
+	"log/slog"
 	"math"
 	"sync"
 	"time"
@@ -92,6 +93,7 @@
 	runningAt     time.Time                        // of the last call of RecordRunning; zero: there was none
 	placesBySpeed bool                             // see SetPlacesBySpeed
 	stoppedUntil  time.Time                        // when this host's process last went on after it was stopped
+	log           *slog.Logger
 }
 
 // endpointState is what is known of one process instance of an endpoint.
@@ -126,6 +128,7 @@
 	pausedStreams        int             // started streams that this host doesn't read, as their callers read too slowly
 	lastSeen             time.Time       // when the first byte of a response or an event of a stream last arrived
 	connectFailuresInRow int
+	unreachableSince     time.Time // when a connection of this host first failed since the endpoint was last reached; zero: none did
 	errorShare           average   // share of its responses that are errors
 	errorShareAt         time.Time // when errorShare was last observed
 	ejectedUntil         time.Time
@@ -183,6 +186,7 @@
 		serviceStats: map[string]*serviceStats{},
 		freed:        map[string]chan struct{}{},
 		unlisted:     map[instanceKey]unlistedInstance{},
+		log:          slog.New(slog.DiscardHandler),
 	}
 }
 
--- a/process/load/load_test.go
+++ b/process/load/load_test.go
@@ -98,7 +98,7 @@
 		"refuses connections": {func(t *Table) {
 			release(t, failure(vetchtrail.OutcomeNotRun, vetchtrail.StepConnect, vetchtrail.ReasonUnreachable), 1)
 		}, 0, true, vetchtrail.ReasonUnreachable},
-		"reachable again by its report":   {func(t *Table) { t.MarkUnreachable("e000", now); report(t, false) }, 0, false, ""},
+		"reachable again by its report":   {func(t *Table) { t.MarkUnreachable("e000", now, nil); report(t, false) }, 0, false, ""},
 		"leaving by its report":           {func(t *Table) { report(t, true) }, 0, true, vetchtrail.ReasonDraining},
 		"not leaving by its later report": {func(t *Table) { report(t, true); reportAt(t, now.Add(2), false) }, 0, false, ""},
 		"leaving by the list of hosts":    {func(t *Table) { t.MarkLeaving("e000", now.Add(time.Minute)); report(t, false) }, 0, true, vetchtrail.ReasonDraining},
@@ -158,7 +158,7 @@
 // each response.
 func TestWarmUp(t *testing.T) {
 	tab := table(1)
-	tab.MarkUnreachable("e000", now)
+	tab.MarkUnreachable("e000", now, nil)
 	later := now.Add(time.Minute)
 	last := 0
 	for range 10 {
--- a/process/load/mechanisms_test.go
+++ b/process/load/mechanisms_test.go
@@ -69,7 +69,7 @@
 		}},
 		"warm up": {vetchtrail.MechanismWarmUp, func(tab *Table) bool {
 			before := views(tab, request("x", session, 0))["a"].InFlightLimit
-			tab.MarkUnreachable("a", now)
+			tab.MarkUnreachable("a", now, nil)
 			return views(tab, request("x", session, 0))["a"].InFlightLimit < before
 		}},
 	}
--- a/process/load/release.go
+++ b/process/load/release.go
@@ -41,9 +41,9 @@
 		t.cutLimit(s)
 		s.backOff(vetchtrail.ReasonEndpointRefused, vetchtrail.Earlier(o.Outcome.RetryAt, now.Add(maxRefusalBackOff)))
 	case o.Outcome.Step == vetchtrail.StepConnect:
-		s.backOff(vetchtrail.ReasonUnreachable, now.Add(min(minConnectBackOff<<min(s.connectFailuresInRow, maxConnectBackOffDoublings), maxConnectBackOff)))
+		until := now.Add(min(minConnectBackOff<<min(s.connectFailuresInRow, maxConnectBackOffDoublings), maxConnectBackOff))
+		t.recordUnreachable(s, until, now, o.Outcome.Err)
 		s.connectFailuresInRow++
-		s.warmUp = initialWarmUp
 	case o.Outcome.Kind == vetchtrail.OutcomeNotRun: // this host did not send it
 	default:
 		if o.Outcome.Reason == vetchtrail.ReasonDeadline {
@@ -58,6 +58,7 @@
 // recordSuccess updates the endpoint's state and statistics with a whole response that is not an error.
 func (t *Table) recordSuccess(s *endpointState, o vetchtrail.Observation, now time.Time) {
 	svc := t.serviceStats[s.Service]
+	t.recordReachable(s, byResponse, now)
 	s.failuresInRow, s.ejections, s.connectFailuresInRow, s.errorsInRow = 0, 0, 0, 0
 	s.warmUp = math.Min(1, s.warmUp+warmUpStep)
 	first := o.Timing.FirstByte.Sub(o.Timing.Sent).Seconds()
--- a/process/load/report.go
+++ b/process/load/report.go
@@ -42,6 +42,11 @@
 	t.logReport(s)
 	if s.backOffReason == vetchtrail.ReasonUnreachable {
 		s.backOffUntil = time.Time{} // it can be reached again
+		by := byOthersReport
+		if receivedHere {
+			by = byOwnReport
+		}
+		t.recordReachable(s, by, r.TakenAt)
 	}
 	s.recordReportedLeaving(r.Leaving, leavingUntil)
 	if r.StartedAt.After(s.availability.receivedAt) && !s.availability.expiresAt().IsZero() {
@@ -80,11 +85,10 @@
 }
 
 // MarkUnreachable records that an endpoint refused a connection of the poller.
-func (t *Table) MarkUnreachable(name string, now time.Time) {
+func (t *Table) MarkUnreachable(name string, now time.Time, err error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if s, ok := t.endpoints[name]; ok {
-		s.backOff(vetchtrail.ReasonUnreachable, now.Add(minConnectBackOff))
-		s.warmUp = initialWarmUp
+		t.recordUnreachable(s, now.Add(minConnectBackOff), now, err)
 	}
 }
--- a/process/poll/poll.go
+++ b/process/poll/poll.go
@@ -131,7 +131,7 @@
 	if err := p.getJSON(e.Addr, "/load", &r); err != nil {
 		p.cfg.Log.Debug("load report not fetched", "endpoint", e.Name, "error", err)
 		if errors.Is(err, syscall.ECONNREFUSED) {
-			p.cfg.Table.MarkUnreachable(e.Name, time.Now())
+			p.cfg.Table.MarkUnreachable(e.Name, time.Now(), err)
 		}
 		return
 	}
--- a/record.go
+++ b/record.go
@@ -25,10 +25,13 @@
 	ListingRevision uint64
 	ListingAge      time.Duration
 	Ended           bool // the record is the outcome of the request
-	Lost            bool // the record is an attempt whose outcome is unknown
-	ContentHash     ContentHash
-	Outcome         Outcome
-	Took            time.Duration // with Ended: duration of the request; with Lost: time since the attempt was sent
+	// ForwardedTo is the data centre of the host, Outcome.Peer, that did not run a forwarded request; empty: the
+	// record is not of a forward.
+	ForwardedTo string
+	Lost        bool // the record is an attempt whose outcome is unknown
+	ContentHash ContentHash
+	Outcome     Outcome
+	Took        time.Duration // with Ended: duration of the request; with Lost: time since the attempt was sent
 }
 
 // Recorder stores journal records. Record doesn't block.
--- a/request/dispatch/dispatch.go
+++ b/request/dispatch/dispatch.go
@@ -431,8 +431,10 @@
 // endpoint.
 func (d *Dispatcher) runAttempt(ctx context.Context, r *vetchtrail.Request, p placement, attempt int, w vetchtrail.ResponseWriter) vetchtrail.Outcome {
 	if p.dataCentre != "" {
+		sent := time.Now()
 		o := d.cfg.Peers.Forward(ctx, p.host, r, w)
 		d.cfg.Membership.ForwardEnded(p.dataCentre, r.Service, o, time.Now())
+		d.recordForward(r, p, o, sent, attempt)
 		return mapRemoteRefusal(o)
 	}
 	o, timing := d.cfg.EndpointCaller.Call(ctx, p.endpoint, r, w)
@@ -447,6 +449,21 @@
 	return o
 }
 
+// recordForward counts a forwarded request, and records in the journal one that the other host did
+// not run. The outcome of a request shows only its last attempt.
+func (d *Dispatcher) recordForward(r *vetchtrail.Request, p placement, o vetchtrail.Outcome, sent time.Time, attempt int) {
+	countForward(p.dataCentre, o)
+	if o.Kind != vetchtrail.OutcomeNotRun {
+		return
+	}
+	refused := o
+	refused.Peer = p.host.Name
+	d.cfg.Journal.Record(vetchtrail.JournalRecord{
+		At: sent, Request: r.ID, Service: r.Service, Route: r.Route, Workspace: r.Workspace, Attempt: attempt,
+		ForwardedTo: p.dataCentre, Outcome: refused, Took: time.Since(sent),
+	})
+}
+
 // mapRemoteRefusal turns the status 401, 403 or 404 of another host's refusal
 // into 503 with a retry time. This host's configuration allows the request, so
 // the other host has a different configuration and the caller did nothing wrong.
--- a/request/dispatch/metrics.go
+++ b/request/dispatch/metrics.go
@@ -68,3 +68,8 @@
 func countRetry(service string, made bool) {
 	metrics.GetOrCreateCounter(RetriesMetric(service, made)).Inc()
 }
+
+// countForward counts a request that was forwarded to a data centre, by its outcome.
+func countForward(dataCentre string, o vetchtrail.Outcome) {
+	metrics.GetOrCreateCounter(fmt.Sprintf(`vetchtrail_forwards_total{data_centre=%q,outcome=%q,reason=%q}`, dataCentre, o.Kind, o.Reason)).Inc()
+}
