Another host's load report doesn't end this host's back-off

Callers of hosts without a path to the endpoints waited for connections that could not succeed. Cause: acceptReport ended the back-off of an unreachable endpoint by any newer report, also one that another host received and relayed. It shows that the other host reaches the endpoint. Now only a report that this host received ends it. Not the whole cause: hosts still have nobody to hand a request to.

--- a/process/load/load.go
+++ b/process/load/load.go
@@ -46,7 +46,8 @@
 	// failuresToEject is the number of failures in a row after which an endpoint is ejected.
 	failuresToEject = 3
 	// An endpoint that refuses connections gets no requests for minConnectBackOff, doubled for each further
-	// refusal up to maxConnectBackOff. A load report ends the back-off sooner.
+	// refusal up to maxConnectBackOff. A load report that this host received ends the back-off sooner; one that
+	// another host received shows only that the other host reaches the endpoint.
 	minConnectBackOff = time.Second
 	maxConnectBackOff = 8 * time.Second
 	// maxRefusalBackOff bounds the back-off that an endpoint requests when it refuses a request.
--- a/process/load/load_test.go
+++ b/process/load/load_test.go
@@ -98,7 +98,11 @@
 		"refuses connections": {func(t *Table) {
 			release(t, failure(vetchtrail.OutcomeNotRun, vetchtrail.StepConnect, vetchtrail.ReasonUnreachable), 1)
 		}, 0, true, vetchtrail.ReasonUnreachable},
-		"reachable again by its report":   {func(t *Table) { t.MarkUnreachable("e000", now, nil); report(t, false) }, 0, false, ""},
+		"reachable again by its report": {func(t *Table) { t.MarkUnreachable("e000", now, nil); report(t, false) }, 0, false, ""},
+		"reached by another host only": {func(t *Table) {
+			t.MarkUnreachable("e000", now, nil)
+			t.RecordReportByHash(NameHash("e000"), vetchtrail.LoadReport{TakenAt: now.Add(1)}, now.Add(time.Hour))
+		}, 0, true, vetchtrail.ReasonUnreachable},
 		"leaving by its report":           {func(t *Table) { report(t, true) }, 0, true, vetchtrail.ReasonDraining},
 		"not leaving by its later report": {func(t *Table) { report(t, true); reportAt(t, now.Add(2), false) }, 0, false, ""},
 		"leaving by the list of hosts":    {func(t *Table) { t.MarkLeaving("e000", now.Add(time.Minute)); report(t, false) }, 0, true, vetchtrail.ReasonDraining},
--- a/process/load/reachability.go
+++ b/process/load/reachability.go
@@ -16,9 +16,8 @@
 
 // Evidence by which a back-off of an unreachable endpoint ended.
 const (
-	byResponse     = "response"
-	byOwnReport    = "load report"
-	byOthersReport = "load report of another host"
+	byResponse  = "response"
+	byOwnReport = "load report"
 )
 
 // recordUnreachable takes an endpoint out of use because a connection to it failed. The caller holds the lock.
--- a/process/load/report.go
+++ b/process/load/report.go
@@ -40,13 +40,9 @@
 	s.report, s.hasReport, s.receivedHere = r, true, receivedHere
 	t.recordSlowdown(s)
 	t.logReport(s)
-	if s.backOffReason == vetchtrail.ReasonUnreachable {
-		s.backOffUntil = time.Time{} // it can be reached again
-		by := byOthersReport
-		if receivedHere {
-			by = byOwnReport
-		}
-		t.recordReachable(s, by, r.TakenAt)
+	if receivedHere && s.backOffReason == vetchtrail.ReasonUnreachable {
+		s.backOffUntil = time.Time{}
+		t.recordReachable(s, byOwnReport, r.TakenAt)
 	}
 	s.recordReportedLeaving(r.Leaving, leavingUntil)
 	if r.StartedAt.After(s.availability.receivedAt) && !s.availability.expiresAt().IsZero() {
