A request that this host can't send goes to a peer that reaches the endpoints

Callers of hosts without a path to the endpoints got 503 over-capacity while the host beside them served all. Cause: a request was handed to other regions only, as each host calls the endpoints of its region itself (AppendRemotes left the own region out); where residency allows one region, nobody was left. Endpoints that this host doesn't reach, but from which others received a report since, are now judged as the others are, and the request goes to a peer of the own data centre, or else of the region, if that is cheapest. There are no loops: a forwarded request goes no further (MaxHops), as before. Cases of TestWeighted.

--- a/decision.go
+++ b/decision.go
@@ -81,6 +81,7 @@
 	Region         RegionID // of this host
 	Weights        Weights
 	Endpoints      []EndpointView // those that this host calls itself
+	ViaPeers       int            // number of Endpoints with EndpointView.ViaPeers
 	Remotes        []RemoteView   // remote data centres
 	Excluded       []string       // endpoints and data centres that were tried before
 	ExpectedEvents float64        // expected number of events in the response; 0: not known, or not a stream
@@ -123,6 +124,7 @@
 	Unavailable       bool          // it can't be used now
 	UnavailableReason Reason        // with Unavailable: the reason
 	AvailableIn       float64       // with Unavailable: seconds until it can be used again; 0: not known
+	ViaPeers          bool          // with Unavailable: this host doesn't reach it, but other hosts that call it probably do
 	ExcessFailureRate float64       // how far its failure rate exceeds that of its service, 0 to 1
 	EventInterval     float64       // observed seconds between two events of its streams; 0: not known
 	Backlog           float64       // predicted seconds until it has processed the prompts that it received before
@@ -133,9 +135,13 @@
 	RateLeft          float64       // requests that the rate limit still allowed at once, as last reported
 }
 
-// RemoteView is a host's data about a remote data centre.
+// RemoteView is a host's data about a data centre that it may forward requests to.
 type RemoteView struct {
-	DataCentre       string
+	DataCentre string
+	// SharesEndpoints is set for a data centre whose hosts call the same endpoints as this host, which may be its own.
+	// Such a data centre is for requests that this host can't send itself. Only DataCentre, Region, Delay and
+	// Reachable are set with it.
+	SharesEndpoints  bool
 	Region           RegionID
 	Delay            time.Duration // one way
 	TimeToFirstToken float64       // predicted seconds to the first token there
--- a/observation.go
+++ b/observation.go
@@ -45,10 +45,11 @@
 	Self() Host
 	// Find returns a host by its name.
 	Find(name string, now time.Time) (Host, bool)
-	// AppendRemotes appends the remote data centres that run a service to a view; regionID
+	// AppendRemotes appends the remote data centres that run a service to a view, and those with
+	// peers that call the same endpoints if the view has endpoints that only peers reach. regionID
 	// returns the id of a region.
 	AppendRemotes(v *View, service string, regionID func(region string) (RegionID, bool), now time.Time)
-	// Pick chooses a host of a data centre and counts a request in flight there.
+	// Pick chooses another host of a data centre and counts a request in flight there.
 	Pick(dataCentre, service string, now time.Time) (Host, bool)
 	// ForwardEnded counts the end of a forwarded request, and updates the state of the data
 	// centre and its host by the outcome.
--- a/process/load/load.go
+++ b/process/load/load.go
@@ -129,6 +129,7 @@
 	pausedStreams        int             // started streams that this host doesn't read, as their callers read too slowly
 	lastSeen             time.Time       // when the first byte of a response or an event of a stream last arrived
 	connectFailuresInRow int
+	connectFailedAt      time.Time // when a connection of this host last failed
 	unreachableSince     time.Time // when a connection of this host first failed since the endpoint was last reached; zero: none did
 	errorShare           average   // share of its responses that are errors
 	errorShareAt         time.Time // when errorShare was last observed
@@ -327,6 +328,9 @@
 		}
 		t.scalePredictions(s, &e, backlog+float64(r.PromptTokens()-e.CachedTokens), now)
 		e.Backlog = e.Prefill * backlog
+		if e.ViaPeers {
+			v.ViaPeers++
+		}
 		v.Endpoints = append(v.Endpoints, e)
 	}
 }
@@ -362,6 +366,7 @@
 		v.Unavailable, v.UnavailableReason = true, vetchtrail.ReasonEjected
 	case now.Before(s.backOffUntil):
 		v.Unavailable, v.UnavailableReason, v.AvailableIn = true, s.backOffReason, s.backOffUntil.Sub(now).Seconds()
+		v.ViaPeers = s.reachedByOthers()
 	case t.silent(s, now):
 		v.Unavailable, v.UnavailableReason = true, vetchtrail.ReasonSilent
 	case s.rateLimit.Advertised && now.Before(s.rateExhaustedUntil):
--- a/process/load/reachability.go
+++ b/process/load/reachability.go
@@ -25,6 +25,7 @@
 	if s.unreachableSince.IsZero() {
 		s.unreachableSince = now
 	}
+	s.connectFailedAt = now
 	s.backOff(vetchtrail.ReasonUnreachable, until)
 	s.warmUp = initialWarmUp
 	countConnectFailure(s.Service)
@@ -41,3 +42,9 @@
 	t.log.Info("endpoint reachable again", "endpoint", s.Name, "service", s.Service, "by", by, "after", now.Sub(s.unreachableSince))
 	s.unreachableSince = time.Time{}
 }
+
+// reachedByOthers reports whether another host received a load report from the endpoint after this host's last
+// connection to it failed.
+func (s *endpointState) reachedByOthers() bool {
+	return s.backOffReason == vetchtrail.ReasonUnreachable && s.hasReport && !s.receivedHere && s.report.TakenAt.After(s.connectFailedAt)
+}
--- a/process/membership/capacity.go
+++ b/process/membership/capacity.go
@@ -73,6 +73,21 @@
 	return entries[len(entries)-1]
 }
 
+// drawHost returns one of the hosts, as drawMember does.
+func drawHost(hosts []vetchtrail.Host, random float64) vetchtrail.Host {
+	sum := 0.0
+	for _, h := range hosts {
+		sum += capacityOf(h)
+	}
+	remaining := random * sum
+	for _, h := range hosts {
+		if remaining -= capacityOf(h); remaining < 0 {
+			return h
+		}
+	}
+	return hosts[len(hosts)-1]
+}
+
 // rankKey returns the number that hosts are sorted by for a task, the smallest first. The
 // hash of the task and the host is turned into an exponentially distributed number whose
 // rate is the host's capacity. A host then ranks first for a share of the tasks that equals
--- a/process/membership/remote.go
+++ b/process/membership/remote.go
@@ -65,21 +65,38 @@
 	return out
 }
 
+// localDelay is the assumed one-way delay between two hosts of a data centre.
+const localDelay = time.Millisecond
+
 const (
 	warmUpStart = 0.2 // warm-up share of a data centre that has just become reachable again
 	warmUpStep  = 0.1 // added to the share for each answered forward
 )
 
 // AppendRemotes implements vetchtrail.HostTable. It leaves out data centres that do
-// not run the service, and those of this host's region if hosts call its endpoints
-// directly.
+// not run the service. Those whose hosts call the same endpoints as this host, its own among
+// them, are only of use for endpoints that this host doesn't reach.
 func (m *Membership) AppendRemotes(v *vetchtrail.View, service string, place func(region string) (vetchtrail.RegionID, bool), now time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if region, ok := place(m.self.Region); ok && v.ViaPeers > 0 {
+		v.Remotes = append(v.Remotes, vetchtrail.RemoteView{
+			DataCentre: m.self.DataCentre, Region: region, Delay: localDelay, SharesEndpoints: true, Reachable: len(m.readyPeers(now)) > 0,
+		})
+	}
 	for name, d := range m.remotes {
 		region, ok := place(d.digest.GetRegion())
+		if ok && m.cfg.CallsWholeRegion && d.digest.GetRegion() == m.self.Region {
+			if v.ViaPeers > 0 {
+				v.Remotes = append(v.Remotes, vetchtrail.RemoteView{
+					DataCentre: name, Region: region, Delay: d.delay, SharesEndpoints: true,
+					Reachable: now.Sub(d.digestTime) < reachableFor && len(m.forwardTargets(d, now)) > 0,
+				})
+			}
+			continue
+		}
 		summary := d.service(service)
-		if !ok || summary == nil || (m.cfg.CallsWholeRegion && d.digest.GetRegion() == m.self.Region) {
+		if !ok || summary == nil {
 			continue
 		}
 		v.Remotes = append(v.Remotes, vetchtrail.RemoteView{
@@ -106,6 +123,13 @@
 func (m *Membership) Pick(dataCentre, service string, now time.Time) (vetchtrail.Host, bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if dataCentre == m.self.DataCentre {
+		ready := m.readyPeers(now)
+		if len(ready) == 0 {
+			return vetchtrail.Host{}, false
+		}
+		return drawHost(ready, m.rng.Float64()), true
+	}
 	d, ok := m.remotes[dataCentre]
 	if !ok {
 		return vetchtrail.Host{}, false
@@ -118,7 +142,20 @@
 	return d.hostOf(drawMember(ready, m.rng.Float64())), true
 }
 
-// forwardTargets returns the hosts of a data centre that requests may be forwarded to:
+// readyPeers returns the other hosts of this data centre that requests may be forwarded to: the ready ones, except
+// those that this host is avoiding, sorted by name. The caller holds the lock.
+func (m *Membership) readyPeers(now time.Time) []vetchtrail.Host {
+	var out []vetchtrail.Host
+	for _, b := range m.members {
+		if b.state(now) == vetchtrail.HostReady && !now.Before(m.avoidUntil[b.Name]) {
+			out = append(out, b.Host)
+		}
+	}
+	slices.SortFunc(out, func(a, b vetchtrail.Host) int { return strings.Compare(a.Name, b.Name) })
+	return out
+}
+
+// forwardTargets returns the hosts of a remote data centre that requests may be forwarded to:
 // the ready ones, except those that this host is avoiding. The caller holds the lock.
 func (m *Membership) forwardTargets(d *remote, now time.Time) []*schema.Member {
 	return slices.DeleteFunc(readyEntries(d.digest.GetMembers()), func(entry *schema.Member) bool {
@@ -132,6 +169,10 @@
 func (m *Membership) ForwardEnded(dataCentre, service string, o vetchtrail.Outcome, now time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if dataCentre == m.self.DataCentre && o.HostLost {
+		m.avoidHost(o.Peer, now)
+		m.logLostHost(o.Peer, dataCentre, len(m.readyPeers(now)))
+	}
 	d, ok := m.remotes[dataCentre]
 	if !ok {
 		return
@@ -141,23 +182,26 @@
 	case o.Kind == vetchtrail.OutcomeAnswered:
 		d.warmUpShare = min(1, d.warmUpShare+warmUpStep)
 	case o.HostLost:
-		m.avoidHost(d, o.Peer, now)
+		m.avoidHost(o.Peer, now)
+		left := len(m.forwardTargets(d, now))
+		if left == 0 {
+			d.warmUpShare = warmUpStart // its endpoints may have restarted too
+		}
+		m.logLostHost(o.Peer, dataCentre, left)
 	}
 }
 
-// avoidHost makes Pick skip a host for avoidTime. If no host of the data centre is left to
-// forward to, its warm-up share is reset, as its endpoints may have restarted too. The
-// caller holds the lock.
-func (m *Membership) avoidHost(d *remote, name string, now time.Time) {
+// logLostHost logs that a forward to a host was lost.
+func (m *Membership) logLostHost(name, dataCentre string, left int) {
+	m.cfg.Log.Info("host not reached", "peer", name, "data_centre", dataCentre, "until", m.avoidUntil[name], "hosts_left", left)
+}
+
+// avoidHost makes Pick skip a host for avoidTime. The caller holds the lock.
+func (m *Membership) avoidHost(name string, now time.Time) {
 	for avoided, until := range m.avoidUntil {
 		if !now.Before(until) {
 			delete(m.avoidUntil, avoided)
 		}
 	}
 	m.avoidUntil[name] = now.Add(avoidTime)
-	left := len(m.forwardTargets(d, now))
-	if left == 0 {
-		d.warmUpShare = warmUpStart
-	}
-	m.cfg.Log.Info("host not reached", "peer", name, "data_centre", d.digest.GetDataCentre(), "until", m.avoidUntil[name], "hosts_left", left)
 }
--- a/request/dispatch/placement.go
+++ b/request/dispatch/placement.go
@@ -47,7 +47,7 @@
 	v.Region, v.Weights = ownRegion.ID, s.Weights
 	v.AdmissionInForce, v.MoreUrgent = d.admissionInForce(r, now), false
 	v.ExpectedEvents, v.UrgentInterval, v.IdlePrefill, v.CachedShare, v.PredictionRatio = 0, 0, 0, 0, 0
-	v.Endpoints, v.Remotes, v.Excluded = v.Endpoints[:0], v.Remotes[:0], history.excluded
+	v.Endpoints, v.Remotes, v.Excluded, v.ViaPeers = v.Endpoints[:0], v.Remotes[:0], history.excluded, 0
 	v.RefusedHere, v.WaitExhausted = history.refusedHere, history.waitExhausted
 	v.PlannedReturns = history.reached == 0 && d.plansReturns(r, now)
 	v.QueueWait = d.waitQueue(r.Service).EstimatedWait().Seconds()
--- a/request/policy/baseline.go
+++ b/request/policy/baseline.go
@@ -54,6 +54,7 @@
 	}
 	var buf [stackEndpoints]int
 	usable, waitable := buf[:0], 0
+	ev := evaluation{now: now}
 	for i := range v.Endpoints {
 		e := &v.Endpoints[i]
 		switch reason := unusableReason(e, r, v); {
@@ -61,6 +62,7 @@
 			waitable++
 		case reason != "":
 			d.AddCandidate(e.Name, 0, reason)
+			ev.considerViaPeers(e, r, v)
 		case e.InFlight >= e.InFlightLimit:
 			waitable++
 		default:
@@ -73,8 +75,8 @@
 		d.Considered += len(usable)
 		return d
 	}
-	if index, cost := bestRemote(&d, &evaluation{now: now}, r, v); index >= 0 {
-		return runElsewhere(&d, &evaluation{now: now}, index, cost, r, v)
+	if index, cost := bestRemote(&d, &ev, r, v); index >= 0 {
+		return runElsewhere(&d, &ev, index, cost, r, v)
 	}
 	if waitable > 0 {
 		d.Kind, d.Reason = vetchtrail.WaitHere, vetchtrail.ReasonFull
--- a/request/policy/estimate.go
+++ b/request/policy/estimate.go
@@ -19,12 +19,13 @@
 )
 
 // meanOtherRequests returns the mean number of requests that other hosts have in flight at
-// an endpoint, according to the fresh load reports of usable endpoints.
+// an endpoint, according to the fresh load reports of the endpoints that this host or its peers
+// can use.
 func meanOtherRequests(r *vetchtrail.Request, v *vetchtrail.View) float64 {
 	sum, count := 0, 0
 	for i := range v.Endpoints {
 		e := &v.Endpoints[i]
-		if hasFreshReport(e) && unusableReason(e, r, v) == "" {
+		if hasFreshReport(e) && (e.ViaPeers || unusableReason(e, r, v) == "") {
 			sum += reportedOtherRequests(e)
 			count++
 		}
--- a/request/policy/policy_test.go
+++ b/request/policy/policy_test.go
@@ -52,6 +52,13 @@
 	rateLimited := func(e *vetchtrail.EndpointView) {
 		e.Unavailable, e.UnavailableReason, e.AvailableIn = true, vetchtrail.ReasonRateLimited, 0.6
 	}
+	unreachable := func(e *vetchtrail.EndpointView) {
+		e.Unavailable, e.UnavailableReason, e.ViaPeers = true, vetchtrail.ReasonUnreachable, true
+	}
+	peers := func(m *vetchtrail.RemoteView) {
+		*m = vetchtrail.RemoteView{DataCentre: m.DataCentre, Region: 1, Reachable: true, SharesEndpoints: true}
+	}
+	noPeers := func(m *vetchtrail.RemoteView) { peers(m); m.Reachable = false }
 	stream := func(r *vetchtrail.Request) {
 		r.Route, r.Stream, r.CallerCanRetry = "r", true, true
 		r.Prompt = []vetchtrail.PromptPart{{ID: 1, Tokens: 9000}, {ID: 2, Tokens: 1000}}
@@ -106,6 +113,45 @@
 			endpoints: []vetchtrail.EndpointView{endpoint("a", atLimit)}, remotes: []vetchtrail.RemoteView{remote("x", nil)},
 			kind: vetchtrail.WaitHere, reason: vetchtrail.ReasonFull,
 		},
+		"forwards to a peer that reaches the endpoints": {
+			weights: latencyFirst, endpoints: []vetchtrail.EndpointView{endpoint("a", unreachable)}, remotes: []vetchtrail.RemoteView{remote("own", peers)},
+			kind: vetchtrail.RunElsewhere, name: "own", reason: vetchtrail.ReasonChosen,
+		},
+		"prefers a peer to another region": {
+			weights: latencyFirst, endpoints: []vetchtrail.EndpointView{endpoint("a", unreachable)}, remotes: []vetchtrail.RemoteView{remote("x", nil), remote("own", peers)},
+			kind: vetchtrail.RunElsewhere, name: "own", reason: vetchtrail.ReasonChosen,
+		},
+		"prefers another region to a peer when the endpoints are busy": {
+			weights: latencyFirst, endpoints: []vetchtrail.EndpointView{endpoint("a", func(e *vetchtrail.EndpointView) { unreachable(e); busy(e) })},
+			remotes: []vetchtrail.RemoteView{remote("own", peers), remote("x", nil)},
+			kind:    vetchtrail.RunElsewhere, name: "x", reason: vetchtrail.ReasonChosen,
+		},
+		"prefers an endpoint that it reaches to a peer": {
+			weights: latencyFirst, endpoints: []vetchtrail.EndpointView{endpoint("a", unreachable), endpoint("b", nil)}, remotes: []vetchtrail.RemoteView{remote("own", peers)},
+			kind: vetchtrail.RunHere, name: "b", reason: vetchtrail.ReasonChosen,
+		},
+		"does not forward to peers without need": {
+			weights: latencyFirst, endpoints: []vetchtrail.EndpointView{endpoint("a", atLimit)}, remotes: []vetchtrail.RemoteView{remote("own", peers)},
+			kind: vetchtrail.WaitHere, reason: vetchtrail.ReasonFull,
+		},
+		"does not forward a forwarded request to a peer": {
+			request: func(r *vetchtrail.Request) { r.Hops = 1 }, weights: latencyFirst,
+			endpoints: []vetchtrail.EndpointView{endpoint("a", unreachable)}, remotes: []vetchtrail.RemoteView{remote("own", peers)},
+			kind: vetchtrail.Refuse, reason: vetchtrail.ReasonOverCapacity,
+		},
+		"does not forward to a peer against residency": {
+			request: func(r *vetchtrail.Request) { r.AllowedRegions = vetchtrail.RegionsOf(2) }, weights: latencyFirst,
+			endpoints: []vetchtrail.EndpointView{endpoint("a", unreachable)}, remotes: []vetchtrail.RemoteView{remote("own", peers)},
+			kind: vetchtrail.Refuse, reason: vetchtrail.ReasonNoEndpoint,
+		},
+		"does not forward twice to the peers of a data centre": {
+			weights: latencyFirst, endpoints: []vetchtrail.EndpointView{endpoint("a", unreachable)}, remotes: []vetchtrail.RemoteView{remote("own", peers)},
+			excluded: []string{"own"}, kind: vetchtrail.Refuse, reason: vetchtrail.ReasonOverCapacity,
+		},
+		"refuses when no peer reaches the endpoints": {
+			weights: latencyFirst, endpoints: []vetchtrail.EndpointView{endpoint("a", unreachable)}, remotes: []vetchtrail.RemoteView{remote("own", noPeers)},
+			kind: vetchtrail.Refuse, reason: vetchtrail.ReasonOverCapacity,
+		},
 		"does not choose an endpoint that was tried before": {
 			weights: latencyFirst, endpoints: []vetchtrail.EndpointView{endpoint("a", nil), endpoint("b", busy)}, excluded: []string{"a"},
 			kind: vetchtrail.RunHere, name: "b", reason: vetchtrail.ReasonChosen,
--- a/request/policy/remote.go
+++ b/request/policy/remote.go
@@ -1,6 +1,7 @@
 package policy
 
 import (
+	"cmp"
 	"math"
 	"slices"
 
@@ -27,8 +28,16 @@
 	}
 	for i := range v.Remotes {
 		m := &v.Remotes[i]
-		if reason := unusableRemoteReason(m, r, v); reason != "" {
-			d.AddCandidate(m.DataCentre, 0, reason)
+		if reason := unusableRemoteReason(m, r, v); reason != "" || m.SharesEndpoints && !ev.peerUsable {
+			d.AddCandidate(m.DataCentre, 0, cmp.Or(reason, vetchtrail.ReasonFull))
+			continue
+		}
+		if m.SharesEndpoints {
+			c := ev.peerCost + 2*v.Weights.Tail*m.Delay.Seconds()
+			d.AddCandidate(m.DataCentre, c, vetchtrail.ReasonCost)
+			if c < cost {
+				index, cost = i, c
+			}
 			continue
 		}
 		if streamTooSlow(ev, m.EventInterval, 2*m.Delay.Seconds()+m.TimeToFirstToken, r, v) {
@@ -78,6 +87,8 @@
 		return vetchtrail.ReasonDigestStale
 	case len(v.Excluded) > 0 && slices.Contains(v.Excluded, m.DataCentre):
 		return vetchtrail.ReasonTriedBefore
+	case m.SharesEndpoints:
+		return ""
 	case float64(m.InFlight) >= float64(m.FreeSlots)*m.WarmUpShare:
 		return vetchtrail.ReasonFull
 	}
@@ -95,7 +106,11 @@
 // the request instead if its first token would come too late.
 func runElsewhere(d *vetchtrail.Decision, ev *evaluation, index int, cost float64, r *vetchtrail.Request, v *vetchtrail.View) vetchtrail.Decision {
 	m := &v.Remotes[index]
-	d.Wait = 2*m.Delay + cappedDuration(m.TimeToFirstToken)
+	firstToken := m.TimeToFirstToken
+	if m.SharesEndpoints {
+		firstToken = ev.peerFirstToken
+	}
+	d.Wait = 2*m.Delay + cappedDuration(firstToken)
 	if ev.now.Add(d.Wait).After(r.Deadline) {
 		return refuse(d, vetchtrail.ReasonDeadline, ev.now, d.Wait)
 	}
--- a/request/policy/weighted.go
+++ b/request/policy/weighted.go
@@ -43,6 +43,9 @@
 	slow            int                     // endpoints at which the stream would be too slow (streamTooSlow)
 	wait            float64                 // seconds until the first waitable endpoint is free, at least the wait in the queue
 	otherRequests   float64                 // mean number of requests of other hosts at an endpoint
+	peerUsable      bool                    // an endpoint can be used by a peer only (EndpointView.ViaPeers)
+	peerCost        float64                 // lowest cost of such an endpoint, without the way to the peer
+	peerFirstToken  float64                 // predicted seconds to the first token there
 	now             time.Time
 	switchedOff     vetchtrail.Mechanisms // mechanisms that are switched off
 }
@@ -108,6 +111,7 @@
 		if reason := unusableReason(e, r, v); reason != "" {
 			ev.cacheCost(i, math.MaxFloat64)
 			d.AddCandidate(e.Name, 0, reason)
+			ev.considerViaPeers(e, r, v)
 			switch reason {
 			case vetchtrail.ReasonRateLimited:
 				ev.rateLimited++
@@ -143,6 +147,21 @@
 	}
 }
 
+// considerViaPeers finds the lowest cost of the endpoints that this host doesn't reach but its peers do.
+func (ev *evaluation) considerViaPeers(e *vetchtrail.EndpointView, r *vetchtrail.Request, v *vetchtrail.View) {
+	if !e.ViaPeers || !r.AllowedRegions.Has(e.Region) {
+		return
+	}
+	requests := estimateRequests(e, ev.otherRequests)
+	firstToken := timeToFirstToken(e, r, requests)
+	if streamTooSlow(ev, e.EventInterval, firstToken, r, v) {
+		return
+	}
+	if cost := endpointCost(ev, e, r, v, requests); !ev.peerUsable || cost < ev.peerCost {
+		ev.peerUsable, ev.peerCost, ev.peerFirstToken = true, cost, firstToken
+	}
+}
+
 func (ev *evaluation) cacheCost(i int, cost float64) {
 	if i < maxCachedCosts {
 		ev.costs[i] = cost
