Connections that fail in a row show that the path is lost, and probes find it again

Callers of a host without a path to the endpoints paid for each endpoint anew: a request had to fail there, 700 ms where packets are dropped, and again after each back-off. Cause: a failed connection was only ever a fact about its endpoint. Now connections that fail to eight endpoints of a service (or to all) while none succeeds mean that this host reaches none of them, until one succeeds or 3 s without a failure. Endpoints that failed, went silent or lost a response are probed by package reachability, just before their back-off ends, and the others once two have failed, so that requests don't have to find out; the connection of a probe serves the next request. When the path is back, ejections and warm-up that its loss had caused are undone.

--- a/connection/endpoint/endpoint.go
+++ b/connection/endpoint/endpoint.go
@@ -63,6 +63,8 @@
 	Replaceable func(e vetchtrail.Endpoint, r *vetchtrail.Request) bool
 	Dialect     vetchtrail.Dialect  // for routed requests; nil: dialect.Default
 	Observer    vetchtrail.Observer // nil: none
+	// Connected is called after a connection to an endpoint was opened for a request; nil: it isn't.
+	Connected func(e vetchtrail.Endpoint)
 	// SocketBytes bounds the kernel's buffers of a connection; 0: the kernel decides.
 	SocketBytes int
 }
@@ -104,10 +106,13 @@
 // Call implements vetchtrail.EndpointCaller.
 func (c *Client) Call(ctx context.Context, e vetchtrail.Endpoint, r *vetchtrail.Request, w vetchtrail.ResponseWriter) (vetchtrail.Outcome, vetchtrail.Timing) {
 	t := &attempt{client: c, endpoint: e, req: r, writer: w}
-	conn, err := c.pool.get(ctx, poolKeyOf(e), r.Repeatable)
+	conn, opened, err := c.pool.get(ctx, poolKeyOf(e), r.Repeatable)
 	if err != nil {
 		return t.notRun(vetchtrail.StepConnect, vetchtrail.ReasonUnreachable, err), t.timing
 	}
+	if opened && c.cfg.Connected != nil {
+		c.cfg.Connected(e)
+	}
 	t.conn = conn
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	defer stop()
@@ -124,6 +129,16 @@
 	return o, t.timing
 }
 
+// Connect opens a connection to an endpoint, for a later request.
+func (c *Client) Connect(ctx context.Context, e vetchtrail.Endpoint) error {
+	conn, err := c.pool.open(ctx, poolKeyOf(e))
+	if err != nil {
+		return &vetchtrail.PeerError{Step: vetchtrail.StepConnect, Peer: e.Name, Err: err}
+	}
+	c.pool.put(poolKeyOf(e), conn)
+	return nil
+}
+
 // RefusesConnection reports whether an endpoint refuses connections, as a crashed one does.
 func (c *Client) RefusesConnection(ctx context.Context, e vetchtrail.Endpoint) bool {
 	conn, err := c.pool.dialer.DialContext(ctx, "tcp", e.Addr.String())
--- a/connection/endpoint/pool.go
+++ b/connection/endpoint/pool.go
@@ -127,10 +127,10 @@
 	idle map[poolKey][]*conn
 }
 
-// get returns an idle connection that is still usable, or a new one. A request that may
+// get returns an idle connection that is still usable, or opens a new one. A request that may
 // not run twice (repeatable is false) gets an idle connection only if that was used shortly
 // before.
-func (p *pool) get(ctx context.Context, key poolKey, repeatable bool) (*conn, error) {
+func (p *pool) get(ctx context.Context, key poolKey, repeatable bool) (c *conn, opened bool, err error) {
 	for {
 		c := p.pop(key)
 		if c == nil {
@@ -138,10 +138,16 @@
 		}
 		if c.usable(repeatable, time.Now()) {
 			c.written = 0
-			return c, nil
+			return c, false, nil
 		}
 		_ = c.Close()
 	}
+	c, err = p.open(ctx, key)
+	return c, err == nil, err
+}
+
+// open opens a new connection.
+func (p *pool) open(ctx context.Context, key poolKey) (*conn, error) {
 	nc, err := p.dialer.DialContext(ctx, "tcp", key.addr.String())
 	if err != nil {
 		return nil, err
--- a/process/daemon/daemon.go
+++ b/process/daemon/daemon.go
@@ -36,6 +36,7 @@
 	"vetchtrail/process/quarantines"
 	"vetchtrail/process/quotas"
 	"vetchtrail/process/ratelimits"
+	"vetchtrail/process/reachability"
 	"vetchtrail/process/returns"
 	"vetchtrail/process/settings"
 	"vetchtrail/request/budget"
@@ -128,6 +129,7 @@
 	hosted            *Hosted                         // nil unless the platform is hosted
 	directory         Directory                       // nil unless the platform is hosted
 	endpoints         *endpoint.Client                // sends requests to endpoints
+	prober            *reachability.Prober            // finds out which endpoints this host reaches
 	timing            atomic.Pointer[settings.Timing] // replaced by Reload; read when the host leaves
 	appliedRevision   atomic.Uint64                   // of the configuration that all parts of this host use; reported to other hosts
 	lastUpdate        lastUpdate
@@ -216,7 +218,9 @@
 			return d.dispatcher.CheckBeforeSend(e, r)
 		},
 		Replaceable: func(e vetchtrail.Endpoint, r *vetchtrail.Request) bool { return d.dispatcher.Replaceable(e, r) },
+		Connected:   func(e vetchtrail.Endpoint) { d.table.RecordConnected(e, time.Now()) },
 	})
+	d.prober = reachability.New(reachability.Config{Table: d.table, Connect: d.endpoints.Connect})
 	d.newQuarantines(switchedOff)
 	d.dispatcher = dispatch.New(dispatch.Config{
 		Self: d.self, Policy: p, Rules: d.changes.Rules, Endpoints: d.table, Membership: d.membership,
@@ -285,6 +289,7 @@
 	var tasks conc.WaitGroup
 	tasks.Go(func() { d.journal.Run(ctx) })
 	tasks.Go(func() { d.table.Run(ctx) })
+	tasks.Go(func() { d.prober.Run(ctx) })
 	tasks.Go(func() { _ = d.server.Serve(ctx, peers) })
 	tasks.Go(func() { d.membership.RunHeartbeats(ctx, d.peers) })
 	tasks.Go(func() { d.membership.RunDigestExchanges(ctx, d.peers) })
--- a/process/load/event_interval.go
+++ b/process/load/event_interval.go
@@ -104,7 +104,11 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s, ok := t.instance(e.Name, e.Born)
-	return ok && t.silent(s, now)
+	if !ok || !t.silent(s, now) {
+		return false
+	}
+	t.suspect(s, now)
+	return true
 }
 
 // StreamPaused implements vetchtrail.Observer. Nothing arrives on a stream that this host doesn't read, which is no
--- a/process/load/in_flight.go
+++ b/process/load/in_flight.go
@@ -55,7 +55,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s, ok := t.endpoints[name]
-	if !ok || s.isLeaving(now) || now.Before(s.availability.pausedUntil) || now.Before(s.ejectedUntil) || now.Before(s.backOffUntil) || s.inFlight >= t.currentLimit(s) {
+	if !ok || s.isLeaving(now) || now.Before(s.availability.pausedUntil) || now.Before(s.ejectedUntil) || now.Before(s.backOffUntil) || t.serviceStats[s.Service].path.lost(now) || s.inFlight >= t.currentLimit(s) {
 		return false
 	}
 	if !s.coldStart.acquire(now) {
--- a/process/load/load.go
+++ b/process/load/load.go
@@ -94,6 +94,7 @@
 	runningAt     time.Time                        // of the last call of RecordRunning; zero: there was none
 	placesBySpeed bool                             // see SetPlacesBySpeed
 	stoppedUntil  time.Time                        // when this host's process last went on after it was stopped
+	unreachable   map[string]bool                  // services with endpoints to probe
 	log           *slog.Logger
 }
 
@@ -129,8 +130,7 @@
 	pausedStreams        int             // started streams that this host doesn't read, as their callers read too slowly
 	lastSeen             time.Time       // when the first byte of a response or an event of a stream last arrived
 	connectFailuresInRow int
-	connectFailedAt      time.Time // when a connection of this host last failed
-	unreachableSince     time.Time // when a connection of this host first failed since the endpoint was last reached; zero: none did
+	reach                reachability
 	errorShare           average   // share of its responses that are errors
 	errorShareAt         time.Time // when errorShare was last observed
 	ejectedUntil         time.Time
@@ -153,6 +153,7 @@
 	prefillFit          linearFit // seconds to the first byte, by the prompt tokens to process
 	eventIntervalFit    linearFit // seconds between two events of a stream, by the requests that run
 	errorShare          average   // share of the responses that are errors
+	path                path
 	streamsByRoute      map[string]*streamStats
 	uncachedTokens      average // prompt tokens that an endpoint must process for one request
 	predictionRatio     predictionRatio
@@ -188,6 +189,7 @@
 		serviceStats: map[string]*serviceStats{},
 		freed:        map[string]chan struct{}{},
 		unlisted:     map[instanceKey]unlistedInstance{},
+		unreachable:  map[string]bool{},
 		log:          slog.New(slog.DiscardHandler),
 	}
 }
@@ -362,6 +364,8 @@
 		v.Unavailable, v.UnavailableReason = true, vetchtrail.ReasonDraining
 	case now.Before(s.availability.pausedUntil):
 		v.Unavailable, v.UnavailableReason, v.AvailableIn = true, vetchtrail.ReasonPaused, s.availability.pausedUntil.Sub(now).Seconds()
+	case svc.path.lost(now):
+		v.Unavailable, v.UnavailableReason, v.ViaPeers = true, vetchtrail.ReasonUnreachable, true
 	case now.Before(s.ejectedUntil):
 		v.Unavailable, v.UnavailableReason = true, vetchtrail.ReasonEjected
 	case now.Before(s.backOffUntil):
--- a/process/load/reachability.go
+++ b/process/load/reachability.go
@@ -7,6 +7,51 @@
 	"vetchtrail"
 )
 
+const (
+	// minPathFailures is the number of a service's endpoints to which connections must fail, while none succeeds, for
+	// this host to assume that it reaches none of them. With fewer endpoints, connections to all must fail.
+	minPathFailures = 8
+	// suspectFailures is the same number for it to probe the others: endpoints also fail by themselves.
+	suspectFailures = 2
+	// pathLostFor is how long that assumption holds without a further failure: several probes.
+	pathLostFor = 3 * time.Second
+	// maxProbes bounds the probes of a service that are started at once.
+	maxProbes = 4
+	// lostProbeInterval is the interval between two probes of a service of which this host reaches no endpoint.
+	lostProbeInterval = 500 * time.Millisecond
+	// probeLead is how long before the end of its back-off an endpoint is probed: the longest time that a connection
+	// takes to fail. Otherwise a request would be the next to find out.
+	probeLead = 800 * time.Millisecond
+	// suspectProbeInterval is the least interval between two probes of an endpoint that went silent or lost responses.
+	suspectProbeInterval = time.Second
+)
+
+// path is what this host's connections show of the network between it and the endpoints of a service. Other hosts
+// may reach endpoints that this one doesn't.
+type path struct {
+	round     int       // number of connections that succeeded
+	failed    int       // endpoints to which connections failed in this round
+	lostSince time.Time // when the path was assumed to be lost
+	lostUntil time.Time // until when that is assumed
+	probedAt  time.Time // when an endpoint was last probed as the path was lost
+	next      int       // index of the endpoint to probe next
+}
+
+// lost reports whether this host assumes that it reaches no endpoint of the service.
+func (p *path) lost(now time.Time) bool { return now.Before(p.lostUntil) }
+
+// reachability is what this host's connections show of one endpoint.
+type reachability struct {
+	connectFailedAt  time.Time // when a connection last failed
+	unreachableSince time.Time // when a connection first failed since the endpoint was last reached; zero: none did
+	failedRound      int       // 1 + path.round of the last failure
+	warmUpBefore     float64   // warm-up share before the first failure
+	ejectedAt        time.Time // when it was last ejected
+	suspectedAt      time.Time // when it was last silent or lost a response; zero: since the last probe it did neither
+	probedAt         time.Time // when the last probe began
+	probing          bool
+}
+
 // SetLog sets the logger of what changes in the endpoints' reachability. Without it, nothing is logged.
 func (t *Table) SetLog(log *slog.Logger) {
 	t.mu.Lock()
@@ -14,37 +59,212 @@
 	t.log = log
 }
 
-// Evidence by which a back-off of an unreachable endpoint ended.
+// Evidence by which an endpoint counts as reachable again.
 const (
-	byResponse  = "response"
-	byOwnReport = "load report"
+	byConnection = "connection"
+	byResponse   = "response"
+	byOwnReport  = "load report"
 )
 
+// RecordConnectFailure records that a connection of this host to an endpoint failed.
+func (t *Table) RecordConnectFailure(e vetchtrail.Endpoint, now time.Time, err error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if s, ok := t.instance(e.Name, e.Born); ok {
+		s.reach.probing = false
+		t.recordConnectFailure(s, now, err)
+	}
+}
+
+// RecordConnected records that this host opened a connection to an endpoint.
+func (t *Table) RecordConnected(e vetchtrail.Endpoint, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s, ok := t.instance(e.Name, e.Born)
+	if !ok {
+		return
+	}
+	s.reach.probing, s.reach.suspectedAt = false, time.Time{}
+	p := &t.serviceStats[s.Service].path
+	lost := p.lost(now)
+	p.round++
+	p.failed, p.lostUntil = 0, time.Time{}
+	t.recordReachable(s, byConnection, now)
+	if lost {
+		t.restorePath(s.Service, now)
+	}
+}
+
+// recordConnectFailure takes an endpoint out of use because a connection to it failed, for a time that doubles with
+// each failure in a row. The caller holds the lock.
+func (t *Table) recordConnectFailure(s *endpointState, now time.Time, err error) {
+	until := now.Add(min(minConnectBackOff<<min(s.connectFailuresInRow, maxConnectBackOffDoublings), maxConnectBackOff))
+	s.connectFailuresInRow++
+	t.recordUnreachable(s, until, now, err)
+}
+
 // recordUnreachable takes an endpoint out of use because a connection to it failed. The caller holds the lock.
 func (t *Table) recordUnreachable(s *endpointState, until, now time.Time, err error) {
-	if s.unreachableSince.IsZero() {
-		s.unreachableSince = now
+	if s.reach.unreachableSince.IsZero() {
+		s.reach.unreachableSince, s.reach.warmUpBefore = now, s.warmUp
 	}
-	s.connectFailedAt = now
+	s.reach.connectFailedAt = now
 	s.backOff(vetchtrail.ReasonUnreachable, until)
 	s.warmUp = initialWarmUp
+	t.unreachable[s.Service] = true
 	countConnectFailure(s.Service)
-	t.log.Info("endpoint unreachable", "endpoint", s.Name, "service", s.Service, "failures", s.connectFailuresInRow+1,
-		"since", s.unreachableSince, "until", until, "error", err)
+	t.log.Info("endpoint unreachable", "endpoint", s.Name, "service", s.Service, "failures", s.connectFailuresInRow,
+		"since", s.reach.unreachableSince, "until", until, "error", err)
+	t.recordPathFailure(s, now)
+}
+
+// recordPathFailure counts the endpoints to which connections fail while none succeeds. The caller holds the lock.
+func (t *Table) recordPathFailure(s *endpointState, now time.Time) {
+	p := &t.serviceStats[s.Service].path
+	if s.reach.failedRound != p.round+1 {
+		s.reach.failedRound = p.round + 1
+		p.failed++
+	}
+	if p.failed < min(minPathFailures, t.notLeaving(s.Service, now)) {
+		return
+	}
+	if !p.lost(now) {
+		p.lostSince = now
+		t.log.Warn("no endpoint reachable", "service", s.Service, "failed", p.failed)
+		t.wake(s.Service)
+	}
+	p.lostUntil = now.Add(pathLostFor)
 }
 
-// recordReachable ends that an endpoint counts as unreachable. The caller holds the lock.
+// notLeaving returns the number of a service's endpoints that are not leaving. The caller holds the lock.
+func (t *Table) notLeaving(service string, now time.Time) int {
+	n := 0
+	for _, s := range t.services[service] {
+		if !s.isLeaving(now) {
+			n++
+		}
+	}
+	return n
+}
+
+// recordReachable ends that an endpoint counts as unreachable. If another host reached it meanwhile, it did not
+// restart and needs no warm-up. The caller holds the lock.
 func (t *Table) recordReachable(s *endpointState, by string, now time.Time) {
-	if s.unreachableSince.IsZero() {
+	if s.reach.unreachableSince.IsZero() {
 		return
 	}
 	countReachableAgain(s.Service, by)
-	t.log.Info("endpoint reachable again", "endpoint", s.Name, "service", s.Service, "by", by, "after", now.Sub(s.unreachableSince))
-	s.unreachableSince = time.Time{}
+	t.log.Info("endpoint reachable again", "endpoint", s.Name, "service", s.Service, "by", by, "after", now.Sub(s.reach.unreachableSince))
+	if s.reachedByOthers() {
+		s.warmUp = s.reach.warmUpBefore
+	}
+	s.reach.unreachableSince, s.connectFailuresInRow = time.Time{}, 0
+	if s.backOffReason == vetchtrail.ReasonUnreachable {
+		s.backOffUntil = time.Time{}
+	}
+	t.wake(s.Service)
+}
+
+// restorePath undoes what the loss of the path did to the endpoints of a service, now that one of them is reachable
+// again: the others are probed at once, and failures that led to ejections were not theirs. The caller holds the lock.
+func (t *Table) restorePath(service string, now time.Time) {
+	p := &t.serviceStats[service].path
+	t.log.Info("endpoints reachable again", "service", service, "after", now.Sub(p.lostSince))
+	for _, s := range t.services[service] {
+		if !s.reach.unreachableSince.IsZero() {
+			s.backOffUntil = vetchtrail.Earlier(s.backOffUntil, now)
+		}
+		if s.reach.ejectedAt.After(p.lostSince.Add(-pathLostFor)) {
+			s.ejectedUntil, s.ejections, s.reach.warmUpBefore = time.Time{}, 0, 1
+		}
+		s.failuresInRow = 0
+	}
+	t.wake(service)
 }
 
 // reachedByOthers reports whether another host received a load report from the endpoint after this host's last
 // connection to it failed.
 func (s *endpointState) reachedByOthers() bool {
-	return s.backOffReason == vetchtrail.ReasonUnreachable && s.hasReport && !s.receivedHere && s.report.TakenAt.After(s.connectFailedAt)
+	return s.backOffReason == vetchtrail.ReasonUnreachable && s.hasReport && !s.receivedHere && s.report.TakenAt.After(s.reach.connectFailedAt)
+}
+
+// suspect has an endpoint probed that went silent or lost a response. The caller holds the lock.
+func (t *Table) suspect(s *endpointState, now time.Time) {
+	s.reach.suspectedAt = now
+	t.unreachable[s.Service] = true
+}
+
+// EndpointsToProbe returns the endpoints to which a connection should be tried now, and marks them as being probed
+// until RecordConnected or RecordConnectFailure is called.
+func (t *Table) EndpointsToProbe(now time.Time) []vetchtrail.Endpoint {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out []vetchtrail.Endpoint
+	for service := range t.unreachable {
+		svc, ok := t.serviceStats[service]
+		if !ok || len(t.services[service]) == 0 {
+			delete(t.unreachable, service)
+			continue
+		}
+		if svc.path.lost(now) {
+			out = t.appendLostProbe(out, service, now)
+			continue
+		}
+		out = t.appendProbes(out, service, now)
+	}
+	return out
+}
+
+// appendLostProbe appends the next endpoint of a service of which this host reaches none. The caller holds the lock.
+func (t *Table) appendLostProbe(out []vetchtrail.Endpoint, service string, now time.Time) []vetchtrail.Endpoint {
+	p, states := &t.serviceStats[service].path, t.services[service]
+	if now.Sub(p.probedAt) < lostProbeInterval {
+		return out
+	}
+	p.probedAt = now
+	for range states {
+		s := states[p.next%len(states)]
+		p.next++
+		if !s.reach.probing && !s.isLeaving(now) {
+			return append(out, s.beginProbe(now))
+		}
+	}
+	return out
+}
+
+// appendProbes appends the endpoints of a service whose probe is due, and others if connections to several failed.
+// Without any left to probe, the service is no longer looked at. The caller holds the lock.
+func (t *Table) appendProbes(out []vetchtrail.Endpoint, service string, now time.Time) []vetchtrail.Endpoint {
+	p, states := &t.serviceStats[service].path, t.services[service]
+	probeOthers := p.failed >= suspectFailures
+	pending, left := probeOthers, maxProbes
+	p.next++ // begins with other endpoints each time
+	for i := range states {
+		s := states[(i+p.next)%len(states)]
+		pending = pending || !s.reach.unreachableSince.IsZero() || !s.reach.suspectedAt.IsZero()
+		if left == 0 || s.reach.probing || s.isLeaving(now) {
+			continue
+		}
+		if s.probeDue(now) || probeOthers && s.reach.failedRound != p.round+1 {
+			out = append(out, s.beginProbe(now))
+			left--
+		}
+	}
+	if !pending {
+		delete(t.unreachable, service)
+	}
+	return out
+}
+
+// probeDue reports whether an endpoint that counts as unreachable, or that is suspected, should be probed.
+func (s *endpointState) probeDue(now time.Time) bool {
+	if s.reach.unreachableSince.IsZero() {
+		return !s.reach.suspectedAt.IsZero() && now.Sub(s.reach.probedAt) >= suspectProbeInterval
+	}
+	return !now.Before(s.backOffUntil.Add(-probeLead)) || s.reachedByOthers() && now.Sub(s.reach.connectFailedAt) >= minConnectBackOff
+}
+
+func (s *endpointState) beginProbe(now time.Time) vetchtrail.Endpoint {
+	s.reach.probing, s.reach.probedAt, s.reach.suspectedAt = true, now, time.Time{}
+	return s.Endpoint
 }
--- a/process/load/release.go
+++ b/process/load/release.go
@@ -41,14 +41,13 @@
 		t.cutLimit(s)
 		s.backOff(vetchtrail.ReasonEndpointRefused, vetchtrail.Earlier(o.Outcome.RetryAt, now.Add(maxRefusalBackOff)))
 	case o.Outcome.Step == vetchtrail.StepConnect:
-		until := now.Add(min(minConnectBackOff<<min(s.connectFailuresInRow, maxConnectBackOffDoublings), maxConnectBackOff))
-		t.recordUnreachable(s, until, now, o.Outcome.Err)
-		s.connectFailuresInRow++
+		t.recordConnectFailure(s, now, o.Outcome.Err)
 	case o.Outcome.Kind == vetchtrail.OutcomeNotRun: // this host did not send it
 	default:
 		if o.Outcome.Reason == vetchtrail.ReasonDeadline {
 			t.cutLimit(s)
 		}
+		t.suspect(s, now)
 		if !s.isLeaving(now) { // a leaving endpoint may stop with requests in flight
 			t.recordFailure(s, now)
 		}
@@ -193,7 +192,7 @@
 	if float64(ejected+1) > math.Max(1, maxEjectedShare*float64(len(t.services[s.Service]))) || t.isLastInUse(s, now) {
 		return
 	}
-	s.ejectedUntil = now.Add(min(minEjection<<s.ejections, maxEjection))
+	s.reach.ejectedAt, s.ejectedUntil = now, now.Add(min(minEjection<<s.ejections, maxEjection))
 	s.ejections = min(s.ejections+1, 5)
 	s.failuresInRow = 0
 	s.warmUp = initialWarmUp
--- a/process/load/report.go
+++ b/process/load/report.go
@@ -40,8 +40,7 @@
 	s.report, s.hasReport, s.receivedHere = r, true, receivedHere
 	t.recordSlowdown(s)
 	t.logReport(s)
-	if receivedHere && s.backOffReason == vetchtrail.ReasonUnreachable {
-		s.backOffUntil = time.Time{}
+	if receivedHere {
 		t.recordReachable(s, byOwnReport, r.TakenAt)
 	}
 	s.recordReportedLeaving(r.Leaving, leavingUntil)
--- /dev/null
+++ b/process/reachability/reachability.go
@@ -0,0 +1,57 @@
+// Package reachability finds out which endpoints this host reaches, so that requests don't have to: it opens
+// connections to endpoints that failed or went silent, and records the results in a load.Table. What follows from
+// them is decided there.
+package reachability
+
+import (
+	"context"
+	"time"
+
+	"vetchtrail"
+	"vetchtrail/process/load"
+)
+
+const (
+	checkInterval = 100 * time.Millisecond // between two checks for endpoints to probe
+	probeTimeout  = time.Second            // of one connection; it usually fails sooner by itself
+)
+
+// Config configures a Prober.
+type Config struct {
+	Table *load.Table
+	// Connect opens a connection to an endpoint.
+	Connect func(ctx context.Context, e vetchtrail.Endpoint) error
+}
+
+// Prober probes endpoints.
+type Prober struct{ cfg Config }
+
+// New returns a prober. It does nothing until Run is called.
+func New(c Config) *Prober { return &Prober{cfg: c} }
+
+// Run probes the endpoints that are due until ctx ends.
+func (p *Prober) Run(ctx context.Context) {
+	t := time.NewTicker(checkInterval)
+	defer t.Stop()
+	for {
+		for _, e := range p.cfg.Table.EndpointsToProbe(time.Now()) {
+			go p.probe(ctx, e)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+	}
+}
+
+// probe opens a connection to an endpoint and records whether that succeeded.
+func (p *Prober) probe(ctx context.Context, e vetchtrail.Endpoint) {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	if err := p.cfg.Connect(ctx, e); err != nil {
+		p.cfg.Table.RecordConnectFailure(e, time.Now(), err)
+		return
+	}
+	p.cfg.Table.RecordConnected(e, time.Now())
+}
--- a/request/dispatch/unreachable_test.go
+++ b/request/dispatch/unreachable_test.go
@@ -18,6 +18,7 @@
 	"vetchtrail/process/journal"
 	"vetchtrail/process/load"
 	"vetchtrail/process/membership"
+	"vetchtrail/process/reachability"
 	"vetchtrail/request/budget"
 	"vetchtrail/request/idempotency"
 	"vetchtrail/request/policy"
@@ -76,6 +77,7 @@
 		}, vetchtrail.Timing{}
 	}
 	sent := time.Now()
+	h.table.RecordConnected(e, sent)
 	h.table.RecordReport(e.Name, vetchtrail.LoadReport{TakenAt: sent, Running: h.fleet.changeRunning(e.Name, r.ID, 1)}, time.Time{})
 	time.Sleep(60 * time.Millisecond)
 	h.fleet.changeRunning(e.Name, "", -1)
@@ -197,6 +199,8 @@
 		RetryBudget: budget.Config{Window: 10 * time.Second, Share: 0.2, Base: 10, Hosts: func() int { return 1 }},
 	})
 	go h.table.Run(ctx)
+	prober := reachability.New(reachability.Config{Table: h.table, Connect: func(ctx context.Context, _ vetchtrail.Endpoint) error { return h.connect(ctx) }})
+	go prober.Run(ctx)
 	go h.members.RunHeartbeats(ctx, h)
 	go h.members.RunDigestExchanges(ctx, h)
 }
