A refusal says unreachable where endpoints can't be reached

On-call engineers looked for a shortage: hosts without a path to the endpoints refused as over-capacity while no endpoint turned a request away. Cause: refusalReason returned over-capacity as soon as an allowed endpoint was known, whatever kept it from being used. Now that holds only if one of them can be reached; else the reason is unreachable, or over-capacity if another data centre is full. Status and Retry-After of the refusal are as before; returns are not planned for it, as no capacity is short.

--- a/request/policy/refusal.go
+++ b/request/policy/refusal.go
@@ -24,12 +24,17 @@
 	if r.AllowedRegions == 0 {
 		return vetchtrail.ReasonResidency
 	}
+	reason := vetchtrail.ReasonNoEndpoint
 	for i := range v.Endpoints {
-		if r.AllowedRegions.Has(v.Endpoints[i].Region) {
+		e := &v.Endpoints[i]
+		switch {
+		case !r.AllowedRegions.Has(e.Region):
+		case e.UnavailableReason != vetchtrail.ReasonUnreachable:
 			return vetchtrail.ReasonOverCapacity
+		default:
+			reason = vetchtrail.ReasonUnreachable
 		}
 	}
-	reason := vetchtrail.ReasonNoEndpoint
 	for i := range v.Remotes {
 		switch unusableRemoteReason(&v.Remotes[i], r, v) {
 		case vetchtrail.ReasonFull:
