Hosts report which services they reach no endpoint of

Cause: whether a host can be forwarded to was decided by its state alone; that it reaches the endpoints was assumed of all hosts of a data centre. The change is sent with the next heartbeat.

--- a/process/load/reachability.go
+++ b/process/load/reachability.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"slices"
 	"time"
 
 	"vetchtrail"
@@ -268,3 +269,18 @@
 	s.reach.probing, s.reach.probedAt, s.reach.suspectedAt = true, now, time.Time{}
 	return s.Endpoint
 }
+
+// UnreachableServices returns the hashes of the names (NameHash) of the services of which this host reaches no
+// endpoint, in ascending order.
+func (t *Table) UnreachableServices(now time.Time) []uint32 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out []uint32
+	for service := range t.unreachable {
+		if svc, ok := t.serviceStats[service]; ok && svc.path.lost(now) {
+			out = append(out, NameHash(service))
+		}
+	}
+	slices.Sort(out)
+	return out
+}
--- a/process/membership/digest.go
+++ b/process/membership/digest.go
@@ -9,6 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"vetchtrail"
+	"vetchtrail/process/load"
 	"vetchtrail/schema"
 )
 
@@ -219,10 +220,11 @@
 		d.Members = append(d.Members, fullEntry(h, 0))
 	}
 	d.MembersHash = hashMembers(d.GetMembers())
+	unreachableFrom := m.unreachableFrom(now)
 	for _, s := range sums {
 		summary := &schema.ServiceDigest{
 			Service: s.Service, Free: uint32(s.Free), Slots: uint32(s.Slots), WaitMillis: millis(s.Wait),
-			GapMillis: millis(s.EventInterval),
+			GapMillis: millis(s.EventInterval), UnreachableFrom: unreachableFrom[load.NameHash(s.Service)],
 		}
 		if m.cfg.Demands != nil {
 			m.cfg.Demands.DigestDemand(s.Service, now, summary)
@@ -240,6 +242,7 @@
 	for _, s := range d.GetServices() {
 		out.Services = append(out.Services, &schema.ServiceDigest{
 			Service: s.GetService(), Free: s.GetFree(), Slots: s.GetSlots(), WaitMillis: s.GetWaitMillis(), GapMillis: s.GetGapMillis(), Supply: s.GetSupply(), Asked: s.GetAsked(),
+			UnreachableFrom: s.GetUnreachableFrom(),
 		})
 	}
 	return out
--- a/process/membership/heartbeat.go
+++ b/process/membership/heartbeat.go
@@ -145,13 +145,14 @@
 		to.sentState.startMessage()
 	}
 	self := m.selfNow()
+	m.updateUnreachable(now)
 	h.Members = make([]*schema.Member, 0, 1+len(m.members))
-	h.Members = append(h.Members, entryFor(to, &self, m.selfShortID(), m.counter))
+	h.Members = append(h.Members, entryFor(to, &self, m.selfShortID(), m.counter, m.unreachable))
 	for _, b := range m.members {
 		if b == to || b.state(now) == vetchtrail.HostDead {
 			continue
 		}
-		h.Members = append(h.Members, entryFor(to, &b.Host, b.shortID, b.counter))
+		h.Members = append(h.Members, entryFor(to, &b.Host, b.shortID, b.counter, b.unreachable))
 	}
 	if to == nil {
 		return h
@@ -169,15 +170,16 @@
 
 // entryFor returns a host's entry to send to a member: a short one, which identifies the
 // host by its short ID, if the member was sent the full one before.
-func entryFor(to *member, h *vetchtrail.Host, shortID uint32, counter uint64) *schema.Member {
-	if to == nil {
-		return fullEntry(*h, counter)
+func entryFor(to *member, h *vetchtrail.Host, shortID uint32, counter uint64, unreachable []uint32) *schema.Member {
+	if to != nil && to.sentState.shortIDs[shortID] {
+		return &schema.Member{Short: shortID, Counter: counter, State: uint32(h.State), Revision: h.Revision, Unreachable: unreachable}
 	}
-	if to.sentState.shortIDs[shortID] {
-		return &schema.Member{Short: shortID, Counter: counter, State: uint32(h.State), Revision: h.Revision}
+	if to != nil {
+		to.sentState.shortIDs[shortID] = true
 	}
-	to.sentState.shortIDs[shortID] = true
-	return fullEntry(*h, counter)
+	entry := fullEntry(*h, counter)
+	entry.Unreachable = unreachable
+	return entry
 }
 
 // fullEntry returns a host's entry with all that is reported of it.
@@ -415,4 +417,5 @@
 	b.Revision = entry.GetRevision()
 	b.counter = entry.GetCounter()
 	b.reported = vetchtrail.HostState(entry.GetState())
+	b.unreachable = entry.GetUnreachable()
 }
--- a/process/membership/membership.go
+++ b/process/membership/membership.go
@@ -51,6 +51,9 @@
 	reachableFor     = 3 * time.Second  // age of its digest from which a data centre counts as unreachable
 	leavingReportTTL = 10 * time.Minute // how long an endpoint counts as leaving after another host relayed a load report that says so
 	avoidTime        = 2 * time.Second  // how long nothing is forwarded to a host after a forward to it was lost
+	// avoidServiceTime is how long requests for a service are not forwarded to a host that reaches none of its
+	// endpoints. By then its heartbeats and the digest of its data centre report that.
+	avoidServiceTime = time.Second
 )
 
 // Config configures a Membership.
@@ -119,7 +122,10 @@
 	// introduced holds peer addresses in this data centre that another host
 	// sent and whose hosts are not known yet.
 	introduced map[netip.AddrPort]bool
-	avoidUntil map[string]time.Time // when forwards to a remote host resume, by its name
+	avoidUntil map[avoided]time.Time // when forwards to a host resume
+	// unreachable are the hashes of the names of the services of which this host reaches no endpoint, as it last
+	// reported them.
+	unreachable []uint32
 
 	liveHosts   atomic.Int64 // see LiveHosts; not guarded by mu
 	regionHosts atomic.Int64 // see RegionHosts; not guarded by mu
@@ -131,6 +137,7 @@
 	counter        uint64                // of its newest heartbeat
 	shortID        uint32                // see shortIDOf
 	reported       vetchtrail.HostState  // by the host itself
+	unreachable    []uint32              // as Membership.unreachable, by the host itself
 	relayed        map[string]relayState // what was last relayed to it, by data centre
 	sentState      sentState
 	wantFull       bool     // whether to request a full heartbeat from it, because it sent an unknown short ID
@@ -179,7 +186,7 @@
 		members:        map[string]*member{},
 		namesByShortID: map[uint32]string{},
 		remotes:        map[string]*remote{},
-		avoidUntil:     map[string]time.Time{},
+		avoidUntil:     map[avoided]time.Time{},
 		introduced:     map[netip.AddrPort]bool{},
 		seeds:          c.Seeds,
 	}
--- a/process/membership/relay_test.go
+++ b/process/membership/relay_test.go
@@ -108,7 +108,7 @@
 	for _, m := range s.hosts {
 		m.mu.Lock()
 		d, ok := m.remotes[dataCentre]
-		reaches := ok && s.now.Sub(d.digestTime) < reachableFor && len(m.forwardTargets(d, s.now)) > 0
+		reaches := ok && s.now.Sub(d.digestTime) < reachableFor && len(m.forwardTargets(d, "s", s.now)) > 0
 		m.mu.Unlock()
 		if !reaches {
 			return false
--- a/process/membership/remote.go
+++ b/process/membership/remote.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"vetchtrail"
+	"vetchtrail/process/load"
 	"vetchtrail/schema"
 )
 
@@ -81,7 +82,7 @@
 	defer m.mu.Unlock()
 	if region, ok := place(m.self.Region); ok && v.ViaPeers > 0 {
 		v.Remotes = append(v.Remotes, vetchtrail.RemoteView{
-			DataCentre: m.self.DataCentre, Region: region, Delay: localDelay, SharesEndpoints: true, Reachable: len(m.readyPeers(now)) > 0,
+			DataCentre: m.self.DataCentre, Region: region, Delay: localDelay, SharesEndpoints: true, Reachable: len(m.readyPeers(service, now)) > 0,
 		})
 	}
 	for name, d := range m.remotes {
@@ -90,7 +91,7 @@
 			if v.ViaPeers > 0 {
 				v.Remotes = append(v.Remotes, vetchtrail.RemoteView{
 					DataCentre: name, Region: region, Delay: d.delay, SharesEndpoints: true,
-					Reachable: now.Sub(d.digestTime) < reachableFor && len(m.forwardTargets(d, now)) > 0,
+					Reachable: now.Sub(d.digestTime) < reachableFor && len(m.forwardTargets(d, service, now)) > 0,
 				})
 			}
 			continue
@@ -102,7 +103,7 @@
 		v.Remotes = append(v.Remotes, vetchtrail.RemoteView{
 			DataCentre: name, Region: region, Delay: d.delay,
 			TimeToFirstToken: float64(summary.GetWaitMillis()) / 1e3, FreeSlots: int(summary.GetFree()), Slots: int(summary.GetSlots()), InFlight: d.inFlight[service],
-			DigestAge: now.Sub(d.digestTime), Reachable: now.Sub(d.digestTime) < reachableFor && len(m.forwardTargets(d, now)) > 0, WarmUpShare: d.warmUpShare,
+			DigestAge: now.Sub(d.digestTime), Reachable: now.Sub(d.digestTime) < reachableFor && len(m.forwardTargets(d, service, now)) > 0, WarmUpShare: d.warmUpShare,
 			EventInterval: float64(summary.GetGapMillis()) / 1e3,
 		})
 	}
@@ -124,7 +125,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if dataCentre == m.self.DataCentre {
-		ready := m.readyPeers(now)
+		ready := m.readyPeers(service, now)
 		if len(ready) == 0 {
 			return vetchtrail.Host{}, false
 		}
@@ -134,7 +135,7 @@
 	if !ok {
 		return vetchtrail.Host{}, false
 	}
-	ready := m.forwardTargets(d, now)
+	ready := m.forwardTargets(d, service, now)
 	if len(ready) == 0 {
 		return vetchtrail.Host{}, false
 	}
@@ -142,12 +143,13 @@
 	return d.hostOf(drawMember(ready, m.rng.Float64())), true
 }
 
-// readyPeers returns the other hosts of this data centre that requests may be forwarded to: the ready ones, except
-// those that this host is avoiding, sorted by name. The caller holds the lock.
-func (m *Membership) readyPeers(now time.Time) []vetchtrail.Host {
+// readyPeers returns the other hosts of this data centre that requests for a service may be forwarded to: the ready
+// ones that reach its endpoints, except those that this host is avoiding, sorted by name. The caller holds the lock.
+func (m *Membership) readyPeers(service string, now time.Time) []vetchtrail.Host {
+	hash := load.NameHash(service)
 	var out []vetchtrail.Host
 	for _, b := range m.members {
-		if b.state(now) == vetchtrail.HostReady && !now.Before(m.avoidUntil[b.Name]) {
+		if b.state(now) == vetchtrail.HostReady && !slices.Contains(b.unreachable, hash) && !m.avoids(b.Name, service, now) {
 			out = append(out, b.Host)
 		}
 	}
@@ -155,23 +157,38 @@
 	return out
 }
 
-// forwardTargets returns the hosts of a remote data centre that requests may be forwarded to:
-// the ready ones, except those that this host is avoiding. The caller holds the lock.
-func (m *Membership) forwardTargets(d *remote, now time.Time) []*schema.Member {
+// forwardTargets returns the hosts of a remote data centre that requests for a service may be forwarded to: the ready
+// ones that reach its endpoints, except those that this host is avoiding. The caller holds the lock.
+func (m *Membership) forwardTargets(d *remote, service string, now time.Time) []*schema.Member {
+	unreachableFrom := d.service(service).GetUnreachableFrom()
 	return slices.DeleteFunc(readyEntries(d.digest.GetMembers()), func(entry *schema.Member) bool {
-		return now.Before(m.avoidUntil[entry.GetName()])
+		if m.avoids(entry.GetName(), service, now) {
+			return true
+		}
+		return len(unreachableFrom) > 0 && slices.Contains(unreachableFrom, shortIDOf(entry.GetName(), entry.GetIncarnation()))
 	})
 }
 
+// avoided is a host that nothing is forwarded to for a while, or nothing for one service.
+type avoided struct{ host, service string } // service: empty for all
+
+// avoids reports whether this host is avoiding another one for a service. The caller holds the lock.
+func (m *Membership) avoids(host, service string, now time.Time) bool {
+	return len(m.avoidUntil) > 0 && (now.Before(m.avoidUntil[avoided{host: host}]) || now.Before(m.avoidUntil[avoided{host, service}]))
+}
+
 // ForwardEnded implements vetchtrail.HostTable. Only the loss of the host that the
 // request was forwarded to counts against the data centre: the loss of an endpoint that
 // the host called must not stop all forwards to the data centre.
 func (m *Membership) ForwardEnded(dataCentre, service string, o vetchtrail.Outcome, now time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if o.Kind == vetchtrail.OutcomeNotRun && o.Step == vetchtrail.StepDecide && o.Reason == vetchtrail.ReasonUnreachable {
+		m.avoid(avoided{o.Peer, service}, now.Add(avoidServiceTime), now)
+	}
 	if dataCentre == m.self.DataCentre && o.HostLost {
-		m.avoidHost(o.Peer, now)
-		m.logLostHost(o.Peer, dataCentre, len(m.readyPeers(now)))
+		m.avoid(avoided{host: o.Peer}, now.Add(avoidTime), now)
+		m.logLostHost(o.Peer, dataCentre, len(m.readyPeers(service, now)))
 	}
 	d, ok := m.remotes[dataCentre]
 	if !ok {
@@ -182,8 +199,8 @@
 	case o.Kind == vetchtrail.OutcomeAnswered:
 		d.warmUpShare = min(1, d.warmUpShare+warmUpStep)
 	case o.HostLost:
-		m.avoidHost(o.Peer, now)
-		left := len(m.forwardTargets(d, now))
+		m.avoid(avoided{host: o.Peer}, now.Add(avoidTime), now)
+		left := len(m.forwardTargets(d, service, now))
 		if left == 0 {
 			d.warmUpShare = warmUpStart // its endpoints may have restarted too
 		}
@@ -193,15 +210,15 @@
 
 // logLostHost logs that a forward to a host was lost.
 func (m *Membership) logLostHost(name, dataCentre string, left int) {
-	m.cfg.Log.Info("host not reached", "peer", name, "data_centre", dataCentre, "until", m.avoidUntil[name], "hosts_left", left)
+	m.cfg.Log.Info("host not reached", "peer", name, "data_centre", dataCentre, "until", m.avoidUntil[avoided{host: name}], "hosts_left", left)
 }
 
-// avoidHost makes Pick skip a host for avoidTime. The caller holds the lock.
-func (m *Membership) avoidHost(name string, now time.Time) {
-	for avoided, until := range m.avoidUntil {
-		if !now.Before(until) {
-			delete(m.avoidUntil, avoided)
+// avoid makes Pick skip a host until a time, for all services or one. The caller holds the lock.
+func (m *Membership) avoid(a avoided, until, now time.Time) {
+	for other, end := range m.avoidUntil {
+		if !now.Before(end) {
+			delete(m.avoidUntil, other)
 		}
 	}
-	m.avoidUntil[name] = now.Add(avoidTime)
+	m.avoidUntil[a] = until
 }
