Endpoints that peers reach stay usable by peers after a failed probe

Callers of a cut-off host were refused in the half second after each probe of it that failed. Cause: that a peer reaches an endpoint was known only by a report newer than this host's last failure, and the host goes on probing. Evidence: decisions with the own data centre as full while the peers served. Now a report since the failures began counts, for 3 s. TestPeersReachAfterFailedProbe (with the old comparison its second check fails).

--- a/process/load/load.go
+++ b/process/load/load.go
@@ -370,7 +370,7 @@
 		v.Unavailable, v.UnavailableReason = true, vetchtrail.ReasonEjected
 	case now.Before(s.backOffUntil):
 		v.Unavailable, v.UnavailableReason, v.AvailableIn = true, s.backOffReason, s.backOffUntil.Sub(now).Seconds()
-		v.ViaPeers = s.reachedByOthers()
+		v.ViaPeers = s.reachedByOthers(now)
 	case t.silent(s, now):
 		v.Unavailable, v.UnavailableReason = true, vetchtrail.ReasonSilent
 	case s.rateLimit.Advertised && now.Before(s.rateExhaustedUntil):
--- a/process/load/reachability.go
+++ b/process/load/reachability.go
@@ -23,6 +23,9 @@
 	// probeLead is how long before the end of its back-off an endpoint is probed: the longest time that a connection
 	// takes to fail. Otherwise a request would be the next to find out.
 	probeLead = 800 * time.Millisecond
+	// maxOthersReportAge is the age up to which another host's load report shows that it reaches the endpoint. Reports
+	// are relayed each half second while the endpoint is in use.
+	maxOthersReportAge = 3 * time.Second
 	// suspectProbeInterval is the least interval between two probes of an endpoint that went silent or lost responses.
 	suspectProbeInterval = time.Second
 )
@@ -156,7 +159,7 @@
 	}
 	countReachableAgain(s.Service, by)
 	t.log.Info("endpoint reachable again", "endpoint", s.Name, "service", s.Service, "by", by, "after", now.Sub(s.reach.unreachableSince))
-	if s.reachedByOthers() {
+	if s.reachedByOthers(now) {
 		s.warmUp = s.reach.warmUpBefore
 	}
 	s.reach.unreachableSince, s.connectFailuresInRow = time.Time{}, 0
@@ -183,10 +186,11 @@
 	t.wake(service)
 }
 
-// reachedByOthers reports whether another host received a load report from the endpoint after this host's last
-// connection to it failed.
-func (s *endpointState) reachedByOthers() bool {
-	return s.backOffReason == vetchtrail.ReasonUnreachable && s.hasReport && !s.receivedHere && s.report.TakenAt.After(s.reach.connectFailedAt)
+// reachedByOthers reports whether another host received a load report from the endpoint lately, since this host's
+// connections to it fail.
+func (s *endpointState) reachedByOthers(now time.Time) bool {
+	since := s.reach.unreachableSince
+	return !since.IsZero() && s.hasReport && !s.receivedHere && s.report.TakenAt.After(since) && now.Sub(s.report.TakenAt) < maxOthersReportAge
 }
 
 // suspect has an endpoint probed that went silent or lost a response. The caller holds the lock.
@@ -262,7 +266,7 @@
 	if s.reach.unreachableSince.IsZero() {
 		return !s.reach.suspectedAt.IsZero() && now.Sub(s.reach.probedAt) >= suspectProbeInterval
 	}
-	return !now.Before(s.backOffUntil.Add(-probeLead)) || s.reachedByOthers() && now.Sub(s.reach.connectFailedAt) >= minConnectBackOff
+	return !now.Before(s.backOffUntil.Add(-probeLead)) || s.reachedByOthers(now) && now.Sub(s.reach.connectFailedAt) >= minConnectBackOff
 }
 
 func (s *endpointState) beginProbe(now time.Time) vetchtrail.Endpoint {
--- a/process/load/reachability_test.go
+++ b/process/load/reachability_test.go
@@ -62,6 +62,19 @@
 	}
 }
 
+// TestPeersReachAfterFailedProbe guards against an endpoint that peers reach and that gets no requests by them after
+// each failed probe of this host, and against one that gets requests by peers long after they last reached it.
+func TestPeersReachAfterFailedProbe(t *testing.T) {
+	tab := table(5)
+	failConnections(tab, 0, 1, now)
+	at := now.Add(time.Second)
+	assert.Assert(t, !viewOf(tab, at).ViaPeers, "nobody reached it since")
+	tab.RecordReportByHash(NameHash("e000"), vetchtrail.LoadReport{TakenAt: at}, at)
+	failConnections(tab, 0, 1, at.Add(1))
+	assert.Assert(t, viewOf(tab, at.Add(1)).ViaPeers)
+	assert.Assert(t, !viewOf(tab, at.Add(maxOthersReportAge)).ViaPeers)
+}
+
 // TestPathRestored guards against endpoints that stay out of use, or get little, after this host's path to them is
 // back, although nothing was wrong with them.
 func TestPathRestored(t *testing.T) {
