A host without a path to the endpoints reports what is free there

Callers of other regions were refused for no endpoint while the region had plenty free. Cause: a data centre's digest is made by whichever host exchanges it, from what that host could use itself; one that reaches no endpoint reported nothing free, for all. TestCutHostSummary failed before.

--- a/process/load/reachability_test.go
+++ b/process/load/reachability_test.go
@@ -75,6 +75,32 @@
 	assert.Assert(t, !viewOf(tab, at.Add(maxOthersReportAge)).ViaPeers)
 }
 
+// TestCutHostSummary guards against a host without a path to the endpoints that reports to other data centres that
+// nothing is free there.
+func TestCutHostSummary(t *testing.T) {
+	cases := map[string]struct {
+		do   func(t *Table)
+		free int
+	}{
+		"none reachable": {func(t *Table) { failConnections(t, 0, 3, now) }, 12},
+		"one, reached by another host": {func(t *Table) {
+			failConnections(t, 0, 1, now)
+			t.RecordReportByHash(NameHash("e000"), vetchtrail.LoadReport{TakenAt: now.Add(1)}, now)
+		}, 12},
+		"one that nobody reached since": {func(t *Table) { failConnections(t, 0, 1, now) }, 8},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			tab := table(3)
+			c.do(tab)
+			sums := tab.Summaries(now.Add(1))
+			assert.Equal(t, len(sums), 1)
+			assert.Equal(t, sums[0].Free, c.free)
+			assert.Equal(t, sums[0].Slots, c.free)
+		})
+	}
+}
+
 // TestPathRestored guards against endpoints that stay out of use, or get little, after this host's path to them is
 // back, although nothing was wrong with them.
 func TestPathRestored(t *testing.T) {
--- a/process/load/summary.go
+++ b/process/load/summary.go
@@ -49,7 +49,8 @@
 	EventInterval time.Duration // least expected time between two events of a stream; 0: not known
 }
 
-// Summaries returns a summary for each service, in no particular order.
+// Summaries returns a summary for each service, in no particular order. Endpoints that only this host doesn't reach
+// count as usable.
 func (t *Table) Summaries(now time.Time) []Summary {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -67,7 +68,7 @@
 	svc.othersQueued = meanOthersQueued(states, now)
 	for _, s := range states {
 		v := s.view(t, now)
-		if v.Unavailable {
+		if v.Unavailable && !v.ViaPeers {
 			continue
 		}
 		inFlight := max(v.InFlight, v.Running+v.Queued+v.InFlightChange)
