A host without a path doesn't exclude the other hosts of its data centre

A request that was forwarded to a host that reached no endpoint, or not the one it chose, was refused although another host beside it would have run it. Cause: after such an answer the whole data centre counted as tried, as it is rightly after one for lack of capacity. Now it doesn't, as after a host that is leaving; attempts stay bounded by four. And where a peer had no capacity the refusal says so, not unreachable.

--- a/request/dispatch/dispatch.go
+++ b/request/dispatch/dispatch.go
@@ -346,13 +346,19 @@
 	if reached(o) && o.Reason != vetchtrail.ReasonOtherProcess && !processEnded {
 		h.reachedTarget++
 	}
-	// A leaving host does not exclude its data centre: another host there may
-	// accept the request.
-	if o.Reason != vetchtrail.ReasonLeaving {
+	if !anotherHostMayRun(p, o) {
 		h.excluded = append(h.excluded, p.name())
 	}
 }
 
+// anotherHostMayRun reports whether another host of the data centre that a request was forwarded to
+// may run it: the host is leaving, or did not reach the endpoint.
+func anotherHostMayRun(p placement, o vetchtrail.Outcome) bool {
+	atHost := o.Step == vetchtrail.StepDecide || o.Step == vetchtrail.StepConnect
+	noPath := o.Kind == vetchtrail.OutcomeNotRun && atHost && o.Reason == vetchtrail.ReasonUnreachable && !o.HostLost
+	return o.Reason == vetchtrail.ReasonLeaving || p.dataCentre != "" && noPath
+}
+
 // reached reports whether an attempt reached, or may have reached, any process.
 // An attempt that did not run reached one if it ended at StepResponse, because a
 // response refused it.
--- a/request/dispatch/dispatch_test.go
+++ b/request/dispatch/dispatch_test.go
@@ -208,6 +208,9 @@
 		"refused always, no route":            {unrouted, []reply{refuse, refuse, refuse, refuse}, 2, vetchtrail.OutcomeNotRun, 503, "", maxTotalAttempts, ""},
 		"remote host only":                    {nil, []reply{respondWith("ok")}, 0, vetchtrail.OutcomeAnswered, 200, "ok", 1, ""},
 		"remote host leaving":                 {nil, []reply{refuseWith(vetchtrail.StepForward, vetchtrail.ReasonLeaving), respondWith("ok")}, 0, vetchtrail.OutcomeAnswered, 200, "ok", 2, ""},
+		"remote host reaches no endpoint":     {nil, []reply{refuseWith(vetchtrail.StepDecide, vetchtrail.ReasonUnreachable)}, 0, vetchtrail.OutcomeNotRun, 503, "", 1, ""},
+		"remote host does not reach one":      {nil, []reply{refuseWith(vetchtrail.StepConnect, vetchtrail.ReasonUnreachable), respondWith("ok")}, 0, vetchtrail.OutcomeAnswered, 200, "ok", 2, ""},
+		"remote host has no capacity":         {nil, []reply{refuseWith(vetchtrail.StepDecide, vetchtrail.ReasonOverCapacity)}, 0, vetchtrail.OutcomeNotRun, 503, "", 1, ""},
 		"remote host lacks the route":         {nil, []reply{refuseUnknownRoute}, 0, vetchtrail.OutcomeNotRun, 503, "", 1, ""},
 	}
 	for name, c := range cases {
--- a/request/policy/refusal.go
+++ b/request/policy/refusal.go
@@ -36,9 +36,14 @@
 		}
 	}
 	for i := range v.Remotes {
-		switch unusableRemoteReason(&v.Remotes[i], r, v) {
+		m := &v.Remotes[i]
+		switch unusableRemoteReason(m, r, v) {
 		case vetchtrail.ReasonFull:
 			return vetchtrail.ReasonOverCapacity
+		case vetchtrail.ReasonTriedBefore:
+			if m.SharesEndpoints { // a peer that reaches the endpoints had no capacity there
+				return vetchtrail.ReasonOverCapacity
+			}
 		case vetchtrail.ReasonUnreachable, vetchtrail.ReasonDigestStale:
 			reason = vetchtrail.ReasonUnreachable
 		}
