An endpoint that refuses connections has crashed only if this host reaches another

Requests of callers were counted towards their quarantine, and attempts beyond their route's limit were made, because hosts that had lost their paths took running endpoints for crashed. Cause, the same as of the refusals: a refused connection was taken as a fact about the endpoint (package quarantines, and the attempts of package dispatch). Now another endpoint of the service, or of any service if it is the only one, has to accept a connection. Where all endpoints crash at once, the listing shows it, some seconds later.

--- a/process/daemon/daemon.go
+++ b/process/daemon/daemon.go
@@ -220,13 +220,13 @@
 		Replaceable: func(e vetchtrail.Endpoint, r *vetchtrail.Request) bool { return d.dispatcher.Replaceable(e, r) },
 		Connected:   func(e vetchtrail.Endpoint) { d.table.RecordConnected(e, time.Now()) },
 	})
-	d.prober = reachability.New(reachability.Config{Table: d.table, Connect: d.endpoints.Connect})
+	d.prober = reachability.New(reachability.Config{Table: d.table, Connect: d.endpoints.Connect, Refuses: d.endpoints.RefusesConnection})
 	d.newQuarantines(switchedOff)
 	d.dispatcher = dispatch.New(dispatch.Config{
 		Self: d.self, Policy: p, Rules: d.changes.Rules, Endpoints: d.table, Membership: d.membership,
 		EndpointCaller: d.endpoints, Peers: d.peers, IssuedKeys: idempotencyKeys, Journal: d.journal, Seed: d.randomSeed(),
 		RetryBudget: d.budget(d.cfg.Retries), Quotas: d.quotas, Quarantine: d.quarantines, RateLimits: d.rateLimits, Admission: d.demand, SwitchedOff: switchedOff,
-		RefusesConnection: d.endpoints.RefusesConnection, Returns: d.returns, ReturnsInForce: d.returns.InForce,
+		ProcessEnded: d.prober.ProcessEnded, Returns: d.returns, ReturnsInForce: d.returns.InForce,
 		Listing: d.lists.Listing, KnownWithin: d.cfg.Platform.KnownWithin,
 	})
 	d.callers = caller.New(caller.Config{
--- a/process/daemon/quarantine.go
+++ b/process/daemon/quarantine.go
@@ -14,7 +14,7 @@
 func (d *Daemon) newQuarantines(switchedOff vetchtrail.Mechanisms) {
 	d.quarantines = quarantines.New(quarantines.Config{
 		Self: d.self, Regions: func() []string { return d.changes.Rules().RegionNames() }, Hosts: liveHosts{d.membership}, Peers: d.peers,
-		RefusesConnections: d.endpoints.RefusesConnection, IsLeaving: d.endpointLeaving, Store: d.quarantineStore(), Clock: clock.Boot,
+		ProcessEnded: d.prober.ProcessEnded, IsLeaving: d.endpointLeaving, Store: d.quarantineStore(), Clock: clock.Boot,
 		SwitchedOff: switchedOff.Has(vetchtrail.MechanismQuarantine), Log: d.log,
 	})
 }
--- a/process/load/reachability.go
+++ b/process/load/reachability.go
@@ -1,8 +1,10 @@
 package load
 
 import (
+	"cmp"
 	"log/slog"
 	"slices"
+	"strings"
 	"time"
 
 	"vetchtrail"
@@ -288,3 +290,32 @@
 	slices.Sort(out)
 	return out
 }
+
+// OtherEndpoints returns up to n endpoints by which to tell whether this host reaches any: others of the service of e
+// or, if it has no other, of other services. Those without a failed connection come first.
+func (t *Table) OtherEndpoints(e vetchtrail.Endpoint, n int, now time.Time) []vetchtrail.Endpoint {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var others []*endpointState
+	usable := func(s *endpointState) bool { return s.Name != e.Name && !s.isLeaving(now) }
+	for _, s := range t.services[e.Service] {
+		if usable(s) {
+			others = append(others, s)
+		}
+	}
+	if len(others) == 0 {
+		for _, s := range t.endpoints {
+			if usable(s) {
+				others = append(others, s)
+			}
+		}
+	}
+	slices.SortFunc(others, func(a, b *endpointState) int {
+		return cmp.Or(a.reach.unreachableSince.Compare(b.reach.unreachableSince), strings.Compare(a.Name, b.Name))
+	})
+	var out []vetchtrail.Endpoint
+	for _, s := range others[:min(n, len(others))] {
+		out = append(out, s.Endpoint)
+	}
+	return out
+}
--- a/process/quarantines/fleet_test.go
+++ b/process/quarantines/fleet_test.go
@@ -137,7 +137,7 @@
 	f := h.fleet
 	c := Config{
 		Self: h.host, Regions: func() []string { return []string{regionName(0), regionName(1), regionName(2)} }, Hosts: h, Peers: h,
-		RefusesConnections: h.refuses, IsLeaving: func(string) bool { return false }, Store: h, Log: slog.New(slog.DiscardHandler),
+		ProcessEnded: h.refuses, IsLeaving: func(string) bool { return false }, Store: h, Log: slog.New(slog.DiscardHandler),
 		Clock: f.steadyClock,
 	}
 	if f.disabled == "clock that stops during suspension" {
--- a/process/quarantines/losses.go
+++ b/process/quarantines/losses.go
@@ -13,8 +13,9 @@
 	// lossGatherTime is the delay from the first loss at an endpoint to its probe. All connections
 	// of an endpoint that crashes are reset together, so the other losses are recorded by then.
 	lossGatherTime = 60 * time.Millisecond
-	// secondProbeDelay is the delay between two probes of an endpoint. An endpoint that refuses
-	// both has crashed; an endpoint with too many connections refuses only some of them.
+	// secondProbeDelay is the delay between two probes of an endpoint. An endpoint whose process
+	// seems to have ended at both has crashed; an endpoint with too many connections refuses only
+	// some of them.
 	secondProbeDelay = 100 * time.Millisecond
 	// probeTimeout bounds a probe. Endpoints are in the same region, and a crashed one refuses at
 	// once.
@@ -115,23 +116,23 @@
 // probe finds out after a delay whether an endpoint has crashed.
 func (q *Quarantines) probe(e vetchtrail.Endpoint, delay time.Duration) {
 	time.Sleep(delay)
-	refused := q.refusesConnections(e)
-	if refused {
+	ended := q.processEnded(e)
+	if ended {
 		time.Sleep(secondProbeDelay)
-		refused = q.refusesConnections(e)
+		ended = q.processEnded(e)
 	}
-	if !refused || q.cfg.IsLeaving(e.Name) {
+	if !ended || q.cfg.IsLeaving(e.Name) {
 		q.lossTracker.finishProbe(e.Name, q.cfg.Clock().Add(probeCooldown))
 		return
 	}
 	q.EndpointCrashed(e.Name, "refuses connections")
 }
 
-// refusesConnections probes an endpoint once.
-func (q *Quarantines) refusesConnections(e vetchtrail.Endpoint) bool {
+// processEnded probes an endpoint once.
+func (q *Quarantines) processEnded(e vetchtrail.Endpoint) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
-	return q.cfg.RefusesConnections(ctx, e)
+	return q.cfg.ProcessEnded(ctx, e)
 }
 
 // finishProbe ends the probe of an endpoint that has not crashed.
--- a/process/quarantines/losses_test.go
+++ b/process/quarantines/losses_test.go
@@ -47,7 +47,7 @@
 				q := New(Config{
 					Clock: time.Now, Hosts: noHosts{}, Log: slog.New(slog.NewTextHandler(io.Discard, nil)),
 					IsLeaving: func(string) bool { return c.leaving },
-					RefusesConnections: func(context.Context, vetchtrail.Endpoint) bool {
+					ProcessEnded: func(context.Context, vetchtrail.Endpoint) bool {
 						probes++
 						return c.refuses(probes - 1)
 					},
@@ -76,9 +76,9 @@
 		suspended := time.Duration(0)
 		q := New(Config{
 			Clock: func() time.Time { return time.Now().Add(suspended) }, Hosts: noHosts{},
-			Log:                slog.New(slog.NewTextHandler(io.Discard, nil)),
-			IsLeaving:          func(string) bool { return false },
-			RefusesConnections: func(context.Context, vetchtrail.Endpoint) bool { return true },
+			Log:          slog.New(slog.NewTextHandler(io.Discard, nil)),
+			IsLeaving:    func(string) bool { return false },
+			ProcessEnded: func(context.Context, vetchtrail.Endpoint) bool { return true },
 		})
 		lose := func(endpoint string) {
 			lost := vetchtrail.Outcome{Kind: vetchtrail.OutcomeUnknown, Reason: vetchtrail.ReasonResponseLost}
--- a/process/quarantines/quarantines.go
+++ b/process/quarantines/quarantines.go
@@ -57,8 +57,9 @@
 	Regions func() []string
 	Hosts   Hosts
 	Peers   Peers
-	// RefusesConnections reports whether an endpoint refuses connections.
-	RefusesConnections func(ctx context.Context, e vetchtrail.Endpoint) bool
+	// ProcessEnded reports whether the process of an endpoint seems to have ended: the endpoint refuses connections,
+	// and this host reaches others.
+	ProcessEnded func(ctx context.Context, e vetchtrail.Endpoint) bool
 	// IsLeaving reports whether an endpoint is known to be leaving. If it stops then, that isn't a
 	// crash.
 	IsLeaving   func(name string) bool
--- a/process/reachability/reachability.go
+++ b/process/reachability/reachability.go
@@ -21,6 +21,8 @@
 	Table *load.Table
 	// Connect opens a connection to an endpoint.
 	Connect func(ctx context.Context, e vetchtrail.Endpoint) error
+	// Refuses reports whether an endpoint refuses connections.
+	Refuses func(ctx context.Context, e vetchtrail.Endpoint) bool
 }
 
 // Prober probes endpoints.
@@ -55,3 +57,23 @@
 	}
 	p.cfg.Table.RecordConnected(e, time.Now())
 }
+
+// maxControls is how many other endpoints are tried to find out whether this host reaches any.
+const maxControls = 2
+
+// ProcessEnded reports whether the process of an endpoint has ended: the endpoint refuses connections, and another one
+// accepts them. If this host reaches no other endpoint either, its path is the likely cause, and the endpoint's process
+// may run. An endpoint without others is judged by its own refusal.
+func (p *Prober) ProcessEnded(ctx context.Context, e vetchtrail.Endpoint) bool {
+	if !p.cfg.Refuses(ctx, e) {
+		return false
+	}
+	controls := p.cfg.Table.OtherEndpoints(e, maxControls, time.Now())
+	for _, other := range controls {
+		if p.cfg.Connect(ctx, other) == nil {
+			p.cfg.Table.RecordConnected(other, time.Now())
+			return true
+		}
+	}
+	return len(controls) == 0
+}
--- a/request/dispatch/dispatch.go
+++ b/request/dispatch/dispatch.go
@@ -69,12 +69,12 @@
 	Quotas         vetchtrail.QuotaLimiter   // nil: workspaces have no quotas
 	Quarantine     vetchtrail.Quarantine     // nil: no request is quarantined
 	RateLimits     vetchtrail.RateLimiter    // nil: advertised rate limits are not enforced
-	// RefusesConnection reports whether an endpoint refuses connections, as one does whose
-	// process has ended; nil: not checked.
-	RefusesConnection func(ctx context.Context, e vetchtrail.Endpoint) bool
-	Admission         vetchtrail.Admission     // nil: every request is admitted
-	SwitchedOff       vetchtrail.Mechanisms    // mechanisms that are switched off
-	Returns           vetchtrail.ReturnPlanner // nil: the policy chooses the times of retries
+	// ProcessEnded reports whether the process of an endpoint has ended: the endpoint refuses
+	// connections, and this host reaches others; nil: not checked.
+	ProcessEnded func(ctx context.Context, e vetchtrail.Endpoint) bool
+	Admission    vetchtrail.Admission     // nil: every request is admitted
+	SwitchedOff  vetchtrail.Mechanisms    // mechanisms that are switched off
+	Returns      vetchtrail.ReturnPlanner // nil: the policy chooses the times of retries
 	// Listing returns the listing by which endpoints are chosen, or nil if there is none yet; nil: endpoints
 	// don't come from a platform's listing.
 	Listing func() *vetchtrail.Listing
--- a/request/dispatch/replacement.go
+++ b/request/dispatch/replacement.go
@@ -60,12 +60,12 @@
 // processEnded reports whether the response of an attempt was lost because the process of
 // its endpoint has ended: the endpoint then refuses connections.
 func (d *Dispatcher) processEnded(ctx context.Context, r *vetchtrail.Request, p placement, o vetchtrail.Outcome) bool {
-	if d.cfg.RefusesConnection == nil || d.cfg.SwitchedOff.Has(vetchtrail.MechanismFinalAttempts) || !r.Repeatable || p.dataCentre != "" || !brokeOff(r, o) {
+	if d.cfg.ProcessEnded == nil || d.cfg.SwitchedOff.Has(vetchtrail.MechanismFinalAttempts) || !r.Repeatable || p.dataCentre != "" || !brokeOff(r, o) {
 		return false
 	}
 	ctx, cancel := context.WithDeadline(ctx, vetchtrail.Earlier(time.Now().Add(processProbeTimeout), r.Deadline))
 	defer cancel()
-	return d.cfg.RefusesConnection(ctx, p.endpoint)
+	return d.cfg.ProcessEnded(ctx, p.endpoint)
 }
 
 // brokeOff reports whether the endpoint or the network ended an attempt before its response
--- a/request/dispatch/silence_test.go
+++ b/request/dispatch/silence_test.go
@@ -157,7 +157,7 @@
 		t.Run(name, func(t *testing.T) {
 			targets := &scriptedTargets{replies: c.replies}
 			d := newDispatcher(t, targets, 5)
-			d.cfg.RefusesConnection = func(_ context.Context, e vetchtrail.Endpoint) bool { return c.refuses[e.Name] }
+			d.cfg.ProcessEnded = func(_ context.Context, e vetchtrail.Endpoint) bool { return c.refuses[e.Name] }
 			d.SetRetryBudget(budget.Config{Window: time.Minute, Base: c.retries, Hosts: func() int { return 1 }})
 			r := &vetchtrail.Request{ID: "x", Service: "s", Route: "r", Stream: true, Resumable: true, Repeatable: true, MaxAttempts: 1, Deadline: time.Now().Add(10 * time.Second)}
 			var got responseRecorder
