The supply counts endpoints that only this host doesn't reach

Where admission is in force, a host without a path to the endpoints would have refused its callers by shares of a supply of nothing. Cause, found by looking for that of the refusals elsewhere: Supply left out every endpoint that this host couldn't use. The case 'none reachable from here' of TestSupply failed before.

--- a/process/load/supply.go
+++ b/process/load/supply.go
@@ -6,7 +6,8 @@
 	"vetchtrail"
 )
 
-// Supply is what the usable endpoints of a service can process, and how busy they are.
+// Supply is what the usable endpoints of a service can process, and how busy they are. Endpoints that only peers reach
+// are usable.
 type Supply struct {
 	Rate        float64       // prompt tokens per second; 0: not known yet
 	Wait        time.Duration // mean predicted time until an endpoint has processed the prompts that it received
@@ -47,7 +48,7 @@
 // cold start and under a rate limit that is at most what it accepts.
 func (s *endpointState) supplyRate(v vetchtrail.EndpointView, svc *serviceStats, now time.Time) float64 {
 	limited := v.Unavailable && (v.UnavailableReason == vetchtrail.ReasonColdStart || v.UnavailableReason == vetchtrail.ReasonRateLimited)
-	if v.Unavailable && !limited {
+	if v.Unavailable && !limited && !v.ViaPeers {
 		return 0
 	}
 	rate := 1 / max(v.Prefill*svc.idleShare(), minTokenSeconds)
--- a/process/load/supply_test.go
+++ b/process/load/supply_test.go
@@ -19,11 +19,13 @@
 		change func(tab *Table, s *endpointState)
 		want   float64 // of two endpoints, the first of which is changed
 	}{
-		"both":          {func(*Table, *endpointState) {}, 2 * whole},
-		"one drains":    {func(_ *Table, s *endpointState) { s.Draining = true }, whole},
-		"one ejected":   {func(_ *Table, s *endpointState) { s.ejectedUntil = now.Add(time.Second) }, whole},
-		"one limited":   {func(_ *Table, s *endpointState) { s.rateLimit = vetchtrail.RateLimit{Advertised: true, Rate: 2} }, whole + 2*requestWork},
-		"one backs off": {func(_ *Table, s *endpointState) { s.backOffUntil = now.Add(time.Second) }, whole},
+		"both":                     {func(*Table, *endpointState) {}, 2 * whole},
+		"one drains":               {func(_ *Table, s *endpointState) { s.Draining = true }, whole},
+		"one ejected":              {func(_ *Table, s *endpointState) { s.ejectedUntil = now.Add(time.Second) }, whole},
+		"one limited":              {func(_ *Table, s *endpointState) { s.rateLimit = vetchtrail.RateLimit{Advertised: true, Rate: 2} }, whole + 2*requestWork},
+		"one backs off":            {func(_ *Table, s *endpointState) { s.backOffUntil = now.Add(time.Second) }, whole},
+		"one unreachable":          {func(tab *Table, _ *endpointState) { failConnections(tab, 0, 1, now) }, whole},
+		"none reachable from here": {func(tab *Table, _ *endpointState) { failConnections(tab, 0, 2, now) }, 2 * whole},
 		"one in its cold start, without a share of this host": {func(_ *Table, s *endpointState) {
 			s.totalColdRate = 3
 			s.coldStart.configure(now.Add(time.Minute), -1)
