A host cut off from some endpoints keeps those that it reaches

Callers of a host that still reached a few of many endpoints were refused after 0.7 s in waves. Cause: eight failures in a row since the last opened connection were taken for the loss of all, though requests went on over open connections; the next one that was opened ended that for all, so that requests had to try those that had failed as well. Now an endpoint counts as reached for 3 s after an answered request was sent or a connection opened; none may be reached for the path to count as lost; what failed stays out of use until its probe succeeds. A load report in a response ends no back-off by itself, as the response may be on a connection from before. TestPartlyCutHost.

--- a/process/load/reachability.go
+++ b/process/load/reachability.go
@@ -11,15 +11,17 @@
 )
 
 const (
-	// minPathFailures is the number of a service's endpoints to which connections must fail, while none succeeds, for
-	// this host to assume that it reaches none of them. With fewer endpoints, connections to all must fail.
+	// minPathFailures is the number of a service's endpoints that have to be unreachable, while none is reached, for
+	// this host to assume that it reaches none of them. With fewer endpoints, all have to be.
 	minPathFailures = 8
 	// suspectFailures is the same number for it to probe the others: endpoints also fail by themselves.
 	suspectFailures = 2
+	// reachedFor is how long an endpoint counts as reached after this host last reached it.
+	reachedFor = 3 * time.Second
 	// pathLostFor is how long that assumption holds without a further failure: several probes.
 	pathLostFor = 3 * time.Second
 	// maxProbes bounds the probes of a service that are started at once.
-	maxProbes = 4
+	maxProbes = 8
 	// lostProbeInterval is the interval between two probes of a service of which this host reaches no endpoint.
 	lostProbeInterval = 500 * time.Millisecond
 	// probeLead is how long before the end of its back-off an endpoint is probed: the longest time that a connection
@@ -35,8 +37,6 @@
 // path is what this host's connections show of the network between it and the endpoints of a service. Other hosts
 // may reach endpoints that this one doesn't.
 type path struct {
-	round     int       // number of connections that succeeded
-	failed    int       // endpoints to which connections failed in this round
 	lostSince time.Time // when the path was assumed to be lost
 	lostUntil time.Time // until when that is assumed
 	probedAt  time.Time // when an endpoint was last probed as the path was lost
@@ -48,14 +48,15 @@
 
 // reachability is what this host's connections show of one endpoint.
 type reachability struct {
+	reachedAt        time.Time // when a connection succeeded, or a request was sent that was answered
 	connectFailedAt  time.Time // when a connection last failed
 	unreachableSince time.Time // when a connection first failed since the endpoint was last reached; zero: none did
-	failedRound      int       // 1 + path.round of the last failure
 	warmUpBefore     float64   // warm-up share before the first failure
 	ejectedAt        time.Time // when it was last ejected
 	suspectedAt      time.Time // when it was last silent or lost a response; zero: since the last probe it did neither
 	probedAt         time.Time // when the last probe began
 	probing          bool
+	probeNow         bool // it is to be probed at once
 }
 
 // SetLog sets the logger of what changes in the endpoints' reachability. Without it, nothing is logged.
@@ -91,12 +92,18 @@
 		return
 	}
 	s.reach.probing, s.reach.suspectedAt = false, time.Time{}
-	p := &t.serviceStats[s.Service].path
-	lost := p.lost(now)
-	p.round++
-	p.failed, p.lostUntil = 0, time.Time{}
-	t.recordReachable(s, byConnection, now)
-	if lost {
+	t.recordReached(s, byConnection, now, now)
+}
+
+// recordReached records that this host reached an endpoint at a time. The caller holds the lock.
+func (t *Table) recordReached(s *endpointState, by string, at, now time.Time) {
+	s.reach.reachedAt = vetchtrail.Later(s.reach.reachedAt, at)
+	if at.Before(s.reach.connectFailedAt) {
+		return // on a connection from before
+	}
+	t.recordReachable(s, by, now)
+	if p := &t.serviceStats[s.Service].path; p.lost(now) {
+		p.lostUntil = time.Time{}
 		t.restorePath(s.Service, now)
 	}
 }
@@ -124,33 +131,37 @@
 	t.recordPathFailure(s, now)
 }
 
-// recordPathFailure counts the endpoints to which connections fail while none succeeds. The caller holds the lock.
+// recordPathFailure finds out whether the path to the service's endpoints is lost, after a connection failed. The caller
+// holds the lock.
 func (t *Table) recordPathFailure(s *endpointState, now time.Time) {
 	p := &t.serviceStats[s.Service].path
-	if s.reach.failedRound != p.round+1 {
-		s.reach.failedRound = p.round + 1
-		p.failed++
-	}
-	if p.failed < min(minPathFailures, t.notLeaving(s.Service, now)) {
+	unreachable, reached, all := t.countReached(s.Service, now)
+	if reached > 0 || unreachable < min(minPathFailures, all) {
 		return
 	}
 	if !p.lost(now) {
 		p.lostSince = now
-		t.log.Warn("no endpoint reachable", "service", s.Service, "failed", p.failed)
+		t.log.Warn("no endpoint reachable", "service", s.Service, "unreachable", unreachable)
 		t.wake(s.Service)
 	}
 	p.lostUntil = now.Add(pathLostFor)
 }
 
-// notLeaving returns the number of a service's endpoints that are not leaving. The caller holds the lock.
-func (t *Table) notLeaving(service string, now time.Time) int {
-	n := 0
+// countReached returns how many endpoints of a service are unreachable, how many others this host reached lately, and
+// how many there are, without those that are leaving. The caller holds the lock.
+func (t *Table) countReached(service string, now time.Time) (unreachable, reached, all int) {
 	for _, s := range t.services[service] {
-		if !s.isLeaving(now) {
-			n++
+		switch {
+		case s.isLeaving(now):
+			continue
+		case !s.reach.unreachableSince.IsZero():
+			unreachable++
+		case now.Sub(s.reach.reachedAt) < reachedFor:
+			reached++
 		}
+		all++
 	}
-	return n
+	return unreachable, reached, all
 }
 
 // recordReachable ends that an endpoint counts as unreachable. If another host reached it meanwhile, it did not
@@ -172,14 +183,13 @@
 }
 
 // restorePath undoes what the loss of the path did to the endpoints of a service, now that one of them is reachable
-// again: the others are probed at once, and failures that led to ejections were not theirs. The caller holds the lock.
+// again: those that failed are probed at once, and failures that led to ejections were not theirs. The caller holds the
+// lock.
 func (t *Table) restorePath(service string, now time.Time) {
 	p := &t.serviceStats[service].path
 	t.log.Info("endpoints reachable again", "service", service, "after", now.Sub(p.lostSince))
 	for _, s := range t.services[service] {
-		if !s.reach.unreachableSince.IsZero() {
-			s.backOffUntil = vetchtrail.Earlier(s.backOffUntil, now)
-		}
+		s.reach.probeNow = !s.reach.unreachableSince.IsZero()
 		if s.reach.ejectedAt.After(p.lostSince.Add(-pathLostFor)) {
 			s.ejectedUntil, s.ejections, s.reach.warmUpBefore = time.Time{}, 0, 1
 		}
@@ -243,7 +253,8 @@
 // Without any left to probe, the service is no longer looked at. The caller holds the lock.
 func (t *Table) appendProbes(out []vetchtrail.Endpoint, service string, now time.Time) []vetchtrail.Endpoint {
 	p, states := &t.serviceStats[service].path, t.services[service]
-	probeOthers := p.failed >= suspectFailures
+	unreachable, reached, _ := t.countReached(service, now)
+	probeOthers := unreachable >= suspectFailures && unreachable >= reached
 	pending, left := probeOthers, maxProbes
 	p.next++ // begins with other endpoints each time
 	for i := range states {
@@ -252,7 +263,7 @@
 		if left == 0 || s.reach.probing || s.isLeaving(now) {
 			continue
 		}
-		if s.probeDue(now) || probeOthers && s.reach.failedRound != p.round+1 {
+		if s.probeDue(now) || probeOthers && s.reach.unreachableSince.IsZero() && now.Sub(s.reach.reachedAt) >= reachedFor {
 			out = append(out, s.beginProbe(now))
 			left--
 		}
@@ -268,11 +279,11 @@
 	if s.reach.unreachableSince.IsZero() {
 		return !s.reach.suspectedAt.IsZero() && now.Sub(s.reach.probedAt) >= suspectProbeInterval
 	}
-	return !now.Before(s.backOffUntil.Add(-probeLead)) || s.reachedByOthers(now) && now.Sub(s.reach.connectFailedAt) >= minConnectBackOff
+	return s.reach.probeNow || !now.Before(s.backOffUntil.Add(-probeLead)) || s.reachedByOthers(now) && now.Sub(s.reach.connectFailedAt) >= minConnectBackOff
 }
 
 func (s *endpointState) beginProbe(now time.Time) vetchtrail.Endpoint {
-	s.reach.probing, s.reach.probedAt, s.reach.suspectedAt = true, now, time.Time{}
+	s.reach.probing, s.reach.probeNow, s.reach.probedAt, s.reach.suspectedAt = true, false, now, time.Time{}
 	return s.Endpoint
 }
 
--- a/process/load/reachability_test.go
+++ b/process/load/reachability_test.go
@@ -75,6 +75,31 @@
 	assert.Assert(t, !viewOf(tab, at.Add(maxOthersReportAge)).ViaPeers)
 }
 
+// TestPartlyCutHost guards against a host that takes the endpoints that it still reaches for unreachable, because
+// connections to the others fail, and against requests that have to try the others when it reaches one.
+func TestPartlyCutHost(t *testing.T) {
+	tab := table(20)
+	unavailable := func(at time.Time) (n int) {
+		var v vetchtrail.View
+		tab.Fill(&v, &vetchtrail.Request{Service: "s"}, at)
+		for _, e := range v.Endpoints {
+			if e.Unavailable {
+				n++
+			}
+		}
+		return n
+	}
+	tab.RecordConnected(named(0), now)
+	failConnections(tab, 2, 20, now)
+	assert.Equal(t, unavailable(now), 18, "those that failed")
+	later := now.Add(reachedFor)
+	failConnections(tab, 2, 20, later)
+	assert.Equal(t, unavailable(later), 20, "none was reached lately")
+	tab.RecordConnected(named(1), later)
+	assert.Equal(t, unavailable(later), 18, "those that failed, until they are probed")
+	assert.Equal(t, len(tab.EndpointsToProbe(later)), maxProbes)
+}
+
 // TestCutHostSummary guards against a host without a path to the endpoints that reports to other data centres that
 // nothing is free there.
 func TestCutHostSummary(t *testing.T) {
--- a/process/load/release.go
+++ b/process/load/release.go
@@ -26,6 +26,9 @@
 	if o.Outcome.ColdStart > 0 {
 		s.coldStart.configure(now.Add(o.Outcome.ColdStart), s.ColdRate)
 	}
+	if o.Outcome.Kind == vetchtrail.OutcomeAnswered || !o.Timing.FirstByte.IsZero() {
+		t.recordReached(s, byResponse, o.Timing.Sent, now)
+	}
 	switch {
 	case o.Cancelled:
 	case o.Outcome.Reason == vetchtrail.ReasonEndpointFailed, o.Outcome.Status >= minErrorStatus && o.Outcome.Kind == vetchtrail.OutcomeAnswered:
@@ -57,7 +60,6 @@
 // recordSuccess updates the endpoint's state and statistics with a whole response that is not an error.
 func (t *Table) recordSuccess(s *endpointState, o vetchtrail.Observation, now time.Time) {
 	svc := t.serviceStats[s.Service]
-	t.recordReachable(s, byResponse, now)
 	s.failuresInRow, s.ejections, s.connectFailuresInRow, s.errorsInRow = 0, 0, 0, 0
 	s.warmUp = math.Min(1, s.warmUp+warmUpStep)
 	first := o.Timing.FirstByte.Sub(o.Timing.Sent).Seconds()
--- a/process/load/report.go
+++ b/process/load/report.go
@@ -14,7 +14,11 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s, ok := t.endpoints[name]
-	return ok && t.acceptReport(s, r, true, leavingUntil)
+	if !ok || !t.acceptReport(s, r, true, leavingUntil) {
+		return false
+	}
+	t.recordReached(s, byOwnReport, r.TakenAt, r.TakenAt)
+	return true
 }
 
 // RecordReportByHash records a load report that another host fetched. The endpoint is given by the hash of its name
@@ -40,9 +44,6 @@
 	s.report, s.hasReport, s.receivedHere = r, true, receivedHere
 	t.recordSlowdown(s)
 	t.logReport(s)
-	if receivedHere {
-		t.recordReachable(s, byOwnReport, r.TakenAt)
-	}
 	s.recordReportedLeaving(r.Leaving, leavingUntil)
 	if r.StartedAt.After(s.availability.receivedAt) && !s.availability.expiresAt().IsZero() {
 		s.availability.announcements = announcements{} // they came from an earlier process instance
