An endpoint counts as reached for a second after a response began

The loss of the path was found up to three seconds late, as an endpoint counted as reached by the time at which its last answered request had been sent, for 3 s. Now the beginning of a response counts, or a connection that was opened, for a second.

--- a/process/load/prefill.go
+++ b/process/load/prefill.go
@@ -263,7 +263,7 @@
 	if !ok {
 		return
 	}
-	s.lastSeen = now
+	s.lastSeen, s.reach.reachedAt = now, now
 	prompt, known := s.pendingPrompts[r.ID]
 	if !known {
 		return // a resumed stream, which Acquire doesn't admit, or a request without prompt tokens
--- a/process/load/reachability.go
+++ b/process/load/reachability.go
@@ -17,7 +17,7 @@
 	// suspectFailures is the same number for it to probe the others: endpoints also fail by themselves.
 	suspectFailures = 2
 	// reachedFor is how long an endpoint counts as reached after this host last reached it.
-	reachedFor = 3 * time.Second
+	reachedFor = time.Second
 	// pathLostFor is how long that assumption holds without a further failure: several probes.
 	pathLostFor = 3 * time.Second
 	// maxProbes bounds the probes of a service that are started at once.
@@ -48,7 +48,7 @@
 
 // reachability is what this host's connections show of one endpoint.
 type reachability struct {
-	reachedAt        time.Time // when a connection succeeded, or a request was sent that was answered
+	reachedAt        time.Time // when a connection last succeeded, or a response last began
 	connectFailedAt  time.Time // when a connection last failed
 	unreachableSince time.Time // when a connection first failed since the endpoint was last reached; zero: none did
 	warmUpBefore     float64   // warm-up share before the first failure
@@ -91,13 +91,13 @@
 	if !ok {
 		return
 	}
-	s.reach.probing, s.reach.suspectedAt = false, time.Time{}
+	s.reach.probing, s.reach.suspectedAt, s.reach.reachedAt = false, time.Time{}, now
 	t.recordReached(s, byConnection, now, now)
 }
 
-// recordReached records that this host reached an endpoint at a time. The caller holds the lock.
+// recordReached records that this host opened a connection to an endpoint, or sent it a request that was answered, at a
+// time. The caller holds the lock.
 func (t *Table) recordReached(s *endpointState, by string, at, now time.Time) {
-	s.reach.reachedAt = vetchtrail.Later(s.reach.reachedAt, at)
 	if at.Before(s.reach.connectFailedAt) {
 		return // on a connection from before
 	}
