Crashes are told from a lost path by endpoints of any service, and by three at least

A request under which endpoints crash could have gone unnoticed where a service has two endpoints in a region: it is retried at once, so both are down when the first is checked, and the check of the commit before took that for a lost path. Now the endpoints reached last are tried, of any service, and only if three others refuse as well is the path taken for lost.

--- a/process/load/reachability.go
+++ b/process/load/reachability.go
@@ -302,27 +302,18 @@
 	return out
 }
 
-// OtherEndpoints returns up to n endpoints by which to tell whether this host reaches any: others of the service of e
-// or, if it has no other, of other services. Those without a failed connection come first.
-func (t *Table) OtherEndpoints(e vetchtrail.Endpoint, n int, now time.Time) []vetchtrail.Endpoint {
+// OtherEndpoints returns up to n endpoints other than the named one, of any service, the last reached first.
+func (t *Table) OtherEndpoints(name string, n int, now time.Time) []vetchtrail.Endpoint {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var others []*endpointState
-	usable := func(s *endpointState) bool { return s.Name != e.Name && !s.isLeaving(now) }
-	for _, s := range t.services[e.Service] {
-		if usable(s) {
+	others := make([]*endpointState, 0, len(t.endpoints))
+	for _, s := range t.endpoints {
+		if s.Name != name && !s.isLeaving(now) {
 			others = append(others, s)
 		}
 	}
-	if len(others) == 0 {
-		for _, s := range t.endpoints {
-			if usable(s) {
-				others = append(others, s)
-			}
-		}
-	}
 	slices.SortFunc(others, func(a, b *endpointState) int {
-		return cmp.Or(a.reach.unreachableSince.Compare(b.reach.unreachableSince), strings.Compare(a.Name, b.Name))
+		return cmp.Or(b.reach.reachedAt.Compare(a.reach.reachedAt), strings.Compare(a.Name, b.Name))
 	})
 	var out []vetchtrail.Endpoint
 	for _, s := range others[:min(n, len(others))] {
--- a/process/reachability/reachability.go
+++ b/process/reachability/reachability.go
@@ -58,22 +58,22 @@
 	p.cfg.Table.RecordConnected(e, time.Now())
 }
 
-// maxControls is how many other endpoints are tried to find out whether this host reaches any.
-const maxControls = 2
+// controls is how many other endpoints are tried to find out whether this host reaches any. With fewer, all of them may
+// have crashed: a request that crashes endpoints is retried at once.
+const controls = 3
 
-// ProcessEnded reports whether the process of an endpoint has ended: the endpoint refuses connections, and another one
-// accepts them. If this host reaches no other endpoint either, its path is the likely cause, and the endpoint's process
-// may run. An endpoint without others is judged by its own refusal.
+// ProcessEnded reports whether the process of an endpoint has ended: the endpoint refuses connections. If this host
+// reaches none of several others either, it has probably lost its path, and the endpoint's process may run.
 func (p *Prober) ProcessEnded(ctx context.Context, e vetchtrail.Endpoint) bool {
 	if !p.cfg.Refuses(ctx, e) {
 		return false
 	}
-	controls := p.cfg.Table.OtherEndpoints(e, maxControls, time.Now())
-	for _, other := range controls {
+	others := p.cfg.Table.OtherEndpoints(e.Name, controls, time.Now())
+	for _, other := range others {
 		if p.cfg.Connect(ctx, other) == nil {
 			p.cfg.Table.RecordConnected(other, time.Now())
 			return true
 		}
 	}
-	return len(controls) == 0
+	return len(others) < controls
 }
--- a/process/reachability/reachability_test.go
+++ b/process/reachability/reachability_test.go
@@ -21,15 +21,15 @@
 		leaving  string
 		ended    bool // of endpoint a
 	}{
-		"only one refuses":                     {map[string]string{"a": "s", "b": "s", "c": "s"}, "a", "", true},
-		"none refuses":                         {map[string]string{"a": "s", "b": "s"}, "", "", false},
-		"two of three refuse":                  {map[string]string{"a": "s", "b": "s", "c": "s"}, "ab", "", true},
-		"all refuse":                           {map[string]string{"a": "s", "b": "s", "c": "s"}, "abc", "", false},
-		"all of the service refuse":            {map[string]string{"a": "s", "b": "s", "c": "other"}, "ab", "", false},
-		"the only one of its service":          {map[string]string{"a": "s", "c": "other"}, "a", "", true},
-		"the only one of its service, all cut": {map[string]string{"a": "s", "c": "other"}, "ac", "", false},
-		"the only one at all":                  {map[string]string{"a": "s"}, "a", "", true},
-		"another one leaving":                  {map[string]string{"a": "s", "b": "s"}, "a", "b", true},
+		"only one refuses":            {map[string]string{"a": "s", "b": "s", "c": "s", "d": "s"}, "a", "", true},
+		"none refuses":                {map[string]string{"a": "s", "b": "s"}, "", "", false},
+		"all but one refuse":          {map[string]string{"a": "s", "b": "s", "c": "s", "d": "s"}, "abc", "", true},
+		"all refuse":                  {map[string]string{"a": "s", "b": "s", "c": "s", "d": "s"}, "abcd", "", false},
+		"all of its service refuse":   {map[string]string{"a": "s", "b": "s", "c": "other", "d": "other"}, "ab", "", true},
+		"all refuse, of two services": {map[string]string{"a": "s", "b": "s", "c": "other", "d": "other"}, "abcd", "", false},
+		"all refuse, a few":           {map[string]string{"a": "s", "b": "s", "c": "s"}, "abc", "", true},
+		"all refuse, one is leaving":  {map[string]string{"a": "s", "b": "s", "c": "s", "d": "s"}, "abcd", "d", true},
+		"the only one":                {map[string]string{"a": "s"}, "a", "", true},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
