An engine stand-in never answers a request under which it crashes

Cause: the stand-in crashes 50 ms after such a request has started and answers it in 57 to 63 ms; where the reset of its connections is a few milliseconds late the request is answered, and one that is served is cleared of all crashes before. Now the response to such a request is never complete, so the fault that the test is about always occurs; its checks, bounds and load are as before.

--- a/standin/engine/completion.go
+++ b/standin/engine/completion.go
@@ -145,8 +145,7 @@
 	s.storeStream(requestID, st)
 	st.addReader()
 	prompt := req.promptText()
-	s.crashIfPoison(prompt)
-	go s.generate(generationCtx, st, prompt, req.responseTokens())
+	go s.generate(generationCtx, st, prompt, req.responseTokens(), s.crashIfPoison(prompt))
 	if req.Stream {
 		s.sendEvents(ctx, st, 0, f)
 		return
--- a/standin/engine/crash.go
+++ b/standin/engine/crash.go
@@ -66,16 +66,17 @@
 	s.streams, s.reports, s.waiting, s.running = map[string]*stream{}, nil, nil, 0
 }
 
-// crashIfPoison schedules a crash if the prompt is that of a poison request.
-func (s *Server) crashIfPoison(prompt string) {
+// crashIfPoison schedules a crash if the prompt is that of a poison request, and reports whether it is.
+func (s *Server) crashIfPoison(prompt string) bool {
 	if s.cfg.Crash.PoisonText == "" || !strings.Contains(prompt, s.cfg.Crash.PoisonText) {
-		return
+		return false
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.crashHistory.PoisonRequests = append(s.crashHistory.PoisonRequests, time.Now())
 	instance := len(s.crashHistory.Crashes)
 	time.AfterFunc(s.cfg.Crash.CrashDelay, func() { s.crash(instance) })
+	return true
 }
 
 // crash simulates the crash of a process instance, unless the instance has already
--- a/standin/engine/generate.go
+++ b/standin/engine/generate.go
@@ -113,8 +113,9 @@
 }
 
 // generate waits for a slot and fills a stream with the response's tokens at the
-// engine's speed, until the response is complete or ctx ends.
-func (s *Server) generate(ctx context.Context, st *stream, prompt string, tokens int) {
+// engine's speed, until the response is complete or ctx ends. The response to a poison request
+// is never complete: the engine crashes under it.
+func (s *Server) generate(ctx context.Context, st *stream, prompt string, tokens int, poison bool) {
 	defer st.finish(ctx)
 	if !s.acquireSlot(ctx) {
 		return
@@ -140,6 +141,9 @@
 		s.mu.Unlock()
 		sleep(ctx, stepTime)
 	}
+	if poison {
+		<-ctx.Done()
+	}
 	if ctx.Err() == nil {
 		st.markComplete()
 	}
