A stream is resumed through a peer where this host doesn't reach its endpoint

A caller whose stream broke could not resume it at a host without a path to the endpoint that holds it, while the host beside it could have. Cause, found by looking for that of the refusals elsewhere: an endpoint of the own data centre was only ever called directly. Now the request goes to a peer if no connection could be opened, as one for another data centre does. TestResumeWithoutPath failed before.

--- a/request/dispatch/dispatch_test.go
+++ b/request/dispatch/dispatch_test.go
@@ -295,3 +295,45 @@
 		})
 	}
 }
+
+// TestResumeWithoutPath guards against a stream that is not resumed because the host that its caller reached has lost its
+// path to the endpoint.
+func TestResumeWithoutPath(t *testing.T) {
+	noConnection := refuseWith(vetchtrail.StepConnect, vetchtrail.ReasonUnreachable)
+	cases := map[string]struct {
+		replies []reply
+		hops    int
+		kind    vetchtrail.OutcomeKind
+		called  []string
+	}{
+		"by a peer":          {[]reply{noConnection, respondWith("rest")}, 0, vetchtrail.OutcomeAnswered, []string{"1", "peer"}},
+		"no peer reaches it": {[]reply{noConnection, noConnection}, 0, vetchtrail.OutcomeNotRun, []string{"1", "peer"}},
+		"forwarded before":   {[]reply{noConnection}, 1, vetchtrail.OutcomeNotRun, []string{"1"}},
+		"reached":            {[]reply{respondWith("rest")}, 0, vetchtrail.OutcomeAnswered, []string{"1"}},
+		"lost on the way":    {[]reply{breakAfter("")}, 0, vetchtrail.OutcomeUnknown, []string{"1"}},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			targets := &scriptedTargets{replies: c.replies}
+			d := newDispatcher(t, targets, 1)
+			ruleSet, err := rules.Restore([]vetchtrail.Edit{
+				vetchtrail.PutRegion{Region: vetchtrail.Region{ID: 0, Name: "a", DataCentres: []string{"a-1"}}},
+				vetchtrail.PutService{Service: vetchtrail.Service{Name: "s", AnswerWithin: time.Minute}},
+				vetchtrail.PutEndpoint{Endpoint: vetchtrail.Endpoint{Name: "1", Service: "s", Region: "a", DataCentre: "a-1", Slots: 4, Addr: netip.MustParseAddrPort("10.0.0.1:1")}},
+			}, 7)
+			assert.NilError(t, err)
+			d.cfg.Rules = func() *rules.Rules { return ruleSet }
+			d.cfg.Membership.(*membership.Membership).HandleHeartbeat(&schema.Heartbeat{From: "peer", DataCentre: "a-1", Members: []*schema.Member{
+				{Name: "peer", Incarnation: 1, Counter: 1, State: uint32(vetchtrail.HostReady), Peers: "10.0.0.3:1"},
+			}})
+			r := &vetchtrail.Request{
+				ID: "x", Service: "s", Hops: c.hops, ResumeAt: vetchtrail.StreamPosition{Endpoint: "1", Stream: "x", Offset: 3}, AllowedRegions: vetchtrail.AllRegions,
+				Deadline: time.Now().Add(10 * time.Second),
+			}
+			var got responseRecorder
+			o := d.Run(context.Background(), r, &got)
+			assert.Equal(t, o.Kind, c.kind, "%v", o)
+			assert.DeepEqual(t, targets.called, c.called)
+		})
+	}
+}
--- a/request/dispatch/resume.go
+++ b/request/dispatch/resume.go
@@ -15,8 +15,9 @@
 
 // resumeStream continues a stream whose connection broke, after the last event that
 // the caller received. Only the endpoint that holds the stream can continue it. An
-// endpoint in this data centre is called directly, and one in a remote data centre
-// through a host there. The original request is not run again.
+// endpoint in this data centre is called directly, or through another host if this one
+// doesn't reach it, and one in a remote data centre through a host there. The original
+// request is not run again.
 func (d *Dispatcher) resumeStream(ctx context.Context, r *vetchtrail.Request, w vetchtrail.ResponseWriter) vetchtrail.Outcome {
 	e, ok := d.cfg.Rules().Endpoint(r.ResumeAt.Endpoint)
 	if !ok || e.Service != r.Service {
@@ -38,7 +39,10 @@
 		r.Method, r.Path, r.Body = "GET", streamPath+r.ResumeAt.Stream, nil
 		o, _ := d.cfg.EndpointCaller.Call(ctx, e, r, w)
 		d.returnReservation(r, o)
-		return o
+		noPath := o.Kind == vetchtrail.OutcomeNotRun && o.Step == vetchtrail.StepConnect
+		if !noPath || r.Hops >= vetchtrail.MaxHops {
+			return o
+		}
 	}
 	if r.Hops >= vetchtrail.MaxHops {
 		return d.refusal(vetchtrail.StepForward, vetchtrail.ReasonHops, time.Time{})
