--- a/connection/dial/dial.go
+++ b/connection/dial/dial.go
@@ -17,9 +17,9 @@
 	keepAliveIdle     = time.Second
 	keepAliveInterval = time.Second
 	keepAliveCount    = 2
-	// unackedTimeout is how long sent bytes may stay unacknowledged. Keep-alive probes are not
-	// sent while there are such bytes. On a lossy link there is time for about ten
-	// retransmissions.
+	// unackedTimeout is how long sent bytes may stay unacknowledged, or wait for the other side
+	// to read. Keep-alive probes are not sent while there are such bytes. On a lossy link there
+	// is time for about ten retransmissions.
 	unackedTimeout = 3 * time.Second
 )
 
