--- a/process/load/load.go
+++ b/process/load/load.go
@@ -94,7 +94,7 @@
 	runningAt     time.Time                        // of the last call of RecordRunning; zero: there was none
 	placesBySpeed bool                             // see SetPlacesBySpeed
 	stoppedUntil  time.Time                        // when this host's process last went on after it was stopped
-	unreachable   map[string]bool                  // services with endpoints to probe
+	toProbe       map[string]bool                  // services with endpoints to probe
 	log           *slog.Logger
 }
 
@@ -189,7 +189,7 @@
 		serviceStats: map[string]*serviceStats{},
 		freed:        map[string]chan struct{}{},
 		unlisted:     map[instanceKey]unlistedInstance{},
-		unreachable:  map[string]bool{},
+		toProbe:      map[string]bool{},
 		log:          slog.New(slog.DiscardHandler),
 	}
 }
--- a/process/load/reachability.go
+++ b/process/load/reachability.go
@@ -12,14 +12,15 @@
 
 const (
 	// minPathFailures is the number of a service's endpoints that have to be unreachable, while none is reached, for
-	// this host to assume that it reaches none of them. With fewer endpoints, all have to be.
+	// the path to them to count as lost. With fewer endpoints, all have to be.
 	minPathFailures = 8
-	// suspectFailures is the same number for it to probe the others: endpoints also fail by themselves.
+	// pathLostFor is how long a path counts as lost without a further failure: several probes.
+	pathLostFor = 3 * time.Second
+	// suspectFailures is the number of unreachable endpoints from which the others are probed. A single one may have
+	// failed by itself.
 	suspectFailures = 2
 	// reachedFor is how long an endpoint counts as reached after this host last reached it.
 	reachedFor = time.Second
-	// pathLostFor is how long that assumption holds without a further failure: several probes.
-	pathLostFor = 3 * time.Second
 	// maxProbes bounds the probes of a service that are started at once.
 	maxProbes = 8
 	// lostProbeInterval is the interval between two probes of a service of which this host reaches no endpoint.
@@ -34,16 +35,16 @@
 	suspectProbeInterval = time.Second
 )
 
-// path is what this host's connections show of the network between it and the endpoints of a service. Other hosts
-// may reach endpoints that this one doesn't.
+// path is what this host's connections show of the network between it and the endpoints of a service. While it counts
+// as lost, none of them is used from here; other hosts may reach them.
 type path struct {
-	lostSince time.Time // when the path was assumed to be lost
-	lostUntil time.Time // until when that is assumed
+	lostSince time.Time // when it last began to count as lost
+	lostUntil time.Time // until when it counts as lost
 	probedAt  time.Time // when an endpoint was last probed as the path was lost
 	next      int       // index of the endpoint to probe next
 }
 
-// lost reports whether this host assumes that it reaches no endpoint of the service.
+// lost reports whether the path counts as lost.
 func (p *path) lost(now time.Time) bool { return now.Before(p.lostUntil) }
 
 // reachability is what this host's connections show of one endpoint.
@@ -124,7 +125,7 @@
 	s.reach.connectFailedAt = now
 	s.backOff(vetchtrail.ReasonUnreachable, until)
 	s.warmUp = initialWarmUp
-	t.unreachable[s.Service] = true
+	t.toProbe[s.Service] = true
 	countConnectFailure(s.Service)
 	t.log.Info("endpoint unreachable", "endpoint", s.Name, "service", s.Service, "failures", s.connectFailuresInRow,
 		"since", s.reach.unreachableSince, "until", until, "error", err)
@@ -208,7 +209,7 @@
 // suspect has an endpoint probed that went silent or lost a response. The caller holds the lock.
 func (t *Table) suspect(s *endpointState, now time.Time) {
 	s.reach.suspectedAt = now
-	t.unreachable[s.Service] = true
+	t.toProbe[s.Service] = true
 }
 
 // EndpointsToProbe returns the endpoints to which a connection should be tried now, and marks them as being probed
@@ -217,10 +218,10 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var out []vetchtrail.Endpoint
-	for service := range t.unreachable {
+	for service := range t.toProbe {
 		svc, ok := t.serviceStats[service]
 		if !ok || len(t.services[service]) == 0 {
-			delete(t.unreachable, service)
+			delete(t.toProbe, service)
 			continue
 		}
 		if svc.path.lost(now) {
@@ -269,7 +270,7 @@
 		}
 	}
 	if !pending {
-		delete(t.unreachable, service)
+		delete(t.toProbe, service)
 	}
 	return out
 }
@@ -293,7 +294,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var out []uint32
-	for service := range t.unreachable {
+	for service := range t.toProbe {
 		if svc, ok := t.serviceStats[service]; ok && svc.path.lost(now) {
 			out = append(out, NameHash(service))
 		}
--- a/process/membership/capacity.go
+++ b/process/membership/capacity.go
@@ -60,28 +60,19 @@
 // drawMember returns one of the member entries, each with a probability in proportion to its
 // capacity. random is a number from 0 to 1.
 func drawMember(entries []*schema.Member, random float64) *schema.Member {
-	sum := 0.0
-	for _, entry := range entries {
-		sum += float64(max(1, entry.GetCapacity()))
-	}
-	remaining := random * sum
-	for _, entry := range entries {
-		if remaining -= float64(max(1, entry.GetCapacity())); remaining < 0 {
-			return entry
-		}
-	}
-	return entries[len(entries)-1]
+	return drawByCapacity(entries, func(entry *schema.Member) float64 { return float64(max(1, entry.GetCapacity())) }, random)
 }
 
-// drawHost returns one of the hosts, as drawMember does.
-func drawHost(hosts []vetchtrail.Host, random float64) vetchtrail.Host {
+// drawByCapacity returns one of several hosts, each with a probability in proportion to its
+// capacity. random is a number from 0 to 1.
+func drawByCapacity[T any](hosts []T, capacity func(T) float64, random float64) T {
 	sum := 0.0
 	for _, h := range hosts {
-		sum += capacityOf(h)
+		sum += capacity(h)
 	}
 	remaining := random * sum
 	for _, h := range hosts {
-		if remaining -= capacityOf(h); remaining < 0 {
+		if remaining -= capacity(h); remaining < 0 {
 			return h
 		}
 	}
--- a/process/membership/remote.go
+++ b/process/membership/remote.go
@@ -129,7 +129,7 @@
 		if len(ready) == 0 {
 			return vetchtrail.Host{}, false
 		}
-		return drawHost(ready, m.rng.Float64()), true
+		return drawByCapacity(ready, capacityOf, m.rng.Float64()), true
 	}
 	d, ok := m.remotes[dataCentre]
 	if !ok {
