A new process instance is used at once after the path counted as lost

A restarted endpoint, the only one of its service in a region, would have got no requests for up to half a second: what the connections to the earlier instance showed was kept for the service, and the failure of a leaving one alone counted as the loss of the path. Found by reading; no run showed it. A new instance ends that its service's path counts as lost, and endpoints that are leaving don't count. TestInstanceAfterLostPath failed before. A probe that a host's stop interrupts is no longer recorded as a failure.

--- a/process/load/load.go
+++ b/process/load/load.go
@@ -234,6 +234,9 @@
 		if t.serviceStats[e.Service] == nil {
 			t.serviceStats[e.Service] = newServiceStats(e.Service)
 		}
+		if s != old[e.Name] {
+			t.serviceStats[e.Service].path.lostUntil = time.Time{} // nothing is known of the way to this one
+		}
 	}
 	for name, s := range old {
 		if t.endpoints[name] != s {
--- a/process/load/reachability.go
+++ b/process/load/reachability.go
@@ -137,7 +137,7 @@
 func (t *Table) recordPathFailure(s *endpointState, now time.Time) {
 	p := &t.serviceStats[s.Service].path
 	unreachable, reached, all := t.countReached(s.Service, now)
-	if reached > 0 || unreachable < min(minPathFailures, all) {
+	if reached > 0 || unreachable < max(1, min(minPathFailures, all)) {
 		return
 	}
 	if !p.lost(now) {
--- a/process/load/reachability_test.go
+++ b/process/load/reachability_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/netip"
 	"slices"
 	"testing"
 	"time"
@@ -100,6 +101,24 @@
 	assert.Equal(t, len(tab.EndpointsToProbe(later)), maxProbes)
 }
 
+// TestInstanceAfterLostPath guards against a new process instance that gets no requests because connections to the earlier
+// one failed.
+func TestInstanceAfterLostPath(t *testing.T) {
+	for name, leaving := range map[string]bool{"it crashed": false, "it was leaving": true} {
+		t.Run(name, func(t *testing.T) {
+			tab := table(1)
+			if leaving {
+				tab.MarkLeaving("e000", now.Add(time.Hour))
+			}
+			failConnections(tab, 0, 1, now)
+			assert.Equal(t, len(tab.UnreachableServices(now)) == 1, !leaving)
+			tab.Configure([]EndpointInRegion{{Endpoint: vetchtrail.Endpoint{Name: "e000", Service: "s", Slots: 4, Addr: netip.MustParseAddrPort("10.0.0.9:1")}}})
+			assert.Assert(t, !viewOf(tab, now).Unavailable)
+			assert.Equal(t, len(tab.UnreachableServices(now)), 0)
+		})
+	}
+}
+
 // TestCutHostSummary guards against a host without a path to the endpoints that reports to other data centres that
 // nothing is free there.
 func TestCutHostSummary(t *testing.T) {
--- a/process/reachability/reachability.go
+++ b/process/reachability/reachability.go
@@ -49,13 +49,16 @@
 
 // probe opens a connection to an endpoint and records whether that succeeded.
 func (p *Prober) probe(ctx context.Context, e vetchtrail.Endpoint) {
-	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	probeCtx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	if err := p.cfg.Connect(ctx, e); err != nil {
+	err := p.cfg.Connect(probeCtx, e)
+	switch {
+	case ctx.Err() != nil: // the host stops
+	case err != nil:
 		p.cfg.Table.RecordConnectFailure(e, time.Now(), err)
-		return
+	default:
+		p.cfg.Table.RecordConnected(e, time.Now())
 	}
-	p.cfg.Table.RecordConnected(e, time.Now())
 }
 
 // controls is how many other endpoints are tried to find out whether this host reaches any. With fewer, all of them may
