--- a/connection/dial/silence_test.go
+++ b/connection/dial/silence_test.go
@@ -10,8 +10,7 @@
 	"gotest.tools/v3/assert"
 )
 
-// TestPeerThatDoesNotRead guards against connections that end while the other side is silent for a second or so, or
-// that stay open when it takes nothing for long. The other side's kernel goes on to acknowledge.
+// TestPeerThatDoesNotRead guards against connections that end in a second of silence, or stay open while the other side takes nothing for long.
 func TestPeerThatDoesNotRead(t *testing.T) {
 	cases := map[string]struct {
 		write   int           // bytes; more than the buffers hold if the other side doesn't read
--- a/process/load/reachability_test.go
+++ b/process/load/reachability_test.go
@@ -24,8 +24,7 @@
 	}
 }
 
-// TestEachEndpointFoundUnreachableByItself guards against a host without a path to the endpoints that has to lose
-// requests at each of them, and against one that takes failures of single endpoints for the loss of its path.
+// TestEachEndpointFoundUnreachableByItself guards against requests lost at each endpoint while the path to all is lost, and against single failures taken for that.
 func TestEachEndpointFoundUnreachableByItself(t *testing.T) {
 	cases := map[string]struct {
 		endpoints int
@@ -63,8 +62,7 @@
 	}
 }
 
-// TestPeersReachAfterFailedProbe guards against an endpoint that peers reach and that gets no requests by them after
-// each failed probe of this host, and against one that gets requests by peers long after they last reached it.
+// TestPeersReachAfterFailedProbe guards against an endpoint that peers reach and that is unusable by them after each failed probe of this host.
 func TestPeersReachAfterFailedProbe(t *testing.T) {
 	tab := table(5)
 	failConnections(tab, 0, 1, now)
@@ -76,8 +74,7 @@
 	assert.Assert(t, !viewOf(tab, at.Add(maxOthersReportAge)).ViaPeers)
 }
 
-// TestPartlyCutHost guards against a host that takes the endpoints that it still reaches for unreachable, because
-// connections to the others fail, and against requests that have to try the others when it reaches one.
+// TestPartlyCutHost guards against a host that stops using the endpoints that it still reaches, or tries the others with requests.
 func TestPartlyCutHost(t *testing.T) {
 	tab := table(20)
 	unavailable := func(at time.Time) (n int) {
@@ -101,8 +98,7 @@
 	assert.Equal(t, len(tab.EndpointsToProbe(later)), maxProbes)
 }
 
-// TestInstanceAfterLostPath guards against a new process instance that gets no requests because connections to the earlier
-// one failed.
+// TestInstanceAfterLostPath guards against a new process instance without requests because connections to the earlier one failed.
 func TestInstanceAfterLostPath(t *testing.T) {
 	for name, leaving := range map[string]bool{"it crashed": false, "it was leaving": true} {
 		t.Run(name, func(t *testing.T) {
@@ -119,8 +115,7 @@
 	}
 }
 
-// TestCutHostSummary guards against a host without a path to the endpoints that reports to other data centres that
-// nothing is free there.
+// TestCutHostSummary guards against a host without a path to the endpoints that reports that nothing is free there.
 func TestCutHostSummary(t *testing.T) {
 	cases := map[string]struct {
 		do   func(t *Table)
@@ -145,8 +140,7 @@
 	}
 }
 
-// TestPathRestored guards against endpoints that stay out of use, or get little, after this host's path to them is
-// back, although nothing was wrong with them.
+// TestPathRestored guards against endpoints that stay out of use or limited after the path to them is back.
 func TestPathRestored(t *testing.T) {
 	tab := table(3)
 	lost := failure(vetchtrail.OutcomeUnknown, vetchtrail.StepResponse, vetchtrail.ReasonResponseLost)
@@ -171,8 +165,7 @@
 	}
 }
 
-// TestEndpointsToProbe guards against requests that have to find out whether endpoints can be reached, and against
-// probes without need.
+// TestEndpointsToProbe guards against requests that find out whether endpoints can be reached, and against probes without need.
 func TestEndpointsToProbe(t *testing.T) {
 	reported := func(t *Table, at time.Time) {
 		t.RecordReportByHash(NameHash("e000"), vetchtrail.LoadReport{TakenAt: at}, at)
--- a/process/membership/unreachable_test.go
+++ b/process/membership/unreachable_test.go
@@ -46,8 +46,7 @@
 	return out.String()
 }
 
-// TestForwardsToHostsWithoutPath guards against requests that are forwarded to hosts that reach no endpoint of their
-// service, and against hosts that get none although they reach it.
+// TestForwardsToHostsWithoutPath guards against forwards to hosts that reach no endpoint of the service, and against hosts that get none although they do.
 func TestForwardsToHostsWithoutPath(t *testing.T) {
 	refusedBy := func(host string) vetchtrail.Outcome {
 		return vetchtrail.Outcome{Kind: vetchtrail.OutcomeNotRun, Step: vetchtrail.StepDecide, Reason: vetchtrail.ReasonUnreachable, Peer: host}
--- a/process/reachability/reachability_test.go
+++ b/process/reachability/reachability_test.go
@@ -12,8 +12,7 @@
 	"vetchtrail/process/load"
 )
 
-// TestRefusalBehindLostPath guards against running endpoints that are taken for crashed because this host has lost its
-// path to them, and against crashes that are missed.
+// TestRefusalBehindLostPath guards against running endpoints taken for crashed behind a lost path, and against missed crashes.
 func TestRefusalBehindLostPath(t *testing.T) {
 	cases := map[string]struct {
 		services map[string]string // by endpoint
--- a/request/dispatch/dispatch_test.go
+++ b/request/dispatch/dispatch_test.go
@@ -296,8 +296,7 @@
 	}
 }
 
-// TestResumeWithoutPath guards against a stream that is not resumed because the host that its caller reached has lost its
-// path to the endpoint.
+// TestResumeWithoutPath guards against a stream that is not resumed because the host reached by its caller has no path to the endpoint.
 func TestResumeWithoutPath(t *testing.T) {
 	noConnection := refuseWith(vetchtrail.StepConnect, vetchtrail.ReasonUnreachable)
 	cases := map[string]struct {
