--- a/request/dispatch/unreachable_test.go
+++ b/request/dispatch/unreachable_test.go
@@ -171,13 +171,16 @@
 		seeds = append(seeds, h.self.PeerAddr)
 	}
 	for i, h := range f.hosts {
-		h.start(ctx, ruleSet, seeds, c.endpoints, uint64(i))
+		h.build(ruleSet, seeds, c.endpoints, uint64(i))
+	}
+	for _, h := range f.hosts { // once all are built, as they call each other
+		h.run(ctx)
 	}
 	return f
 }
 
-// start starts a host.
-func (h *cutHost) start(ctx context.Context, ruleSet *rules.Rules, seeds []netip.AddrPort, endpoints int, seed uint64) {
+// build creates the parts of a host.
+func (h *cutHost) build(ruleSet *rules.Rules, seeds []netip.AddrPort, endpoints int, seed uint64) {
 	discardLog := slog.New(slog.DiscardHandler)
 	h.table = load.New()
 	var placed []load.EndpointInRegion
@@ -198,6 +201,10 @@
 		Journal: journal.New(journal.Config{Log: slog.New(slog.NewTextHandler(io.Discard, nil))}), Seed: seed,
 		RetryBudget: budget.Config{Window: 10 * time.Second, Share: 0.2, Base: 10, Hosts: func() int { return 1 }},
 	})
+}
+
+// run runs the host's tasks until ctx ends.
+func (h *cutHost) run(ctx context.Context) {
 	go h.table.Run(ctx)
 	prober := reachability.New(reachability.Config{Table: h.table, Connect: func(ctx context.Context, _ vetchtrail.Endpoint) error { return h.connect(ctx) }})
 	go prober.Run(ctx)
