--- a/request/dispatch/unreachable_test.go
+++ b/request/dispatch/unreachable_test.go
@@ -27,8 +27,8 @@
 )
 
 const (
-	cutAfter     = 5 * time.Second        // from the start of the traffic
-	cutLength    = 14 * time.Second       //
+	cutAfter     = 5 * time.Second // from the start of the traffic
+	cutLength    = 14 * time.Second
 	contactTime  = 5 * time.Second        // from the start of the cut until its effects count
 	dialTimeout  = 700 * time.Millisecond // of a connection whose packets are dropped
 	callInterval = 50 * time.Millisecond  // between two requests of a host's callers
