Log the software version of endpoints, and which stream a request resumes

An endpoint's software version was demanded in its entry and dropped, and Resumes was read nowhere, so that the logs could not tell a stream that goes on at its version from one that does not. The version now comes with the listing (one text for all endpoints that share their other properties), and the lines decision and attempt lost have it beside the last event and the attempt that a stream resumes. A lost attempt counts the events that it passed on. The checksum of a listing covers the version: a host of an older build takes complete listings from a newer one meanwhile. No decision depends on any of it yet.

--- a/connection/endpoint/endpoint.go
+++ b/connection/endpoint/endpoint.go
@@ -426,7 +426,7 @@
 func (t *attempt) unknown(ctx context.Context, step vetchtrail.Step, reason vetchtrail.Reason, err error) vetchtrail.Outcome {
 	o := vetchtrail.Outcome{
 		Kind: vetchtrail.OutcomeUnknown, Status: fasthttp.StatusBadGateway, Step: step, Peer: t.endpoint.Name,
-		Reason: reason, Err: err, ResponseStarted: t.begun || t.req.ResponseStarted,
+		Reason: reason, Err: err, ResponseStarted: t.begun || t.req.ResponseStarted, Events: t.eventsSent,
 	}
 	switch {
 	case ctx.Err() != nil:
--- a/endpoint.go
+++ b/endpoint.go
@@ -22,6 +22,9 @@
 	// Born is the start time of the process instance; zero: not known. A new instance under the
 	// same name has an empty cache and none of the previous one's requests.
 	Born time.Time
+	// SoftwareVersion is the version of the process instance's software, with no order; empty: not
+	// known. Streams and cached prompts of two versions don't fit together.
+	SoftwareVersion string
 	// ColdUntil is the end of the cold start. Until then the endpoint accepts no more than
 	// ColdRate requests per second from all hosts together.
 	ColdUntil time.Time
--- a/process/journal/journal.go
+++ b/process/journal/journal.go
@@ -128,7 +128,7 @@
 	if r.Lost {
 		j.log.Info(MsgLost, "request", r.Request, "service", r.Service, "route", r.Route, "workspace", r.Workspace, "peer", r.Outcome.Peer,
 			"step", string(r.Outcome.Step), "reason", string(r.Outcome.Reason), "attempt", r.Attempt, "hops", r.Hops, "prompt", r.PromptTokens,
-			"events", r.Outcome.Events, "took", r.Took, "first", timeToFirst(r), "digest", r.ContentHash.String(), "error", errorText(r.Outcome.Err))
+			"version", r.SoftwareVersion, "last_event", r.LastEventID, "resumes", r.Resumes, "events", r.Outcome.Events, "took", r.Took, "first", timeToFirst(r), "digest", r.ContentHash.String(), "error", errorText(r.Outcome.Err))
 		return
 	}
 	if r.Ended {
@@ -144,6 +144,7 @@
 		"running", r.Decision.Running, "queued", r.Decision.Queued, "own", r.Decision.InFlight, "limited", r.Decision.RateLimited, "rate", r.Decision.Rate, "rate_left", r.Decision.RateLeft, "looked", r.Decision.Considered,
 		"candidates", loggedCandidates(&r.Decision), "revision", r.Revision, "listing", r.ListingRevision, "listing_age", r.ListingAge, "hops", r.Hops, "attempt", r.Attempt,
 		"goal", timeUntil(r.Goal, r.At), "left", timeUntil(r.Deadline, r.At), "fresh", r.CallerCanRetry,
+		"version", r.SoftwareVersion, "last_event", r.LastEventID, "resumes", r.Resumes,
 		"charge", r.Cost, "quota_here", r.Quota.HostLeft, "quota_region", r.Quota.RegionLeft, "quota_age", r.Quota.ReportAge)
 }
 
--- a/process/journal/lines.go
+++ b/process/journal/lines.go
@@ -59,6 +59,9 @@
 	Candidates      []loggedCandidate `json:"candidates,omitempty"`  // some of those that were not chosen
 	Goal            time.Duration     `json:"goal,omitempty"`        // from the decision to the request's latency goal
 	Left            time.Duration     `json:"left,omitempty"`        // from the decision to the request's deadline
+	SoftwareVersion string            `json:"version,omitempty"`     // of the target's software, or of that of a lost attempt
+	LastEventID     string            `json:"last_event,omitempty"`  // after which a stream is resumed
+	Resumes         string            `json:"resumes,omitempty"`     // the caller's attempt that brought the first event of that stream
 	CallerCanRetry  bool              `json:"fresh,omitempty"`       // the caller has most of its time left, so it can retry after a refusal
 
 	// Cost of the request and remaining quota at this host and in its region, in units of the
--- a/process/lists/diff.go
+++ b/process/lists/diff.go
@@ -127,6 +127,7 @@
 	if !e.Born.IsZero() {
 		text = binary.LittleEndian.AppendUint64(text, uint64(e.Born.UnixNano()))
 	}
+	text = append(text, e.SoftwareVersion...)
 	return xxhash.Sum64(text)
 }
 
--- a/record.go
+++ b/record.go
@@ -5,22 +5,27 @@
 // JournalRecord is an entry of the journal. It describes one decision on a request; with
 // Ended set, the outcome of a request; with Lost set, an attempt whose outcome is unknown.
 type JournalRecord struct {
-	At             time.Time
-	Request        string // id
-	Service        string
-	Route          string
-	PromptTokens   int
-	Workspace      string
-	Home           string // region
-	Decision       Decision
-	Attempt        int // counted from 1
-	Hops           int
-	Goal           time.Time // latency objective; zero: none
-	Deadline       time.Time
-	CallerCanRetry bool    // see Request.CallerCanRetry
-	Cost           float64 // in units of the workspace's quota; 0: none
-	Quota          QuotaVerdict
-	Revision       uint64
+	At           time.Time
+	Request      string // id
+	Service      string
+	Route        string
+	PromptTokens int
+	Workspace    string
+	Home         string // region
+	Decision     Decision
+	Attempt      int // counted from 1
+	// SoftwareVersion is that of the endpoint that was chosen, or at which the attempt was lost; empty:
+	// not known.
+	SoftwareVersion string
+	LastEventID     string // see Request, as is Resumes
+	Resumes         string
+	Hops            int
+	Goal            time.Time // latency objective; zero: none
+	Deadline        time.Time
+	CallerCanRetry  bool    // see Request.CallerCanRetry
+	Cost            float64 // in units of the workspace's quota; 0: none
+	Quota           QuotaVerdict
+	Revision        uint64
 	// ListingRevision and ListingAge are those of the listing by which the decision was made; 0: there was none.
 	ListingRevision uint64
 	ListingAge      time.Duration
--- a/request.go
+++ b/request.go
@@ -52,6 +52,7 @@
 	MaxTokens       int          // maximum tokens of the response; 0: not stated
 	Resumable       bool         // its stream may be resumed at another endpoint
 	LastEventID     string       // id of the last event that the caller received
+	Resumes         string       // id of the caller's attempt that brought the first event of the stream that it resumes; empty: not stated
 	CallerCanRetry  bool         // the caller still has most of its time, so it can retry after a refusal
 	ResponseStarted bool         // part of a response was sent to the caller: only the rest of that stream may follow
 	// Final reports that no other attempt could replace the current one. The attempt then goes on
--- a/request/dispatch/placement.go
+++ b/request/dispatch/placement.go
@@ -198,6 +198,10 @@
 		At: now, Request: r.ID, Service: r.Service, Route: r.Route, PromptTokens: r.PromptTokens(), Workspace: r.Workspace,
 		Home: d.cfg.Rules().RegionName(r.HomeRegion), Decision: dec, Attempt: attempt, Hops: r.Hops, Revision: r.Revision,
 		Goal: r.Goal, Deadline: r.Deadline, CallerCanRetry: r.CallerCanRetry, Cost: r.Cost, Quota: r.Quota,
+		LastEventID: r.LastEventID, Resumes: r.Resumes,
+	}
+	if e, ok := d.cfg.Endpoints.Find(dec.Name); ok {
+		record.SoftwareVersion = e.SoftwareVersion
 	}
 	if listing := d.currentListing(); listing != nil {
 		record.ListingRevision, record.ListingAge = listing.Revision, now.Sub(listing.ReadAt)
--- a/request/dispatch/quarantine.go
+++ b/request/dispatch/quarantine.go
@@ -35,7 +35,7 @@
 func (d *Dispatcher) reportAttempt(ctx context.Context, e vetchtrail.Endpoint, r *vetchtrail.Request, o vetchtrail.Outcome, timing vetchtrail.Timing, attempt int) {
 	lost := o.Kind == vetchtrail.OutcomeUnknown && ctx.Err() == nil
 	if lost {
-		d.recordLostAttempt(r, o, timing.Sent, attempt)
+		d.recordLostAttempt(e, r, o, timing.Sent, attempt)
 	}
 	switch {
 	case d.cfg.Quarantine == nil:
@@ -49,9 +49,10 @@
 // recordLostAttempt records in the journal an attempt that may have run but whose
 // response was lost. These records show which requests an endpoint was running when
 // it crashed, and whether their callers retried them.
-func (d *Dispatcher) recordLostAttempt(r *vetchtrail.Request, o vetchtrail.Outcome, sent time.Time, attempt int) {
+func (d *Dispatcher) recordLostAttempt(e vetchtrail.Endpoint, r *vetchtrail.Request, o vetchtrail.Outcome, sent time.Time, attempt int) {
 	d.cfg.Journal.Record(vetchtrail.JournalRecord{
 		At: sent, Request: r.ID, Service: r.Service, Route: r.Route, Workspace: r.Workspace, PromptTokens: r.PromptTokens(),
 		Hops: r.Hops, Attempt: attempt, Lost: true, Outcome: o, Took: time.Since(sent), ContentHash: r.ContentHash(),
+		SoftwareVersion: e.SoftwareVersion, LastEventID: r.LastEventID, Resumes: r.Resumes,
 	})
 }
--- a/schema/listing.go
+++ b/schema/listing.go
@@ -29,6 +29,7 @@
 	service, region, dataCentre string
 	slots                       int
 	coldRate, moveToken         float64
+	softwareVersion             string
 }
 
 // setEndpoints sets the endpoints and kinds of a message that has none. The
@@ -38,14 +39,14 @@
 	indexes := map[listedKind]uint32{}
 	x.Endpoints = make([]*Listed, 0, len(endpoints))
 	for _, e := range endpoints {
-		kind := listedKind{e.Service, e.Region, e.DataCentre, e.Slots, e.ColdRate, e.MoveToken}
+		kind := listedKind{e.Service, e.Region, e.DataCentre, e.Slots, e.ColdRate, e.MoveToken, e.SoftwareVersion}
 		index, ok := indexes[kind]
 		if !ok {
 			index = uint32(len(x.Kinds))
 			indexes[kind] = index
 			x.Kinds = append(x.Kinds, &ListedKind{
 				Service: e.Service, Region: e.Region, DataCentre: e.DataCentre, Slots: int32(e.Slots),
-				ColdRate: e.ColdRate, MoveToken: e.MoveToken,
+				ColdRate: e.ColdRate, MoveToken: e.MoveToken, SoftwareVersion: e.SoftwareVersion,
 			})
 		}
 		addr, _ := e.Addr.MarshalBinary() // it never returns an error
@@ -102,7 +103,7 @@
 	e := &vetchtrail.Endpoint{
 		Name: listed.GetName(), Instance: listed.GetInstance(), Draining: listed.GetDraining(), Fenced: listed.GetFenced(),
 		Service: kind.GetService(), Region: kind.GetRegion(), DataCentre: kind.GetDataCentre(), Slots: int(kind.GetSlots()),
-		ColdUntil: timeAfter(listed.GetColdRemaining(), now), ColdRate: kind.GetColdRate(), MoveToken: kind.GetMoveToken(),
+		ColdUntil: timeAfter(listed.GetColdRemaining(), now), ColdRate: kind.GetColdRate(), MoveToken: kind.GetMoveToken(), SoftwareVersion: kind.GetSoftwareVersion(),
 		Born: ToTime(listed.GetBorn()),
 	}
 	if listed.Instance == nil {
