A host continues a stream only at the software version that began it

Callers received events of two software versions in one answer: when an endpoint broke a stream off, the host sent the rest to any endpoint of the service. The cause: an endpoint's version was read nowhere, so that policy, silence check, forwards and the last check before sending took all endpoints of a service as alike.

The tracker of a stream's events now stores the version of the endpoint that wrote the first one. Endpoints of another version are no candidates (reason other-version), and CheckBeforeSend refuses them by the entry that is current then. A forward goes only to data centres with a ready endpoint of the version, and carries it; the response to a forward tells the version of its endpoint. A host of an older build would ignore the field: the service of such a request is in a new field too, so that it refuses. Where such a host ran the stream and tells no version, the stream continues only if the service has one version.

--- a/connection/peer/client.go
+++ b/connection/peer/client.go
@@ -270,6 +270,7 @@
 		switch part := m.GetPart().(type) {
 		case *schema.ForwardReply_Begin:
 			begun = true
+			r.ResponseVersion = schema.ToStreamVersion(part.Begin.SoftwareVersion)
 			err = w.Begin(int(part.Begin.GetStatus()), schema.ToHeader(part.Begin.GetHeader()))
 		case *schema.ForwardReply_Body:
 			if r.Buffers != nil {
--- a/connection/peer/peer_test.go
+++ b/connection/peer/peer_test.go
@@ -240,3 +240,22 @@
 		})
 	}
 }
+
+// TestForwardedResponseHasVersion guards against a stream whose rest the forwarding host sends to another software version.
+func TestForwardedResponseHasVersion(t *testing.T) {
+	for name, version := range map[string]vetchtrail.StreamVersion{"known": {Known: true, Version: "v1"}, "an endpoint without a version": {Known: true}, "not known": {}} {
+		t.Run(name, func(t *testing.T) {
+			addr, _ := serve(t, fakeHost{run: func(_ context.Context, r *vetchtrail.Request, w vetchtrail.ResponseWriter) vetchtrail.Outcome {
+				r.ResponseVersion = version
+				_ = w.Begin(200, nil)
+				return vetchtrail.Outcome{Kind: vetchtrail.OutcomeAnswered, Status: 200, ResponseStarted: true}
+			}})
+			c := New(Config{})
+			defer c.Close()
+			r := &vetchtrail.Request{Service: "s", Deadline: time.Now().Add(5 * time.Second)}
+			o := c.Forward(context.Background(), vetchtrail.Host{Name: "h", PeerAddr: addr}, r, &responseRecorder{})
+			assert.Equal(t, o.Kind, vetchtrail.OutcomeAnswered)
+			assert.Equal(t, r.ResponseVersion, version)
+		})
+	}
+}
--- a/connection/peer/server.go
+++ b/connection/peer/server.go
@@ -152,7 +152,7 @@
 	if err != nil {
 		return err
 	}
-	o := s.run(stream.Context(), r, &streamWriter{stream: stream})
+	o := s.run(stream.Context(), r, &streamWriter{stream: stream, req: r})
 	return stream.Send(&schema.ForwardReply{Part: &schema.ForwardReply_End{End: schema.FromOutcome(o, time.Now())}})
 }
 
@@ -174,12 +174,13 @@
 // forwarding host.
 type streamWriter struct {
 	stream schema.DRPCPeers_ForwardStream
+	req    *vetchtrail.Request
 }
 
 // Begin implements vetchtrail.ResponseWriter.
 func (w *streamWriter) Begin(status int, header []vetchtrail.HeaderField) error {
 	return w.stream.Send(&schema.ForwardReply{Part: &schema.ForwardReply_Begin{Begin: &schema.Begin{
-		Status: int32(status), Header: schema.FromHeader(header),
+		Status: int32(status), Header: schema.FromHeader(header), SoftwareVersion: schema.FromStreamVersion(w.req.ResponseVersion),
 	}}})
 }
 
--- a/decision.go
+++ b/decision.go
@@ -142,6 +142,7 @@
 	// Such a data centre is for requests that this host can't send itself. Only DataCentre, Region, Delay and
 	// Reachable are set with it.
 	SharesEndpoints  bool
+	OtherVersion     bool // its endpoints are of other software versions than the one that began the stream
 	Region           RegionID
 	Delay            time.Duration // one way
 	TimeToFirstToken float64       // predicted seconds to the first token there
--- a/outcome.go
+++ b/outcome.go
@@ -148,5 +148,6 @@
 	ReasonNoCommonHome          Reason = "no-common-home" // no region is allowed by both the route and the workspace
 	ReasonOverQuota             Reason = "over-quota"     // the workspace has used up its quota
 	ReasonQuarantined           Reason = "held-back"      // the request is quarantined
+	ReasonOtherVersion          Reason = "other-version"  // the stream began at another software version
 	ReasonAdmission             Reason = "admission"      // the service is short of capacity and the request was not admitted
 )
--- a/process/load/load.go
+++ b/process/load/load.go
@@ -325,6 +325,9 @@
 	}
 	for i, s := range states {
 		e, backlog := s.view(t, now), 0.0
+		if !r.AcceptsVersion(s.SoftwareVersion) {
+			e.Unavailable, e.UnavailableReason, e.ViaPeers = true, vetchtrail.ReasonOtherVersion, false
+		}
 		if !t.switchedOff.Has(vetchtrail.MechanismPromptBacklog) {
 			backlog = s.backlog(r.Priority, t.serviceStats[r.Service], now)
 		}
--- a/request/dispatch/dispatch.go
+++ b/request/dispatch/dispatch.go
@@ -88,9 +88,10 @@
 // Dispatcher runs requests. It is safe for concurrent use.
 type Dispatcher struct {
 	cfg           Config
-	viewPool      sync.Pool     // of *vetchtrail.View
-	randomPool    sync.Pool     // of *rand.Rand
-	randomStreams atomic.Uint64 // random generators created; gives each its own sequence
+	viewPool      sync.Pool                    // of *vetchtrail.View
+	randomPool    sync.Pool                    // of *rand.Rand
+	randomStreams atomic.Uint64                // random generators created; gives each its own sequence
+	versions      atomic.Pointer[versionIndex] // of the newest listing that was asked for versions
 	inFlight      atomic.Int64
 
 	mu         sync.Mutex                // guards the maps and cfg.RetryBudget
@@ -223,6 +224,9 @@
 	if _, quarantined := d.quarantined(r); quarantined {
 		return vetchtrail.ReasonQuarantined
 	}
+	if !r.AcceptsVersion(e.SoftwareVersion) {
+		return vetchtrail.ReasonOtherVersion
+	}
 	// A stream can be resumed only at the endpoint that has it, so draining does
 	// not prevent that.
 	if reason, _ := d.cfg.Endpoints.Blocked(e.Name, now); reason != "" && (reason != vetchtrail.ReasonDraining || r.ResumeAt.Endpoint == "") {
@@ -392,6 +396,8 @@
 		return false
 	case o.ResponseStarted && !r.Resumable:
 		return false
+	case r.LastEventID != "" && !d.knowsVersion(r):
+		return false
 	case !time.Now().Before(r.Deadline):
 		return false
 	case o.Kind == vetchtrail.OutcomeUnknown && !r.Repeatable:
@@ -436,6 +442,7 @@
 // membership, or to the endpoint table and the quarantine if the target is an
 // endpoint.
 func (d *Dispatcher) runAttempt(ctx context.Context, r *vetchtrail.Request, p placement, attempt int, w vetchtrail.ResponseWriter) vetchtrail.Outcome {
+	r.ResponseVersion = vetchtrail.StreamVersion{}
 	if p.dataCentre != "" {
 		sent := time.Now()
 		o := d.cfg.Peers.Forward(ctx, p.host, r, w)
@@ -443,6 +450,7 @@
 		d.recordForward(r, p, o, sent, attempt)
 		return mapRemoteRefusal(o)
 	}
+	r.ResponseVersion = vetchtrail.VersionOf(p.endpoint)
 	o, timing := d.cfg.EndpointCaller.Call(ctx, p.endpoint, r, w)
 	o.FirstByte = timing.FirstByte
 	d.returnReservation(r, o)
--- a/request/dispatch/event_tracker.go
+++ b/request/dispatch/event_tracker.go
@@ -6,7 +6,8 @@
 )
 
 // eventTracker writes a resumable stream to its caller and stores the ID of the
-// last event in the request, so that another attempt continues after that event.
+// last event in the request, so that another attempt continues after that event, at the
+// software version that wrote the first one.
 // The caller receives one status and header, from the first attempt that responds.
 type eventTracker struct {
 	next vetchtrail.ResponseWriter
@@ -28,6 +29,9 @@
 		return err
 	}
 	if id, ok := endpoint.EventID(part); ok {
+		if t.req.LastEventID == "" {
+			t.req.StreamVersion = t.req.ResponseVersion
+		}
 		t.req.LastEventID = id
 	}
 	return nil
--- a/request/dispatch/placement.go
+++ b/request/dispatch/placement.go
@@ -57,6 +57,7 @@
 		region, ok := newest.Region(name)
 		return region.ID, ok
 	}, now)
+	d.markOtherVersions(v, r)
 	random := d.randomPool.Get().(*rand.Rand)
 	defer d.randomPool.Put(random)
 	return d.cfg.Policy.Decide(now, r, v, random)
--- /dev/null
+++ b/request/dispatch/software_version.go
@@ -0,0 +1,83 @@
+package dispatch
+
+import (
+	"slices"
+
+	"vetchtrail"
+)
+
+// versionIndex holds the software versions of the listed endpoints.
+type versionIndex struct {
+	endpoints []*vetchtrail.Endpoint    // of the listing
+	ready     map[servicePlace][]string // versions that take requests in a data centre
+	all       map[string][]string       // versions of a service
+}
+
+// servicePlace is a service in a data centre.
+type servicePlace struct{ service, dataCentre string }
+
+// newVersionIndex returns the index of a listing's endpoints.
+func newVersionIndex(endpoints []*vetchtrail.Endpoint) *versionIndex {
+	x := &versionIndex{endpoints: endpoints, ready: map[servicePlace][]string{}, all: map[string][]string{}}
+	for _, e := range endpoints {
+		x.all[e.Service] = appendNew(x.all[e.Service], e.SoftwareVersion)
+		if place := (servicePlace{e.Service, e.DataCentre}); !e.Draining {
+			x.ready[place] = appendNew(x.ready[place], e.SoftwareVersion)
+		}
+	}
+	return x
+}
+
+// appendNew appends a version unless it is among the versions already.
+func appendNew(versions []string, version string) []string {
+	if slices.Contains(versions, version) {
+		return versions
+	}
+	return append(versions, version)
+}
+
+// listedVersions returns the index of the newest listing; nil: there is no listing.
+func (d *Dispatcher) listedVersions() *versionIndex {
+	l := d.currentListing()
+	if l == nil {
+		return nil
+	}
+	x := d.versions.Load()
+	if x == nil || !sameEndpoints(x.endpoints, l.Endpoints) {
+		x = newVersionIndex(l.Endpoints)
+		d.versions.Store(x)
+	}
+	return x
+}
+
+// sameEndpoints reports whether two listings share their endpoints, as those do that differ in their
+// age only.
+func sameEndpoints(a, b []*vetchtrail.Endpoint) bool {
+	return len(a) == len(b) && (len(a) == 0 || &a[0] == &b[0])
+}
+
+// markOtherVersions marks the remote data centres of a view that have no endpoint of the software
+// version that began the request's stream.
+func (d *Dispatcher) markOtherVersions(v *vetchtrail.View, r *vetchtrail.Request) {
+	if !r.StreamVersion.Known || len(v.Remotes) == 0 {
+		return
+	}
+	x := d.listedVersions()
+	if x == nil {
+		return
+	}
+	for i := range v.Remotes {
+		m := &v.Remotes[i]
+		m.OtherVersion = !m.SharesEndpoints && !slices.Contains(x.ready[servicePlace{r.Service, m.DataCentre}], r.StreamVersion.Version)
+	}
+}
+
+// knowsVersion reports whether the software version is known that began a stream whose first event
+// this host has passed on. It isn't if an older host that ran the request did not report it.
+func (d *Dispatcher) knowsVersion(r *vetchtrail.Request) bool {
+	if r.StreamVersion.Known || r.Route == "" {
+		return true
+	}
+	x := d.listedVersions()
+	return x == nil || len(x.all[r.Service]) <= 1
+}
--- a/request/dispatch/stream_versions_test.go
+++ b/request/dispatch/stream_versions_test.go
@@ -281,7 +281,7 @@
 	defer cancel()
 	stop := context.AfterFunc(to.ctx, cancel)
 	defer stop()
-	o := to.dispatcher.Run(ctx, forwarded, w)
+	o := to.dispatcher.Run(ctx, forwarded, &forwardedResponse{ResponseWriter: w, from: forwarded, to: r})
 	if to.ctx.Err() != nil {
 		return vetchtrail.Outcome{
 			Kind: vetchtrail.OutcomeUnknown, Status: 502, Step: vetchtrail.StepForward, Reason: vetchtrail.ReasonResponseLost, Peer: host.Name, HostLost: true, ResponseStarted: o.ResponseStarted,
@@ -290,6 +290,18 @@
 	return o
 }
 
+// forwardedResponse passes the software version on with the beginning of a forwarded response.
+type forwardedResponse struct {
+	vetchtrail.ResponseWriter
+	from, to *vetchtrail.Request
+}
+
+// Begin implements vetchtrail.ResponseWriter.
+func (w *forwardedResponse) Begin(status int, header []vetchtrail.HeaderField) error {
+	w.to.ResponseVersion = w.from.ResponseVersion
+	return w.ResponseWriter.Begin(status, header)
+}
+
 // Call implements vetchtrail.EndpointCaller. The data of an event is its number and the endpoint's version.
 func (h *versionHost) Call(ctx context.Context, e vetchtrail.Endpoint, r *vetchtrail.Request, w vetchtrail.ResponseWriter) (vetchtrail.Outcome, vetchtrail.Timing) {
 	timing := vetchtrail.Timing{Sent: time.Now()}
--- a/request/policy/refusal.go
+++ b/request/policy/refusal.go
@@ -25,10 +25,13 @@
 		return vetchtrail.ReasonResidency
 	}
 	reason := vetchtrail.ReasonNoEndpoint
+	if r.StreamVersion.Known {
+		reason = vetchtrail.ReasonOtherVersion
+	}
 	for i := range v.Endpoints {
 		e := &v.Endpoints[i]
 		switch {
-		case !r.AllowedRegions.Has(e.Region):
+		case !r.AllowedRegions.Has(e.Region) || e.UnavailableReason == vetchtrail.ReasonOtherVersion:
 		case e.UnavailableReason != vetchtrail.ReasonUnreachable:
 			return vetchtrail.ReasonOverCapacity
 		default:
--- a/request/policy/remote.go
+++ b/request/policy/remote.go
@@ -81,6 +81,8 @@
 		return vetchtrail.ReasonHops
 	case !r.AllowedRegions.Has(m.Region):
 		return vetchtrail.ReasonResidency
+	case m.OtherVersion:
+		return vetchtrail.ReasonOtherVersion
 	case !m.Reachable:
 		return vetchtrail.ReasonUnreachable
 	case m.DigestAge > maxReportAge:
--- a/schema/convert.go
+++ b/schema/convert.go
@@ -202,7 +202,7 @@
 // The hash of the workspace key is not sent: the receiver relies on the sender for
 // the workspace.
 func FromRequest(r *vetchtrail.Request, now time.Time) *ForwardRequest {
-	return &ForwardRequest{
+	m := &ForwardRequest{
 		Id: r.ID, Service: r.Service, Kind: uint32(r.Kind), Workspace: r.Workspace,
 		Home: uint32(r.HomeRegion), Entry: uint32(r.EntryRegion), Allowed: uint64(r.AllowedRegions),
 		Priority: int32(r.Priority), Remaining: int64(r.Deadline.Sub(now)), Hops: int32(r.Hops), Revision: r.Revision,
@@ -214,6 +214,26 @@
 		AnswerTokens: uint32(r.ExpectedTokens), MostTokens: uint32(r.MaxTokens), Fresh: r.CallerCanRetry,
 		BeginRemaining: remaining(r.FirstEventBy, now), Digest: contentHashOf(r), Final: r.Final,
 	}
+	if r.StreamVersion.Known {
+		m.StreamVersion, m.Service, m.ContinuedService = FromStreamVersion(r.StreamVersion), "", r.Service
+	}
+	return m
+}
+
+// FromStreamVersion returns the field of a message for a version; nil: not known.
+func FromStreamVersion(v vetchtrail.StreamVersion) *string {
+	if !v.Known {
+		return nil
+	}
+	return &v.Version
+}
+
+// ToStreamVersion returns the version in a field of a message.
+func ToStreamVersion(version *string) vetchtrail.StreamVersion {
+	if version == nil {
+		return vetchtrail.StreamVersion{}
+	}
+	return vetchtrail.StreamVersion{Known: true, Version: *version}
 }
 
 // contentHashOf returns the content hash of a request if it is known already, so
@@ -278,7 +298,10 @@
 		Resumable: m.GetResumable(), LastEventID: m.GetLastEvent(),
 		ResponseStarted: m.GetBegun(), QueueUntil: timeAfter(m.GetPatienceRemaining(), now),
 		ExpectedTokens: int(m.GetAnswerTokens()), MaxTokens: int(m.GetMostTokens()), CallerCanRetry: m.GetFresh(),
-		FirstEventBy: timeAfter(m.GetBeginRemaining(), now), Final: m.GetFinal(),
+		FirstEventBy: timeAfter(m.GetBeginRemaining(), now), Final: m.GetFinal(), StreamVersion: ToStreamVersion(m.StreamVersion),
+	}
+	if r.StreamVersion.Known {
+		r.Service = m.GetContinuedService()
 	}
 	if hash, err := ToContentHash(m.GetDigest()); err == nil {
 		r.SetContentHash(hash)
--- a/schema/convert_test.go
+++ b/schema/convert_test.go
@@ -53,3 +53,15 @@
 	_, err = ToEdits(invalid)
 	assert.ErrorContains(t, err, "a key hash has 5 bytes")
 }
+
+// TestOlderHostRefusesContinuation guards against a host that doesn't know stream_version and runs the rest of a stream at any version.
+func TestOlderHostRefusesContinuation(t *testing.T) {
+	now := time.Now()
+	r := &vetchtrail.Request{Service: "s", Route: "r", Deadline: now.Add(time.Second), StreamVersion: vetchtrail.StreamVersion{Known: true, Version: "v1"}}
+	m := FromRequest(r, now)
+	assert.Equal(t, m.GetService(), "", "an older host reads this field and knows no such service")
+	got, err := ToRequest(m, now)
+	assert.NilError(t, err)
+	assert.Equal(t, got.Service, "s")
+	assert.Equal(t, got.StreamVersion, r.StreamVersion)
+}
