A stream that its caller takes up again goes on at the version that began it

Callers that took up a stream again got the rest from any software version. The cause: no host but the one that had passed the stream on could know where it began, and callers come back mostly because that host is gone; Resumes was not read.

At the first event of a stream a host now sends a record of the version to two other hosts of its region and to one of another, chosen by rendezvous hashing of the caller's attempt (package origins). The host at which the stream is resumed queries the hosts that may have it, at most 400 ms, and refuses at once if nobody knows it: guessing breaks the stream, starting anew repeats events. While a service has had one version for a minute, by a listing that is not outdated, nothing is sent or asked, so that a fleet without a release pays nothing; when a second version is listed, the records of the last minute are sent. A host that has just started asks the others.

Weighed: a hash of the attempt that assigns versions needs no memory, but moves half of the streams to each new version's single endpoint; memory of the asked hosts alone ends with the host that is lost. At the design size with two versions in service, a host begins 11.5 streams a second, which is 35 records of about 20 bytes; messages go out one at a time for each receiver (estimate, not measured).

TestStreamsKeepTheirVersion: no stream of 800 has two versions in any of the ten cases (9 to 249 before), and all resumed streams at hosts that have run for 5 s go on. TestOriginOfStream: no guess from a short or outdated view of versions.

--- a/connection/peer/client.go
+++ b/connection/peer/client.go
@@ -199,6 +199,18 @@
 	return reply, wrapError("hold", addr, err)
 }
 
+// StoreOrigins sends a host the software versions at which streams began.
+func (c *Client) StoreOrigins(ctx context.Context, addr netip.AddrPort, m *schema.StreamOrigins) error {
+	_, err := c.peersClient(ctx, addr).Began(ctx, m)
+	return wrapError("began", addr, err)
+}
+
+// FindOrigin asks a host at which software version a stream began.
+func (c *Client) FindOrigin(ctx context.Context, addr netip.AddrPort, m *schema.StreamOriginQuery) (*schema.StreamOriginReply, error) {
+	reply, err := c.peersClient(ctx, addr).Origin(ctx, m)
+	return reply, wrapError("origin", addr, err)
+}
+
 // wrapError adds the call and the host to an error.
 func wrapError(step vetchtrail.Step, addr netip.AddrPort, err error) error {
 	if err == nil {
--- a/connection/peer/server.go
+++ b/connection/peer/server.go
@@ -58,6 +58,12 @@
 	HandleEntries(m *schema.Holds) (*schema.Holds, error)
 }
 
+// StreamOrigins stores the origins of other hosts' streams and answers their queries.
+type StreamOrigins interface {
+	HandleOrigins(m *schema.StreamOrigins)
+	HandleQuery(m *schema.StreamOriginQuery) *schema.StreamOriginReply
+}
+
 // ServerConfig configures a Server.
 type ServerConfig struct {
 	Membership  Membership
@@ -67,6 +73,7 @@
 	Quotas      Quotas
 	RateLimits  RateLimits
 	Quarantines Quarantines
+	Origins     StreamOrigins
 	Operators   schema.DRPCOperatorsServer
 	Buffers     *buffer.Budget // bounds the bodies of forwarded requests; nil: unbounded
 }
@@ -146,6 +153,17 @@
 	return s.cfg.Quarantines.HandleEntries(m)
 }
 
+// Began implements schema.DRPCPeersServer.
+func (s *Server) Began(_ context.Context, m *schema.StreamOrigins) (*schema.StreamOriginsReply, error) {
+	s.cfg.Origins.HandleOrigins(m)
+	return &schema.StreamOriginsReply{}, nil
+}
+
+// Origin implements schema.DRPCPeersServer.
+func (s *Server) Origin(_ context.Context, m *schema.StreamOriginQuery) (*schema.StreamOriginReply, error) {
+	return s.cfg.Origins.HandleQuery(m), nil
+}
+
 // Forward implements schema.DRPCPeersServer.
 func (s *Server) Forward(m *schema.ForwardRequest, stream schema.DRPCPeers_ForwardStream) error {
 	r, err := schema.ToRequest(m, time.Now())
--- a/outcome.go
+++ b/outcome.go
@@ -149,5 +149,6 @@
 	ReasonOverQuota             Reason = "over-quota"     // the workspace has used up its quota
 	ReasonQuarantined           Reason = "held-back"      // the request is quarantined
 	ReasonOtherVersion          Reason = "other-version"  // the stream began at another software version
+	ReasonUnknownOrigin         Reason = "unknown-origin" // no reachable host knows at which software version the stream began
 	ReasonAdmission             Reason = "admission"      // the service is short of capacity and the request was not admitted
 )
--- a/process/daemon/daemon.go
+++ b/process/daemon/daemon.go
@@ -32,6 +32,7 @@
 	"vetchtrail/process/lists"
 	"vetchtrail/process/load"
 	"vetchtrail/process/membership"
+	"vetchtrail/process/origins"
 	"vetchtrail/process/poll"
 	"vetchtrail/process/quarantines"
 	"vetchtrail/process/quotas"
@@ -120,6 +121,7 @@
 	quarantines       *quarantines.Quarantines
 	quarantineKVStore *quarantines.KVStore // persists quarantine entries unless the platform is hosted
 	lists             *lists.Lists         // the hosted platform's listing
+	origins           *origins.Origins     // the software versions at which streams began
 	peers             *peer.Client
 	callers           *caller.Server
 	poller            *poll.Poller                    // polls the endpoints' load reports unless the platform is hosted
@@ -179,7 +181,7 @@
 	var err error
 	d.server, err = peer.NewServer(peer.ServerConfig{
 		Membership: d.membership, Changes: d.changes, Listings: d.lists, Runner: d.dispatcher, Quotas: d.quotas, RateLimits: d.rateLimits,
-		Quarantines: d.quarantines, Operators: &operatorServer{d: d}, Buffers: d.buffers,
+		Quarantines: d.quarantines, Origins: d.origins, Operators: &operatorServer{d: d}, Buffers: d.buffers,
 	})
 	return d, err
 }
@@ -222,12 +224,16 @@
 	})
 	d.prober = reachability.New(reachability.Config{Table: d.table, Connect: d.endpoints.Connect, Refuses: d.endpoints.RefusesConnection})
 	d.newQuarantines(switchedOff)
+	d.origins = origins.New(origins.Config{
+		Self: d.self, Regions: func() []string { return d.changes.Rules().RegionNames() }, Hosts: liveHosts{d.membership}, Peers: d.peers,
+		Listing: d.lists.Listing, KnownWithin: d.cfg.Platform.KnownWithin, Log: d.log,
+	})
 	d.dispatcher = dispatch.New(dispatch.Config{
 		Self: d.self, Policy: p, Rules: d.changes.Rules, Endpoints: d.table, Membership: d.membership,
 		EndpointCaller: d.endpoints, Peers: d.peers, IssuedKeys: idempotencyKeys, Journal: d.journal, Seed: d.randomSeed(),
 		RetryBudget: d.budget(d.cfg.Retries), Quotas: d.quotas, Quarantine: d.quarantines, RateLimits: d.rateLimits, Admission: d.demand, SwitchedOff: switchedOff,
 		ProcessEnded: d.prober.ProcessEnded, Returns: d.returns, ReturnsInForce: d.returns.InForce,
-		Listing: d.lists.Listing, KnownWithin: d.cfg.Platform.KnownWithin,
+		Listing: d.lists.Listing, KnownWithin: d.cfg.Platform.KnownWithin, Origins: d.streamOrigins(),
 	})
 	d.callers = caller.New(caller.Config{
 		Runner: d.dispatcher, Rules: d.changes.Rules, Membership: d.membership, IssuedKeys: idempotencyKeys,
--- a/process/daemon/hosted.go
+++ b/process/daemon/hosted.go
@@ -62,6 +62,15 @@
 	}
 }
 
+// streamOrigins returns the origins of streams. Without a hosted platform, endpoints state no
+// software version; it then returns nil.
+func (d *Daemon) streamOrigins() vetchtrail.StreamOrigins {
+	if d.hosted == nil {
+		return nil
+	}
+	return d.origins
+}
+
 // feedSink receives the configurations and listings of the platform's feed.
 type feedSink struct{ d *Daemon }
 
@@ -90,6 +99,7 @@
 		// Before updateTable: an endpoint that is no longer listed has crashed unless it was
 		// leaving, and updateTable removes that information from the table.
 		d.quarantines.Listed(l)
+		d.origins.Listed(l)
 	}
 	d.updateTable(time.Now())
 	d.setReadyIfComplete()
--- /dev/null
+++ b/process/origins/origins.go
@@ -0,0 +1,124 @@
+// Package origins remembers at which software version streams began, so that callers can resume them at any host,
+// also after the loss of the host that passed them on. At the first event of a stream, a host sends a record of its
+// origin to a few other hosts, chosen by rendezvous hashing of the caller's attempt. The host at which the stream is
+// resumed queries them. While a service has had a single version for as long as a stream lasts, nothing is sent.
+//
+// The package doesn't decide where a stream goes on. Its state is held in memory only and ends with the process.
+package origins
+
+import (
+	"context"
+	"log/slog"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"vetchtrail"
+	"vetchtrail/schema"
+)
+
+// maxStreamAge is the age up to which a stream can be resumed: some times the deadline of the longest requests.
+const maxStreamAge = time.Minute
+
+// Hosts provides the other hosts.
+type Hosts interface {
+	// FirstInRegion returns the n live hosts of a region that rank first for a task, including this host if it is in
+	// the region.
+	FirstInRegion(region, task string, n int) []vetchtrail.Host
+}
+
+// Peers sends messages to other hosts.
+type Peers interface {
+	StoreOrigins(ctx context.Context, addr netip.AddrPort, m *schema.StreamOrigins) error
+	FindOrigin(ctx context.Context, addr netip.AddrPort, m *schema.StreamOriginQuery) (*schema.StreamOriginReply, error)
+}
+
+// Config holds the dependencies and settings of Origins.
+type Config struct {
+	Self    vetchtrail.Host
+	Regions func() []string
+	Hosts   Hosts
+	Peers   Peers
+	// Listing returns the newest listing; nil: there is none yet.
+	Listing func() *vetchtrail.Listing
+	// KnownWithin is the age from which a listing may lack endpoints that other hosts know.
+	KnownWithin time.Duration
+	Log         *slog.Logger
+}
+
+// Origins holds the origins of streams that this host passed on, and of those that it received from other hosts. It implements
+// vetchtrail.StreamOrigins and is safe for concurrent use.
+type Origins struct {
+	cfg Config
+
+	mu       sync.Mutex
+	records  records
+	services map[string]*versionHistory
+	listed   []*vetchtrail.Endpoint // that the histories were updated by
+	outboxes map[netip.AddrPort]*outbox
+}
+
+// New returns Origins without records.
+func New(c Config) *Origins {
+	return &Origins{cfg: c, services: map[string]*versionHistory{}, outboxes: map[netip.AddrPort]*outbox{}}
+}
+
+// keyOf returns the key of a stream's record.
+func keyOf(service, attempt string) uint64 {
+	h := xxhash.New()
+	_, _ = h.WriteString(service)
+	_, _ = h.Write([]byte{0})
+	_, _ = h.WriteString(attempt)
+	return h.Sum64()
+}
+
+// Began implements vetchtrail.StreamOrigins.
+func (o *Origins) Began(service, attempt string, v vetchtrail.StreamVersion) {
+	if !v.Known {
+		return
+	}
+	now, key := time.Now(), keyOf(service, attempt)
+	r := record{service: service, version: v.Version, began: now}
+	o.mu.Lock()
+	o.records.add(key, r, now)
+	_, only := o.onlyVersion(service, now)
+	o.mu.Unlock()
+	if !only {
+		o.replicate(key, r, now)
+	}
+}
+
+// HandleOrigins stores the origins of another host.
+func (o *Origins) HandleOrigins(m *schema.StreamOrigins) {
+	now := time.Now()
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for _, origin := range m.GetOrigins() {
+		r := record{version: origin.GetSoftwareVersion(), began: now.Add(-time.Duration(max(0, origin.GetAge())))}
+		if _, known := o.records.find(origin.GetStream(), now); !known {
+			o.records.add(origin.GetStream(), r, now)
+		}
+	}
+}
+
+// HandleQuery answers another host's query for the origin of a stream.
+func (o *Origins) HandleQuery(m *schema.StreamOriginQuery) *schema.StreamOriginReply {
+	v, only := o.known(m.GetService(), m.GetStream(), time.Now())
+	return &schema.StreamOriginReply{SoftwareVersion: schema.FromStreamVersion(v), Only: only}
+}
+
+// known returns what this host knows of a stream's origin: its record or, without one, the version that is the
+// service's only one.
+func (o *Origins) known(service string, key uint64, now time.Time) (v vetchtrail.StreamVersion, only bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if r, ok := o.records.find(key, now); ok {
+		return vetchtrail.StreamVersion{Known: true, Version: r.version}, false
+	}
+	if version, only := o.onlyVersion(service, now); only {
+		return vetchtrail.StreamVersion{Known: true, Version: version}, true
+	}
+	return vetchtrail.StreamVersion{}, false
+}
--- /dev/null
+++ b/process/origins/versions.go
@@ -0,0 +1,71 @@
+package origins
+
+import (
+	"slices"
+	"time"
+
+	"vetchtrail"
+)
+
+// versionHistory is which software versions this host's listings have shown for a service.
+type versionHistory struct {
+	versions []string  // of the newest listing
+	since    time.Time // since when all listings have shown these versions
+}
+
+// single reports whether the newest listing shows a single version.
+func (h *versionHistory) single() bool { return len(h.versions) == 1 }
+
+// Listed updates the versions of the services by a listing. The origins of streams that began while a service had a
+// single version are replicated once it has several.
+func (o *Origins) Listed(l *vetchtrail.Listing) {
+	now := time.Now()
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if len(o.listed) == len(l.Endpoints) && len(o.listed) > 0 && &o.listed[0] == &l.Endpoints[0] {
+		return // listings share the endpoints that did not change
+	}
+	o.listed = l.Endpoints
+	for service, versions := range versionsOf(l.Endpoints) {
+		h, ok := o.services[service]
+		if !ok {
+			o.services[service] = &versionHistory{versions: versions, since: now}
+			continue
+		}
+		if slices.Equal(h.versions, versions) {
+			continue
+		}
+		wasSingle := h.single()
+		h.versions, h.since = versions, now
+		if wasSingle {
+			go o.replicateAll(service, now)
+		}
+	}
+}
+
+// versionsOf returns the software versions of the endpoints of each service, sorted.
+func versionsOf(endpoints []*vetchtrail.Endpoint) map[string][]string {
+	out := map[string][]string{}
+	for _, e := range endpoints {
+		versions := out[e.Service]
+		if at, found := slices.BinarySearch(versions, e.SoftwareVersion); !found {
+			out[e.Service] = slices.Insert(versions, at, e.SoftwareVersion)
+		}
+	}
+	return out
+}
+
+// onlyVersion returns the software version that began each stream of a service that can be resumed, if there has been
+// no other for so long. It returns false if the listing may lack endpoints that other hosts know. The caller holds the
+// lock.
+func (o *Origins) onlyVersion(service string, now time.Time) (string, bool) {
+	h, ok := o.services[service]
+	if !ok || !h.single() || now.Sub(h.since) <= maxStreamAge {
+		return "", false
+	}
+	l := o.cfg.Listing()
+	if l == nil || now.Sub(l.ReadAt) >= o.cfg.KnownWithin {
+		return "", false
+	}
+	return h.versions[0], true
+}
--- a/request.go
+++ b/request.go
@@ -44,23 +44,23 @@
 	Reservation Reservation
 
 	// The remaining fields are set for requests that belong to a route.
-	Route           string
-	MaxAttempts     int          // maximum number of endpoints that it may be sent to
-	Goal            time.Time    // latency objective
-	Prompt          []PromptPart // in the order of the prompt
-	ExpectedTokens  int          // the caller's estimate of the tokens in the response; 0: none
-	MaxTokens       int          // maximum tokens of the response; 0: not stated
-	Resumable       bool         // its stream may be resumed at another endpoint
-	LastEventID     string       // id of the last event that the caller received
-	Resumes         string       // id of the caller's attempt that brought the first event of the stream that it resumes; empty: not stated
+	Route          string
+	MaxAttempts    int          // maximum number of endpoints that it may be sent to
+	Goal           time.Time    // latency objective
+	Prompt         []PromptPart // in the order of the prompt
+	ExpectedTokens int          // the caller's estimate of the tokens in the response; 0: none
+	MaxTokens      int          // maximum tokens of the response; 0: not stated
+	Resumable      bool         // its stream may be resumed at another endpoint
+	LastEventID    string       // id of the last event that the caller received
+	Resumes        string       // id of the caller's attempt that brought the first event of the stream that it resumes; empty: not stated
 	// StreamVersion is the software version that began the stream that it continues. The rest may come
 	// only from endpoints of that version, which the endpoints don't check. Not known for a new stream.
 	StreamVersion StreamVersion
 	// ResponseVersion is the software version of the endpoint whose response is being received. It is
 	// set before the response begins.
 	ResponseVersion StreamVersion
-	CallerCanRetry  bool         // the caller still has most of its time, so it can retry after a refusal
-	ResponseStarted bool         // part of a response was sent to the caller: only the rest of that stream may follow
+	CallerCanRetry  bool // the caller still has most of its time, so it can retry after a refusal
+	ResponseStarted bool // part of a response was sent to the caller: only the rest of that stream may follow
 	// Final reports that no other attempt could replace the current one. The attempt then goes on
 	// until its deadline, even if its endpoint is silent. The host that received the request from
 	// its caller sets it.
@@ -114,20 +114,6 @@
 	return r.Prompt[len(r.Prompt)-2], true
 }
 
-// StreamVersion is the software version of the endpoint that wrote events of a stream.
-type StreamVersion struct {
-	Known   bool
-	Version string // empty: the endpoint states none
-}
-
-// VersionOf returns the version of the streams of an endpoint.
-func VersionOf(e Endpoint) StreamVersion { return StreamVersion{Known: true, Version: e.SoftwareVersion} }
-
-// AcceptsVersion reports whether an endpoint of a software version may run the request.
-func (r *Request) AcceptsVersion(version string) bool {
-	return !r.StreamVersion.Known || r.StreamVersion.Version == version
-}
-
 // HeaderField is one field of an HTTP header.
 type HeaderField struct {
 	Name  string
--- a/request/dispatch/dispatch.go
+++ b/request/dispatch/dispatch.go
@@ -80,6 +80,7 @@
 	Listing func() *vetchtrail.Listing
 	// KnownWithin is the age from which a listing counts as outdated.
 	KnownWithin time.Duration
+	Origins     vetchtrail.StreamOrigins // nil: all endpoints of a service have the same software version
 	// ReturnsInForce returns whether returns to a service are planned; nil: for all services.
 	// It is only used with Returns.
 	ReturnsInForce func(service string, now time.Time) bool
@@ -156,6 +157,9 @@
 	if r.ResumeAt.Endpoint != "" {
 		return d.resumeStream(ctx, r, w)
 	}
+	if o, ok := d.findOrigin(ctx, r); !ok {
+		return o
+	}
 	if r.IdempotencyKey != "" {
 		return d.runWithKey(ctx, r, w)
 	}
@@ -267,7 +271,7 @@
 func (d *Dispatcher) runWithRetries(ctx context.Context, r *vetchtrail.Request, w vetchtrail.ResponseWriter) vetchtrail.Outcome {
 	var history attemptHistory
 	if r.Stream && r.Resumable {
-		w = &eventTracker{next: w, req: r}
+		w = &eventTracker{next: w, req: r, origins: d.cfg.Origins}
 	}
 	if r.Hops == 0 {
 		d.budget(r.Service).CountRequest(time.Now())
--- a/request/dispatch/event_tracker.go
+++ b/request/dispatch/event_tracker.go
@@ -10,8 +10,9 @@
 // software version that wrote the first one.
 // The caller receives one status and header, from the first attempt that responds.
 type eventTracker struct {
-	next vetchtrail.ResponseWriter
-	req  *vetchtrail.Request
+	next    vetchtrail.ResponseWriter
+	req     *vetchtrail.Request
+	origins vetchtrail.StreamOrigins // nil: not stored
 }
 
 // Begin implements vetchtrail.ResponseWriter.
@@ -30,9 +31,18 @@
 	}
 	if id, ok := endpoint.EventID(part); ok {
 		if t.req.LastEventID == "" {
-			t.req.StreamVersion = t.req.ResponseVersion
+			t.began()
 		}
 		t.req.LastEventID = id
 	}
 	return nil
 }
+
+// began stores the software version that began the stream. The host that received the request from
+// its caller also stores it for the hosts at which the caller may resume the stream.
+func (t *eventTracker) began() {
+	t.req.StreamVersion = t.req.ResponseVersion
+	if t.origins != nil && t.req.Hops == 0 {
+		t.origins.Began(t.req.Service, t.req.ID, t.req.StreamVersion)
+	}
+}
--- a/request/dispatch/software_version.go
+++ b/request/dispatch/software_version.go
@@ -1,11 +1,17 @@
 package dispatch
 
 import (
+	"context"
 	"slices"
+	"time"
 
 	"vetchtrail"
 )
 
+// unknownOriginRetryDelay is when the caller of a stream of unknown origin may try again. It gives hosts
+// that have just started, or lost each other, time to meet.
+const unknownOriginRetryDelay = time.Second
+
 // versionIndex holds the software versions of the listed endpoints.
 type versionIndex struct {
 	endpoints []*vetchtrail.Endpoint    // of the listing
@@ -81,3 +87,17 @@
 	x := d.listedVersions()
 	return x == nil || len(x.all[r.Service]) <= 1
 }
+
+// findOrigin sets the software version that began the stream that a caller resumes. It returns false with
+// the refusal if nobody knows it: an endpoint of another version would write a stream that doesn't fit, and
+// one that starts anew would repeat events.
+func (d *Dispatcher) findOrigin(ctx context.Context, r *vetchtrail.Request) (vetchtrail.Outcome, bool) {
+	if d.cfg.Origins == nil || r.Route == "" || r.Hops > 0 || r.LastEventID == "" {
+		return vetchtrail.Outcome{}, true
+	}
+	r.StreamVersion = d.cfg.Origins.Find(ctx, r.Service, r.Resumes)
+	if r.StreamVersion.Known {
+		return vetchtrail.Outcome{}, true
+	}
+	return d.refusal(vetchtrail.StepDecide, vetchtrail.ReasonUnknownOrigin, time.Now().Add(unknownOriginRetryDelay)), false
+}
--- a/request/dispatch/stream_versions_test.go
+++ b/request/dispatch/stream_versions_test.go
@@ -23,6 +23,7 @@
 	"vetchtrail/process/journal"
 	"vetchtrail/process/load"
 	"vetchtrail/process/membership"
+	"vetchtrail/process/origins"
 	"vetchtrail/request/budget"
 	"vetchtrail/request/idempotency"
 	"vetchtrail/request/policy"
@@ -81,6 +82,7 @@
 	listingMutex sync.Mutex
 	table        *load.Table
 	members      *membership.Membership
+	origins      *origins.Origins
 	dispatcher   *Dispatcher
 }
 
@@ -178,6 +180,15 @@
 		}
 	}
 	h.table.Configure(placed)
+	h.origins.Listed(l)
+}
+
+// hostRanking ranks the live hosts for package origins.
+type hostRanking struct{ *membership.Membership }
+
+// FirstInRegion implements origins.Hosts.
+func (r hostRanking) FirstInRegion(region, task string, n int) []vetchtrail.Host {
+	return r.Membership.FirstInRegion(region, task, n, time.Now())
 }
 
 // start starts a process of the host with an index.
@@ -194,12 +205,15 @@
 	h.members = membership.New(membership.Config{
 		Self: h.self, Seeds: f.addrs, Load: h.table, Revision: f.rules.Revision, Log: discardLog, RandomSeed: uint64(i) + 1, CallsWholeRegion: true,
 	})
+	h.origins = origins.New(origins.Config{
+		Self: h.self, Regions: f.rules.RegionNames, Hosts: hostRanking{h.members}, Peers: h, Listing: h.listing.Load, KnownWithin: 5 * time.Second, Log: discardLog,
+	})
 	h.dispatcher = New(Config{
 		Self: h.self, Policy: policy.Weighted{}, Rules: func() *rules.Rules { return f.rules }, Endpoints: h.table, Membership: h.members,
 		EndpointCaller: h, Peers: h, IssuedKeys: idempotency.New(idempotency.Config{Host: h.self.Name, KeyTime: time.Minute}),
 		Journal: journal.New(journal.Config{Log: slog.New(slog.NewTextHandler(io.Discard, nil))}), Seed: uint64(i),
 		RetryBudget: budget.Config{Window: 10 * time.Second, Share: 0.2, Base: 100, Hosts: func() int { return 1 }},
-		Listing:     h.listing.Load, KnownWithin: 5 * time.Second,
+		Listing:     h.listing.Load, KnownWithin: 5 * time.Second, Origins: h.origins,
 	})
 	f.mu.Lock()
 	h.applyListing(f.listing)
@@ -263,6 +277,29 @@
 	return to.members.HandleDigests(m), nil
 }
 
+// StoreOrigins implements origins.Peers.
+func (h *versionHost) StoreOrigins(_ context.Context, addr netip.AddrPort, m *schema.StreamOrigins) error {
+	to, err := h.reach(addr)
+	if err != nil {
+		return err
+	}
+	to.origins.HandleOrigins(m)
+	return nil
+}
+
+// FindOrigin implements origins.Peers.
+func (h *versionHost) FindOrigin(_ context.Context, addr netip.AddrPort, m *schema.StreamOriginQuery) (*schema.StreamOriginReply, error) {
+	to, err := h.reach(addr)
+	if err != nil {
+		return nil, err
+	}
+	reply := to.origins.HandleQuery(m)
+	if _, err := h.reach(addr); err != nil {
+		return nil, err
+	}
+	return reply, nil
+}
+
 // Forward implements vetchtrail.Forwarder.
 func (h *versionHost) Forward(ctx context.Context, host vetchtrail.Host, r *vetchtrail.Request, w vetchtrail.ResponseWriter) vetchtrail.Outcome {
 	to, err := h.reach(host.PeerAddr)
--- /dev/null
+++ b/stream_version.go
@@ -0,0 +1,29 @@
+package vetchtrail
+
+import "context"
+
+// StreamVersion is the software version of the endpoint that wrote events of a stream.
+type StreamVersion struct {
+	Known   bool
+	Version string // empty: the endpoint states none
+}
+
+// VersionOf returns the version of the streams of an endpoint.
+func VersionOf(e Endpoint) StreamVersion {
+	return StreamVersion{Known: true, Version: e.SoftwareVersion}
+}
+
+// StreamOrigins remembers at which software version each stream began, beyond the loss of the host
+// that passed it on: a caller mostly resumes a stream because that host is gone.
+type StreamOrigins interface {
+	// Began records the version of the endpoint that wrote the first event of a stream of a service.
+	// attempt is the id of the caller's attempt that brought that event. It doesn't block.
+	Began(service, attempt string, v StreamVersion)
+	// Find returns the version that began a stream, from this host or from others.
+	Find(ctx context.Context, service, attempt string) StreamVersion
+}
+
+// AcceptsVersion reports whether an endpoint of a software version may run the request.
+func (r *Request) AcceptsVersion(version string) bool {
+	return !r.StreamVersion.Known || r.StreamVersion.Version == version
+}
