New requests don't wait behind a stream that waits for its version

A stream that may go on only at one software version waited at the head of its service's queue while the endpoints of that version were full, and every request behind it waited too, though endpoints of another version were idle: in the test for 9.5 s, until the stream was refused. The queue assumes that what the first request can use, the next can use as well. The rest of streams now has a queue for each version; where no endpoint has the version at all, it is refused at once, as before. TestWaitingContinuationBlocksNoOthers failed before.

--- a/request/dispatch/dispatch.go
+++ b/request/dispatch/dispatch.go
@@ -95,14 +95,14 @@
 	versions      atomic.Pointer[versionIndex] // of the newest listing that was asked for versions
 	inFlight      atomic.Int64
 
-	mu         sync.Mutex                // guards the maps and cfg.RetryBudget
-	waitQueues map[string]*queue.Queue   // by service
+	mu         sync.Mutex // guards the maps and cfg.RetryBudget
+	waitQueues map[queueKey]*queue.Queue
 	budgets    map[string]*budget.Budget // by service
 }
 
 // New returns a Dispatcher with empty queues and no retries made.
 func New(c Config) *Dispatcher {
-	d := &Dispatcher{cfg: c, waitQueues: map[string]*queue.Queue{}, budgets: map[string]*budget.Budget{}}
+	d := &Dispatcher{cfg: c, waitQueues: map[queueKey]*queue.Queue{}, budgets: map[string]*budget.Budget{}}
 	d.viewPool.New = func() any { return &vetchtrail.View{} }
 	d.randomPool.New = func() any { return rand.New(rand.NewPCG(c.Seed, d.randomStreams.Add(1))) }
 	return d
--- a/request/dispatch/per_service.go
+++ b/request/dispatch/per_service.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"vetchtrail"
 	"vetchtrail/request/budget"
 	"vetchtrail/request/queue"
 )
@@ -16,14 +17,22 @@
 	}
 }
 
-// waitQueue returns the queue of a service's requests that wait for capacity.
-func (d *Dispatcher) waitQueue(service string) *queue.Queue {
+// queueKey identifies a queue. The rest of a stream waits for endpoints of one software version, so it
+// has a queue apart: requests that any endpoint may run must not wait behind it.
+type queueKey struct {
+	service string
+	version vetchtrail.StreamVersion
+}
+
+// waitQueue returns the queue of the requests that wait for the capacity that r needs.
+func (d *Dispatcher) waitQueue(r *vetchtrail.Request) *queue.Queue {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	q, ok := d.waitQueues[service]
+	key := queueKey{r.Service, r.StreamVersion}
+	q, ok := d.waitQueues[key]
 	if !ok {
-		q = queue.New(func() <-chan struct{} { return d.cfg.Endpoints.CapacityFreed(service) })
-		d.waitQueues[service] = q
+		q = queue.New(func() <-chan struct{} { return d.cfg.Endpoints.CapacityFreed(key.service) })
+		d.waitQueues[key] = q
 	}
 	return q
 }
--- a/request/dispatch/placement.go
+++ b/request/dispatch/placement.go
@@ -12,7 +12,7 @@
 // findPlacement finds a target for the next attempt, after a wait in the queue if
 // necessary. It returns false with the refusal if there is none.
 func (d *Dispatcher) findPlacement(ctx context.Context, r *vetchtrail.Request, history attemptHistory, attempt int) (placement, vetchtrail.Outcome, bool) {
-	waitQueue := d.waitQueue(r.Service)
+	waitQueue := d.waitQueue(r)
 	for range maxPlacementRounds {
 		dec := d.decide(r, history)
 		if dec.Kind == vetchtrail.RunHere && waitQueue.Len() > 0 {
@@ -50,7 +50,7 @@
 	v.Endpoints, v.Remotes, v.Excluded, v.ViaPeers = v.Endpoints[:0], v.Remotes[:0], history.excluded, 0
 	v.RefusedHere, v.WaitExhausted = history.refusedHere, history.waitExhausted
 	v.PlannedReturns = history.reached == 0 && d.plansReturns(r, now)
-	v.QueueWait = d.waitQueue(r.Service).EstimatedWait().Seconds()
+	v.QueueWait = d.waitQueue(r).EstimatedWait().Seconds()
 	d.cfg.Endpoints.Fill(v, r, now)
 	v.ExpectedEvents = expectedEvents(r, s.EventTokens, v.ExpectedEvents)
 	d.cfg.Membership.AppendRemotes(v, r.Service, func(name string) (vetchtrail.RegionID, bool) {
@@ -114,7 +114,7 @@
 		return d.forwardOrRefuse(ctx, r, history, vetchtrail.ReasonFull, time.Now().Add(minRetryDelay), attempt)
 	}
 	s, _ := d.cfg.Rules().Service(r.Service)
-	waitQueue := d.waitQueue(r.Service)
+	waitQueue := d.waitQueue(r)
 	joined := waitQueue.Join(r, s.QueueLimit, time.Now())
 	if joined.Waiter == nil {
 		return d.forwardOrRefuse(ctx, r, history, joined.Reason, time.Now().Add(max(joined.Wait, minRetryDelay)), attempt)
--- a/request/dispatch/replacement.go
+++ b/request/dispatch/replacement.go
@@ -49,7 +49,7 @@
 	if r.Hops > 0 {
 		return dec.Reason != vetchtrail.ReasonDeadline
 	}
-	canRun := dec.Kind == vetchtrail.RunElsewhere || (dec.Kind == vetchtrail.RunHere && d.waitQueue(r.Service).Len() == 0)
+	canRun := dec.Kind == vetchtrail.RunElsewhere || (dec.Kind == vetchtrail.RunHere && d.waitQueue(r).Len() == 0)
 	if !canRun || !d.budget(r.Service).TakeRetry(time.Now()) {
 		return false
 	}
--- /dev/null
+++ b/request/dispatch/software_version_test.go
@@ -0,0 +1,72 @@
+package dispatch
+
+import (
+	"context"
+	"net/netip"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"vetchtrail"
+	"vetchtrail/process/load"
+	"vetchtrail/version/rules"
+)
+
+// setVersions gives the endpoints of a dispatcher, 1, 2 and so on, software versions.
+func setVersions(d *Dispatcher, versions ...string) {
+	var placed []load.EndpointInRegion
+	for i, version := range versions {
+		placed = append(placed, load.EndpointInRegion{Endpoint: vetchtrail.Endpoint{
+			Name: string(rune('1' + i)), Service: "s", Region: "a", DataCentre: "a-1", Slots: 4, SoftwareVersion: version, Addr: netip.MustParseAddrPort("10.0.0.1:1"),
+		}})
+	}
+	d.cfg.Endpoints.(*load.Table).Configure(placed)
+}
+
+// TestWaitingContinuationBlocksNoOthers guards against new requests that wait behind a stream whose software version has no capacity.
+func TestWaitingContinuationBlocksNoOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		targets := &scriptedTargets{replies: []reply{respondWith("new"), respondWith("rest")}}
+		d := newDispatcher(t, targets, 2)
+		setVersions(d, "v1", "v2")
+		ruleSet, err := d.cfg.Rules().ApplyEdits([]vetchtrail.Edit{vetchtrail.PutService{Service: vetchtrail.Service{Name: "s", AnswerWithin: time.Minute, QueueLimit: 10}}})
+		assert.NilError(t, err)
+		d.cfg.Rules = func() *rules.Rules { return ruleSet }
+		for i := range 4 {
+			assert.Assert(t, d.cfg.Endpoints.Acquire("1", &vetchtrail.Request{ID: string(rune('a' + i)), Service: "s"}, time.Now()))
+		}
+		request := func(id string, version vetchtrail.StreamVersion) *vetchtrail.Request {
+			return &vetchtrail.Request{ID: id, Service: "s", Route: "r", MaxAttempts: 1, Hops: 1, AllowedRegions: vetchtrail.AllRegions, StreamVersion: version, Deadline: time.Now().Add(10 * time.Second)}
+		}
+		continued := make(chan vetchtrail.Outcome, 1)
+		go func() {
+			continued <- d.Run(context.Background(), request("continued", vetchtrail.StreamVersion{Known: true, Version: "v1"}), &responseRecorder{})
+		}()
+		synctest.Wait()
+		began := time.Now()
+		o := d.Run(context.Background(), request("new", vetchtrail.StreamVersion{}), &responseRecorder{})
+		assert.Equal(t, o.Kind, vetchtrail.OutcomeAnswered, "%v", o)
+		assert.Equal(t, time.Since(began), time.Duration(0))
+		d.cfg.Endpoints.Release("1", vetchtrail.Observation{Request: "a", Outcome: vetchtrail.Outcome{Kind: vetchtrail.OutcomeAnswered}}, time.Now())
+		assert.Equal(t, (<-continued).Kind, vetchtrail.OutcomeAnswered)
+		assert.DeepEqual(t, targets.called, []string{"2", "1"})
+		time.Sleep(time.Minute) // until the queue's timers have fired
+	})
+}
+
+// TestContinuationWithoutItsVersion guards against a stream that waits for a software version that no endpoint has.
+func TestContinuationWithoutItsVersion(t *testing.T) {
+	d := newDispatcher(t, &scriptedTargets{}, 2)
+	setVersions(d, "v2", "v2")
+	r := &vetchtrail.Request{
+		ID: "x", Service: "s", Route: "r", MaxAttempts: 1, Hops: 1, AllowedRegions: vetchtrail.AllRegions, Deadline: time.Now().Add(10 * time.Second),
+		StreamVersion: vetchtrail.StreamVersion{Known: true, Version: "v1"},
+	}
+	began := time.Now()
+	o := d.Run(context.Background(), r, &responseRecorder{})
+	assert.Equal(t, o.Kind, vetchtrail.OutcomeNotRun, "%v", o)
+	assert.Equal(t, o.Reason, vetchtrail.ReasonOtherVersion)
+	assert.Assert(t, time.Since(began) < time.Second)
+}
