A request isn't sent by an endpoint's entry that has been replaced

The version of a stream's first event was taken from the entry by which the endpoint was chosen. Until the first byte leaves, which can take a wait for a connection, the entry may have been replaced by that of a process of another version, so that a new stream was stored under the wrong version and the rest of one went to the wrong version; the check just before sending looked at the same old entry. It now compares it with the listed one. Two of the four cases of TestVersionBeforeSend failed before.

--- a/request/dispatch/dispatch.go
+++ b/request/dispatch/dispatch.go
@@ -228,7 +228,8 @@
 	if _, quarantined := d.quarantined(r); quarantined {
 		return vetchtrail.ReasonQuarantined
 	}
-	if !r.AcceptsVersion(e.SoftwareVersion) {
+	// The version of a stream's first event is that of the entry by which it is sent.
+	if listed, ok := d.cfg.Endpoints.Find(e.Name); ok && listed.SoftwareVersion != e.SoftwareVersion || !r.AcceptsVersion(e.SoftwareVersion) {
 		return vetchtrail.ReasonOtherVersion
 	}
 	// A stream can be resumed only at the endpoint that has it, so draining does
--- a/request/dispatch/software_version_test.go
+++ b/request/dispatch/software_version_test.go
@@ -70,3 +70,26 @@
 	assert.Equal(t, o.Reason, vetchtrail.ReasonOtherVersion)
 	assert.Assert(t, time.Since(began) < time.Second)
 }
+// TestVersionBeforeSend guards against a request that is sent by an entry which another process has replaced since the endpoint was chosen.
+func TestVersionBeforeSend(t *testing.T) {
+	v1 := vetchtrail.StreamVersion{Known: true, Version: "v1"}
+	cases := map[string]struct {
+		continues vetchtrail.StreamVersion
+		listed    string // version just before the request is sent; it was v1 when the endpoint was chosen
+		want      vetchtrail.Reason
+	}{
+		"new stream, same version":      {vetchtrail.StreamVersion{}, "v1", ""},
+		"new stream, other version":     {vetchtrail.StreamVersion{}, "v2", vetchtrail.ReasonOtherVersion},
+		"rest of stream, same version":  {v1, "v1", ""},
+		"rest of stream, other version": {v1, "v2", vetchtrail.ReasonOtherVersion},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			d := newDispatcher(t, &scriptedTargets{}, 1)
+			setVersions(d, c.listed)
+			r := &vetchtrail.Request{Service: "s", Route: "r", AllowedRegions: vetchtrail.AllRegions, Deadline: time.Now().Add(time.Second), StreamVersion: c.continues}
+			chosen := vetchtrail.Endpoint{Name: "1", Service: "s", Region: "a", DataCentre: "a-1", SoftwareVersion: "v1"}
+			assert.Equal(t, d.CheckBeforeSend(chosen, r), c.want)
+		})
+	}
+}
