KV caches are transferred only between endpoints of one software version

What two versions write doesn't fit together and engines don't check it, so the source is now one of the same version, or none.

--- a/process/load/prefill.go
+++ b/process/load/prefill.go
@@ -59,9 +59,14 @@
 // preferredEndpoint returns the index of a session's preferred endpoint: the one to which all hosts send the session
 // while it has capacity. It is chosen by rendezvous hashing over the endpoints in use; -1: there are none.
 func preferredEndpoint(states []*endpointState, session uint64, now time.Time) int {
+	return preferredAmong(states, session, func(s *endpointState) bool { return s.inUse(now) })
+}
+
+// preferredAmong does what preferredEndpoint does, over the endpoints that accept accepts.
+func preferredAmong(states []*endpointState, session uint64, accept func(*endpointState) bool) int {
 	best, at := uint64(0), -1
 	for i, s := range states {
-		if !s.inUse(now) {
+		if !accept(s) {
 			continue
 		}
 		if w := sessionWeight(s.nameHash, session); at < 0 || w > best {
@@ -145,7 +150,7 @@
 // the local one to which this host last sent the session, else the session's preferred one among the local
 // endpoints, else that among the remote ones. A preferred endpoint that was too busy for the session never processed
 // the prompt. Its address is returned all the same: the transfer then finds nothing, and s processes the whole
-// prompt.
+// prompt. What an endpoint of another software version has cached doesn't fit.
 func (t *Table) transferSource(s *endpointState, r *vetchtrail.Request, session uint64, now time.Time) netip.AddrPort {
 	if s.MoveToken == 0 || t.switchedOff.Has(vetchtrail.MechanismCacheTransfer) {
 		return netip.AddrPort{}
@@ -154,13 +159,14 @@
 	if last := lastSent(local, s, session, now); last != nil && !t.switchedOff.Has(vetchtrail.MechanismTransferFromLastSent) {
 		return last.Addr
 	}
-	if preferred := preferredEndpoint(local, session, now); preferred >= 0 && local[preferred] != s {
+	fits := func(other *endpointState) bool { return other.inUse(now) && other.SoftwareVersion == s.SoftwareVersion }
+	if preferred := preferredAmong(local, session, fits); preferred >= 0 && local[preferred] != s {
 		return local[preferred].Addr
 	}
 	if t.switchedOff.Has(vetchtrail.MechanismRemoteCacheTransfer) {
 		return netip.AddrPort{}
 	}
-	if preferred, ok := preferredRemote(t.remote[s.Service], session); ok && r.AllowedRegions.Has(preferred.region) {
+	if preferred, ok := preferredRemote(t.remote[s.Service], s.SoftwareVersion, session); ok && r.AllowedRegions.Has(preferred.region) {
 		return preferred.addr
 	}
 	return netip.AddrPort{}
@@ -171,7 +177,7 @@
 func lastSent(states []*endpointState, s *endpointState, session uint64, now time.Time) *endpointState {
 	var last *endpointState
 	for _, other := range states {
-		if other == s || !other.inUse(now) || !other.sessionUses.cached(session, now) {
+		if other == s || other.SoftwareVersion != s.SoftwareVersion || !other.inUse(now) || !other.sessionUses.cached(session, now) {
 			continue
 		}
 		if last == nil || other.sessionUses[session].After(last.sessionUses[session]) {
--- a/process/load/prefill_test.go
+++ b/process/load/prefill_test.go
@@ -99,6 +99,42 @@
 	}
 }
 
+// TestTransferWithinVersion guards against a KV cache transfer from an endpoint of another software version.
+func TestTransferWithinVersion(t *testing.T) {
+	const session = 5
+	cases := map[string]struct {
+		versions string // of the local endpoints a, b and c, and of the remote one
+		lastSent string // endpoint to which the session was sent just before; empty: none
+		sources  []netip.AddrPort
+	}{
+		"all of one version":                 {"1111", "b", []netip.AddrPort{addrOf(2)}},
+		"last sent to the other version":     {"1211", "b", []netip.AddrPort{addrOf(3), addrOf(9)}},
+		"only the remote one of its version": {"1221", "", []netip.AddrPort{addrOf(9)}},
+		"none of its version":                {"1222", "c", []netip.AddrPort{{}}},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			var local []EndpointInRegion
+			for i := range 3 {
+				local = append(local, EndpointInRegion{Endpoint: vetchtrail.Endpoint{
+					Name: string(rune('a' + i)), Service: "s", Slots: 8, Addr: addrOf(byte(i + 1)), MoveToken: 1e-7, SoftwareVersion: c.versions[i : i+1],
+				}})
+			}
+			tab := New()
+			tab.Configure(local)
+			tab.SetRemote(slices.Values([]EndpointInRegion{{RegionID: 2, Endpoint: vetchtrail.Endpoint{
+				Name: "remote", Service: "s", Slots: 8, Addr: addrOf(9), MoveToken: 1e-7, SoftwareVersion: c.versions[3:],
+			}}}))
+			if c.lastSent != "" {
+				assert.Assert(t, tab.Acquire(c.lastSent, request("before", session, 0), now))
+			}
+			r := request("r", session, 0)
+			assert.Assert(t, tab.Acquire("a", r, now))
+			assert.Assert(t, slices.Contains(c.sources, r.TransferFrom), "from %v", r.TransferFrom)
+		})
+	}
+}
+
 // TestPreferredEndpoint guards against hosts that prefer different endpoints for a session though they have the same
 // endpoints, and against sessions that are unevenly spread over the endpoints.
 func TestPreferredEndpoint(t *testing.T) {
--- a/process/load/remote.go
+++ b/process/load/remote.go
@@ -13,6 +13,7 @@
 // endpoints can transfer. It holds only what a transfer needs, as most endpoints are remote to each host.
 type remoteEndpoint struct {
 	nameHash uint64
+	version  string // of its software
 	addr     netip.AddrPort
 	region   vetchtrail.RegionID
 }
@@ -22,7 +23,7 @@
 	remote := map[string][]remoteEndpoint{}
 	for e := range endpoints {
 		if e.MoveToken > 0 && !e.Draining {
-			remote[e.Service] = append(remote[e.Service], remoteEndpoint{nameHash: xxhash.Sum64String(e.Name), addr: e.Addr, region: e.RegionID})
+			remote[e.Service] = append(remote[e.Service], remoteEndpoint{nameHash: xxhash.Sum64String(e.Name), version: e.SoftwareVersion, addr: e.Addr, region: e.RegionID})
 		}
 	}
 	t.mu.Lock()
@@ -30,11 +31,14 @@
 	t.remote = remote
 }
 
-// preferredRemote returns a session's preferred endpoint among the remote ones, see preferredEndpoint; false: there
-// are none.
-func preferredRemote(remote []remoteEndpoint, session uint64) (remoteEndpoint, bool) {
+// preferredRemote returns a session's preferred endpoint among the remote ones of a software version, see
+// preferredEndpoint; false: there are none.
+func preferredRemote(remote []remoteEndpoint, version string, session uint64) (remoteEndpoint, bool) {
 	best, at := uint64(0), -1
 	for i := range remote {
+		if remote[i].version != version {
+			continue
+		}
 		if w := sessionWeight(remote[i].nameHash, session); at < 0 || w > best {
 			best, at = w, i
 		}
