Log the parts of a lost attempt's prompt, and what cleared a suspect

The logs could not tell requests that share a part of their prompt from any others, nor whether the evidence against a suspect was cleared, by whom and how late. No decision depends on it.

--- a/process/journal/journal.go
+++ b/process/journal/journal.go
@@ -10,6 +10,7 @@
 import (
 	"context"
 	"log/slog"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -128,7 +129,7 @@
 	if r.Lost {
 		j.log.Info(MsgLost, "request", r.Request, "service", r.Service, "route", r.Route, "workspace", r.Workspace, "peer", r.Outcome.Peer,
 			"step", string(r.Outcome.Step), "reason", string(r.Outcome.Reason), "attempt", r.Attempt, "hops", r.Hops, "prompt", r.PromptTokens,
-			"version", r.SoftwareVersion, "last_event", r.LastEventID, "resumes", r.Resumes, "events", r.Outcome.Events, "took", r.Took, "first", timeToFirst(r), "digest", r.ContentHash.String(), "error", errorText(r.Outcome.Err))
+			"version", r.SoftwareVersion, "last_event", r.LastEventID, "resumes", r.Resumes, "events", r.Outcome.Events, "took", r.Took, "first", timeToFirst(r), "digest", r.ContentHash.String(), "parts", partIDs(r.SharedParts), "error", errorText(r.Outcome.Err))
 		return
 	}
 	if r.Ended {
@@ -157,6 +158,18 @@
 	return []any{"retry_plan", string(r.Outcome.RetryPlan), "retry_in", r.Outcome.RetryAt.Sub(r.At.Add(r.Took))}
 }
 
+// maxLoggedParts bounds the parts of a prompt in a line.
+const maxLoggedParts = 64
+
+// partIDs returns the ids of parts of a prompt in the format of the platform's header.
+func partIDs(parts []vetchtrail.PromptPart) []string {
+	out := make([]string, 0, min(maxLoggedParts, len(parts)))
+	for _, p := range parts[:min(maxLoggedParts, len(parts))] {
+		out = append(out, strconv.FormatUint(p.ID, 16))
+	}
+	return out
+}
+
 // errorText returns the text of an error; empty for nil.
 func errorText(err error) string {
 	if err == nil {
--- a/process/journal/lines.go
+++ b/process/journal/lines.go
@@ -90,6 +90,8 @@
 	// ContentHash is the content hash of the request of a lost attempt. Requests with the same hash
 	// are repeats of each other.
 	ContentHash string `json:"digest,omitempty"`
+	// SharedParts are the ids of the parts of its prompt that other requests may share.
+	SharedParts []string `json:"parts,omitempty"`
 
 	// Fields of a line about an endpoint, a data centre or the platform.
 	Endpoint      string `json:"endpoint,omitempty"`
--- a/process/quarantines/report.go
+++ b/process/quarantines/report.go
@@ -53,7 +53,7 @@
 	}
 	for _, h := range q.allAggregators() {
 		if h.Name == q.cfg.Self.Name {
-			q.recordReport(crashes, served, now)
+			q.recordReport(h.Name, crashes, served, now)
 			continue
 		}
 		go q.sendReport(ctx, h, m, now)
@@ -138,15 +138,17 @@
 	return out
 }
 
-// recordReport adds crashes and served requests to the crash history.
-func (q *Quarantines) recordReport(crashes []quarantine.Crash, served []servedRequest, now time.Time) {
+// recordReport adds the crashes and served requests that a host reports to the crash history.
+func (q *Quarantines) recordReport(from string, crashes []quarantine.Crash, served []servedRequest, now time.Time) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	for _, c := range crashes {
 		q.history.RecordCrash(c, now)
 	}
 	for _, s := range served {
-		q.history.RecordServed(s.contentHash, s.at)
+		if cleared := q.history.RecordServed(s.contentHash, s.at); cleared >= suspectThreshold {
+			q.cfg.Log.Info("suspect cleared", "digest", s.contentHash.String(), "ends", cleared, "peer", from, "age", now.Sub(s.at))
+		}
 	}
 	if q.detectAt.IsZero() {
 		q.detectAt = now.Add(detectionDelay)
@@ -174,7 +176,7 @@
 		}
 		served = append(served, servedRequest{contentHash: hash, at: now.Add(-time.Duration(max(0, reported.GetAge())))})
 	}
-	q.recordReport(crashes, served, now)
+	q.recordReport(m.GetFrom(), crashes, served, now)
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	return &schema.Holds{From: q.cfg.Self.Name, Suspects: fromSuspects(q.suspects)}, nil
--- a/record.go
+++ b/record.go
@@ -35,6 +35,7 @@
 	ForwardedTo string
 	Lost        bool // the record is an attempt whose outcome is unknown
 	ContentHash ContentHash
+	SharedParts []PromptPart // of a lost attempt: the parts of its prompt that other requests may share
 	Outcome     Outcome
 	Took        time.Duration // with Ended: duration of the request; with Lost: time since the attempt was sent
 }
--- a/request.go
+++ b/request.go
@@ -105,6 +105,9 @@
 	return sum
 }
 
+// SharedParts returns the parts of the prompt that other requests may share: all but the last.
+func (r *Request) SharedParts() []PromptPart { return r.Prompt[:max(0, len(r.Prompt)-1)] }
+
 // Session returns the part of the prompt that identifies the session: the last but one. All
 // requests of a session share it, while the last part belongs to one request.
 func (r *Request) Session() (PromptPart, bool) {
--- a/request/dispatch/quarantine.go
+++ b/request/dispatch/quarantine.go
@@ -53,6 +53,6 @@
 	d.cfg.Journal.Record(vetchtrail.JournalRecord{
 		At: sent, Request: r.ID, Service: r.Service, Route: r.Route, Workspace: r.Workspace, PromptTokens: r.PromptTokens(),
 		Hops: r.Hops, Attempt: attempt, Lost: true, Outcome: o, Took: time.Since(sent), ContentHash: r.ContentHash(),
-		SoftwareVersion: e.SoftwareVersion, LastEventID: r.LastEventID, Resumes: r.Resumes,
+		SoftwareVersion: e.SoftwareVersion, LastEventID: r.LastEventID, Resumes: r.Resumes, SharedParts: r.SharedParts(),
 	})
 }
--- a/request/quarantine/history.go
+++ b/request/quarantine/history.go
@@ -143,15 +143,17 @@
 }
 
 // RecordServed records that an endpoint served a request completely at the given time. Earlier
-// crashes then no longer count against the request.
-func (h *CrashHistory) RecordServed(hash vetchtrail.ContentHash, at time.Time) {
+// crashes then no longer count against the request. It returns how many did.
+func (h *CrashHistory) RecordServed(hash vetchtrail.ContentHash, at time.Time) (cleared int) {
 	req, ok := h.requests[hash]
 	if !ok {
-		return
+		return 0
 	}
+	before := len(req.crashes)
 	req.servedAt = vetchtrail.Later(req.servedAt, at)
 	req.crashes = slices.DeleteFunc(req.crashes, func(inv involvement) bool { return !inv.At.After(req.servedAt) })
 	h.updateRepeated(hash, req)
+	return before - len(req.crashes)
 }
 
 // updateRepeated removes a request that has fewer than two crashes left from the index of repeated
