--- a/request/dispatch/software_version_test.go
+++ b/request/dispatch/software_version_test.go
@@ -70,6 +70,7 @@
 	assert.Equal(t, o.Reason, vetchtrail.ReasonOtherVersion)
 	assert.Assert(t, time.Since(began) < time.Second)
 }
+
 // TestVersionBeforeSend guards against a request that is sent by an entry which another process has replaced since the endpoint was chosen.
 func TestVersionBeforeSend(t *testing.T) {
 	v1 := vetchtrail.StreamVersion{Known: true, Version: "v1"}
