A part of the prompt under which endpoints crash is quarantined

Callers saw endpoint after endpoint crash, 43 to 51 in a spell, and their own streams break with them: requests with one part in their prompts crashed each endpoint that began to answer them. The cause: a suspect was the content hash of a whole request. No two of these requests are alike, so each had the one or two crashes of its own submission and was judged apart.

Crash reports now have the parts of the lost requests' prompts, the last one excepted, and aggregators count crashes against parts as well. The danger is to stop a whole route: its first part is in flight at every crash. So a part counts only the crashes since a request with it was last answered, and a host sends what it knows of that with the report itself; hosts hear of suspected parts and have 600 ms to report one as sound before it is quarantined; of parts that come together the deepest is taken; and the crashes must need three different requests to explain them, or two from five crashes on, as the parts of one poison request that is repeated are sound. Entries are sent, synchronised, persisted and checked before each send as those of requests are.

--- a/cmd/vetchtrail/quarantine.go
+++ b/cmd/vetchtrail/quarantine.go
@@ -37,11 +37,11 @@
 	return g.print(reply, func(w *tabwriter.Writer) {
 		_, _ = fmt.Fprintln(w, "REQUEST\tSTATE\tENDPOINTS ENDED\tTIMES HELD\tSINCE\tUNTIL")
 		for _, h := range reply.GetHolds() {
-			_, _ = fmt.Fprintf(w, "%x\t%s\t%d\t%d\t%s\t%s\n", h.GetDigest(), entryState(h), h.GetEnds(), h.GetStrike(),
+			_, _ = fmt.Fprintf(w, "%x\t%s\t%d\t%d\t%s\t%s\n", h.GetDigest(), entryState(h)+partNote(h.GetPart()), h.GetEnds(), h.GetStrike(),
 				now.Add(-time.Duration(h.GetAge())).Format(time.TimeOnly), now.Add(time.Duration(h.GetRemaining())).Format(time.TimeOnly))
 		}
 		for _, s := range reply.GetSuspects() {
-			_, _ = fmt.Fprintf(w, "%x\tsuspected\t%d\t\t\t\n", s.GetDigest(), s.GetEnds())
+			_, _ = fmt.Fprintf(w, "%x\tsuspected%s\t%d\t\t\t\n", s.GetDigest(), partNote(s.GetPart()), s.GetEnds())
 		}
 	})
 }
@@ -58,6 +58,14 @@
 	return "held back"
 }
 
+// partNote marks the state of a part of prompts, whose hash is in the place of a request's.
+func partNote(part bool) string {
+	if part {
+		return " (part)"
+	}
+	return ""
+}
+
 // quarantineRelease releases a request from quarantine.
 type quarantineRelease struct {
 	Digest string `arg:"" help:"Content hash of the request, as the list shows it."`
--- a/contenthash.go
+++ b/contenthash.go
@@ -6,6 +6,7 @@
 	"encoding/hex"
 	"io"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/go-faster/errors"
 )
 
@@ -35,6 +36,15 @@
 	return r.contentHash
 }
 
+// PartHash returns the hash of a part of the prompts of a service's requests. Its second half is the id of
+// the part.
+func PartHash(service string, id uint64) ContentHash {
+	var h ContentHash
+	binary.BigEndian.PutUint64(h[:8], xxhash.Sum64String("part\x00"+service))
+	binary.BigEndian.PutUint64(h[8:], id)
+	return h
+}
+
 // SetContentHash sets the content hash that another host has computed.
 func (r *Request) SetContentHash(h ContentHash) { r.contentHash = h }
 
--- a/process/daemon/operators.go
+++ b/process/daemon/operators.go
@@ -211,7 +211,7 @@
 	entries, suspects := o.d.quarantines.Entries()
 	out := &schema.QuarantineReply{Holds: schema.FromQuarantineEntries(entries, clock.Boot())}
 	for _, s := range suspects {
-		out.Suspects = append(out.Suspects, &schema.Suspect{Digest: s.ContentHash[:], Ends: uint32(s.Crashes)})
+		out.Suspects = append(out.Suspects, &schema.Suspect{Digest: s.ContentHash[:], Part: s.Part, Ends: uint32(s.Crashes)})
 	}
 	return out, nil
 }
--- a/process/quarantines/fleet_test.go
+++ b/process/quarantines/fleet_test.go
@@ -44,6 +44,7 @@
 	endpoints   [regionCount][]*testEndpoint
 	persisted   quarantine.PersistedEntries
 	partitioned [regionCount]bool
+	apart       bool      // no region reaches another, but all reach the platform
 	isolated    bool      // each host has only itself in its list of live hosts
 	recoveredAt time.Time // when the last fault that affects the whole fleet ended
 	bytes       int       // size of all messages
@@ -214,7 +215,7 @@
 
 // reaches reports whether a host reaches another. The caller holds the lock.
 func (h *testHost) reaches(other *testHost) bool {
-	return h.region == other.region || !h.fleet.partitioned[h.region] && !h.fleet.partitioned[other.region]
+	return h.region == other.region || !h.fleet.apart && !h.fleet.partitioned[h.region] && !h.fleet.partitioned[other.region]
 }
 
 var errUnreachable = errors.New("host not reachable")
--- a/process/quarantines/losses.go
+++ b/process/quarantines/losses.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -54,7 +55,10 @@
 // loss is a lost attempt.
 type loss struct {
 	quarantine.InFlight
-	at time.Time
+	at       time.Time
+	service  string
+	parts    []vetchtrail.PromptPart // of the prompt, that others may share
+	streamed time.Duration           // how long the response had been streaming
 }
 
 func newLossTracker() lossTracker { return lossTracker{endpoints: map[string]*affectedEndpoint{}} }
@@ -65,7 +69,11 @@
 		return
 	}
 	now := q.cfg.Clock()
-	l := loss{at: now, InFlight: quarantine.InFlight{ContentHash: r.ContentHash(), Streaming: !t.FirstByte.IsZero() && time.Since(t.FirstByte) > streamingThreshold}}
+	l := loss{at: now, service: r.Service, parts: r.SharedParts()}
+	if !t.FirstByte.IsZero() {
+		l.streamed = time.Since(t.FirstByte)
+	}
+	l.InFlight = quarantine.InFlight{ContentHash: r.ContentHash(), Streaming: l.streamed > streamingThreshold}
 	if at, probe := q.lossTracker.add(e, l, now); probe {
 		go q.probe(e, at.Sub(now))
 	}
@@ -147,41 +155,41 @@
 // EndpointCrashed records that an endpoint has stopped without having announced it. how is the
 // evidence, for the log.
 func (q *Quarantines) EndpointCrashed(name, how string) {
-	crash, ok := q.lossTracker.takeCrash(name)
+	crash, lost, ok := q.lossTracker.takeCrash(name)
 	if !ok {
 		return
 	}
 	countCrash()
+	now := q.cfg.Clock()
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.cfg.Log.Warn("endpoint ended", "endpoint", name, "how", how, "ran", len(crash.InFlight), "digests", hashStrings(crash.InFlight), "suspects", suspectLogEntries(q.suspects))
+	q.addParts(&crash, lost, now)
+	q.cfg.Log.Warn("endpoint ended", "endpoint", name, "how", how, "ran", len(crash.InFlight), "parts", len(crash.Parts), "digests", hashStrings(crash.InFlight), "suspects", suspectLogEntries(q.suspects))
 	q.crashes = append(q.crashes, crash)
 	q.wakeRun()
 }
 
-// takeCrash removes an endpoint and returns its crash with the requests lost in it. It returns
+// takeCrash removes an endpoint and returns its crash with the attempts lost in it. It returns
 // false if there are none.
-func (t *lossTracker) takeCrash(name string) (quarantine.Crash, bool) {
+func (t *lossTracker) takeCrash(name string) (quarantine.Crash, []loss, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	a, ok := t.endpoints[name]
 	if !ok {
-		return quarantine.Crash{}, false
+		return quarantine.Crash{}, nil, false
 	}
 	delete(t.endpoints, name) // also if all losses have expired: an entry left here would stay marked as probing
 	if len(a.lost) == 0 {
-		return quarantine.Crash{}, false
+		return quarantine.Crash{}, nil, false
 	}
 	last := a.lost[len(a.lost)-1].at
 	out := quarantine.Crash{Endpoint: name, StartedAt: a.endpoint.Born, At: last}
-	for _, l := range a.lost {
-		if last.Sub(l.at) > crashLossWindow {
-			continue
-		}
+	lost := slices.DeleteFunc(a.lost, func(l loss) bool { return last.Sub(l.at) > crashLossWindow })
+	for _, l := range lost {
 		out.At = vetchtrail.Earlier(out.At, l.at)
 		out.InFlight = append(out.InFlight, l.InFlight)
 	}
-	return out, true
+	return out, lost, true
 }
 
 // Listed processes a listing of the platform. An endpoint that lost requests has crashed if it is
--- a/process/quarantines/messages_test.go
+++ b/process/quarantines/messages_test.go
@@ -19,11 +19,13 @@
 func TestCrashMessageRoundTrip(t *testing.T) {
 	want := quarantine.Crash{Endpoint: "e", StartedAt: testNow.Add(-time.Hour), At: testNow.Add(-time.Second), InFlight: []quarantine.InFlight{
 		{ContentHash: vetchtrail.ContentHash{1}}, {ContentHash: vetchtrail.ContentHash{2}, Streaming: true},
+	}, Parts: []quarantine.InFlightPart{
+		{ContentHash: vetchtrail.PartHash("s", 7), Depth: 2, Requests: []vetchtrail.ContentHash{{1}, {2}}, SoundAt: testNow.Add(-time.Minute)}, {ContentHash: vetchtrail.PartHash("s", 8)},
 	}}
 	got, err := toCrash(fromCrash(want, testNow), testNow)
 	assert.NilError(t, err)
 	assert.DeepEqual(t, got, want)
-	entry := vetchtrail.QuarantineEntry{ContentHash: vetchtrail.ContentHash{3}, Count: 2, Crashes: 4, Since: testNow.Add(-time.Minute), Until: testNow.Add(time.Minute), Released: true}
+	entry := vetchtrail.QuarantineEntry{ContentHash: vetchtrail.ContentHash{3}, Part: true, Count: 2, Crashes: 4, Since: testNow.Add(-time.Minute), Until: testNow.Add(time.Minute), Released: true}
 	back, err := schema.ToQuarantineEntry(schema.FromQuarantineEntry(entry, testNow), testNow)
 	assert.NilError(t, err)
 	assert.DeepEqual(t, back, entry)
@@ -40,6 +42,10 @@
 		"fewer content hashes than requests":    {&schema.Ends{Ends: []*schema.End{{Endpoint: "e", Ran: hash, Begun: []byte{0, 0}}}}, nil},
 		"no endpoint name":                      {&schema.Ends{Ends: []*schema.End{{Ran: hash, Begun: []byte{0}}}}, nil},
 		"time in the future":                    {&schema.Ends{Ends: []*schema.End{{Endpoint: "e", Age: -1}}}, nil},
+		"part, hash too short":                  {&schema.Ends{Ends: []*schema.End{{Endpoint: "e", Parts: []*schema.EndPart{{Digest: hash[1:]}}}}}, nil},
+		"part, half a request":                  {&schema.Ends{Ends: []*schema.End{{Endpoint: "e", Parts: []*schema.EndPart{{Digest: hash, Requests: hash[1:]}}}}}, nil},
+		"part, sound in the future":             {&schema.Ends{Ends: []*schema.End{{Endpoint: "e", Parts: []*schema.EndPart{{Digest: hash, SoundAge: -1}}}}}, nil},
+		"part, depth out of range":              {&schema.Ends{Ends: []*schema.End{{Endpoint: "e", Parts: []*schema.EndPart{{Digest: hash, Depth: 256}}}}}, nil},
 		"served request, content hash too long": {&schema.Ends{Served: []*schema.Served{{Digest: append(hash, 0)}}}, nil},
 		"entry without content hash":            {nil, &schema.Holds{Holds: []*schema.Hold{{Strike: 1}}}},
 		"entry with count 0":                    {nil, &schema.Holds{Holds: []*schema.Hold{{Digest: hash}}}},
--- /dev/null
+++ b/process/quarantines/parts.go
@@ -0,0 +1,141 @@
+package quarantines
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"vetchtrail"
+	"vetchtrail/request/quarantine"
+)
+
+const (
+	// soundPartTTL is how long a host remembers that a request with a part was answered, and maxSoundParts bounds these
+	// parts.
+	soundPartTTL  = time.Minute
+	maxSoundParts = 8192
+	// partSoundAfter is how long the response of a request must have been streaming for the parts of its prompt to be
+	// sound: a poison part crashes an endpoint as it begins to write.
+	partSoundAfter = time.Second
+	// maxReportedParts bounds the parts in the report of a crash.
+	maxReportedParts = 256
+	// soundReportInterval is the least time between two reports that a part is sound. The replies to the first may still
+	// have the part among the suspects.
+	soundReportInterval = 500 * time.Millisecond
+	// confirmTime is how long hosts have to report that a suspected part is sound, before it is quarantined. It is
+	// enough for messages between regions both ways, and the detection that follows.
+	confirmTime = 600 * time.Millisecond
+)
+
+// soundParts is when this host last had requests with a part answered, in two generations: when the newer one is old or
+// full, it replaces the older one.
+type soundParts struct {
+	newer, older map[vetchtrail.ContentHash]time.Time
+	replaceAt    time.Time
+}
+
+func (s *soundParts) record(hash vetchtrail.ContentHash, at, now time.Time) {
+	if !now.Before(s.replaceAt) || len(s.newer) >= maxSoundParts/2 {
+		s.newer, s.older, s.replaceAt = map[vetchtrail.ContentHash]time.Time{}, s.newer, now.Add(soundPartTTL)
+	}
+	s.newer[hash] = vetchtrail.Later(s.newer[hash], at)
+}
+
+// at returns when a request with a part was last answered; zero: not known.
+func (s *soundParts) at(hash vetchtrail.ContentHash) time.Time {
+	if at, ok := s.newer[hash]; ok {
+		return at
+	}
+	return s.older[hash]
+}
+
+// partsInFlight returns the parts of the prompts of requests that were lost in a crash, deeper ones first, and those
+// that are sound because an endpoint had written a response on them for some time.
+func partsInFlight(lost []loss) (suspected []quarantine.InFlightPart, sound []vetchtrail.ContentHash) {
+	index := map[vetchtrail.ContentHash]int{}
+	for _, l := range lost {
+		for depth, part := range l.parts {
+			hash := vetchtrail.PartHash(l.service, part.ID)
+			if l.streamed >= partSoundAfter {
+				sound = append(sound, hash)
+				continue
+			}
+			i, ok := index[hash]
+			if !ok {
+				i = len(suspected)
+				index[hash] = i
+				suspected = append(suspected, quarantine.InFlightPart{ContentHash: hash, Depth: uint8(min(depth, 255))})
+			}
+			if p := &suspected[i]; !l.Streaming {
+				p.Requests = append(p.Requests, l.ContentHash)
+			}
+		}
+	}
+	suspected = slices.DeleteFunc(suspected, func(p quarantine.InFlightPart) bool {
+		return len(p.Requests) == 0 || slices.Contains(sound, p.ContentHash)
+	})
+	slices.SortStableFunc(suspected, func(a, b quarantine.InFlightPart) int { return cmp.Compare(b.Depth, a.Depth) })
+	return suspected[:min(maxReportedParts, len(suspected))], sound
+}
+
+// addParts adds to a crash the parts of the prompts that may have caused it, with what this host knows of them. The
+// caller holds the lock.
+func (q *Quarantines) addParts(crash *quarantine.Crash, lost []loss, now time.Time) {
+	suspected, sound := partsInFlight(lost)
+	for _, hash := range sound {
+		q.soundParts.record(hash, crash.At, now)
+	}
+	for i := range suspected {
+		suspected[i].SoundAt = q.soundParts.at(suspected[i].ContentHash)
+		q.watched.add(suspected[i].ContentHash, now)
+	}
+	crash.Parts = suspected
+}
+
+// watchSuspect has this host report a suspected request once it serves it. A part is reported at once if this host has
+// had a request with it answered since the first crash that counts against it. The caller holds the lock.
+func (q *Quarantines) watchSuspect(s quarantine.Suspect, now time.Time) {
+	if !s.Part {
+		q.watched.add(s.ContentHash, now)
+		return
+	}
+	if now.Sub(q.soundReported[s.ContentHash]) < soundReportInterval {
+		return
+	}
+	at := q.soundParts.at(s.ContentHash)
+	if !at.After(s.Since) {
+		q.watched.add(s.ContentHash, now)
+		return
+	}
+	maps.DeleteFunc(q.soundReported, func(_ vetchtrail.ContentHash, at time.Time) bool { return now.Sub(at) >= soundReportInterval })
+	q.soundReported[s.ContentHash] = now
+	q.served = append(q.served, servedRequest{contentHash: s.ContentHash, at: at})
+	q.wakeRun()
+}
+
+// detectParts returns the parts to quarantine, and when to look again because hosts can still report that one is sound.
+// The caller holds the lock.
+func (q *Quarantines) detectParts(now time.Time) (found []quarantine.Suspect, again time.Time) {
+	suspects := q.history.PartSuspects(suspectThreshold)
+	suspectedSince := make(map[vetchtrail.ContentHash]time.Time, len(suspects))
+	for _, s := range suspects {
+		if at := q.soundParts.at(s.ContentHash); at.After(s.Since) {
+			q.history.RecordServed(s.ContentHash, at)
+		}
+		since, ok := q.suspectedSince[s.ContentHash]
+		if !ok {
+			since = now
+		}
+		suspectedSince[s.ContentHash] = since
+	}
+	q.suspectedSince = suspectedSince
+	result := q.history.DetectParts(q.entries, now, func(hash vetchtrail.ContentHash) bool {
+		since, ok := suspectedSince[hash]
+		return ok && now.Sub(since) >= confirmTime
+	})
+	if result.Unconfirmed {
+		again = now.Add(confirmTime)
+	}
+	return result.Suspects, again
+}
--- a/process/quarantines/prompt_parts_test.go
+++ b/process/quarantines/prompt_parts_test.go
@@ -3,6 +3,7 @@
 package quarantines
 
 import (
+	"flag"
 	"fmt"
 	"slices"
 	"sync"
@@ -30,6 +31,8 @@
 	minSoundRatio  = 0.5 // of the share that began before
 )
 
+var seeds = flag.Uint64("seeds", 2, "number of seeds that TestPoisonPartFound plays of each case")
+
 // partCase is a fleet whose callers send sound requests and some with a part that crashes each endpoint that begins to
 // answer them. All have the same first part.
 type partCase struct {
@@ -38,6 +41,7 @@
 	otherCrashes time.Duration
 	sameRequest  bool // the poison requests are all alike; their parts are sound
 	partitioned  bool // a region reaches neither the others nor the platform
+	apart        bool // no region reaches another
 	restarted    bool // all hosts restart after the third crash
 }
 
@@ -135,6 +139,7 @@
 
 // run runs a request at up to two endpoints of a host's region.
 func (f *partFleet) run(h *testHost, r *vetchtrail.Request, poison bool) (began, lost bool) {
+	counted := false
 	for range 2 {
 		q, up := h.running()
 		if !up {
@@ -148,8 +153,8 @@
 		if e == nil {
 			return began, false
 		}
-		if poison {
-			f.countPoison(h)
+		if poison && !counted {
+			counted = f.countPoison(h)
 		}
 		run := &partRun{host: h, req: r, sent: time.Now()}
 		f.runMu.Lock()
@@ -256,16 +261,19 @@
 	}
 }
 
-// countPoison counts a request with the poison part that is sent to an endpoint.
-func (f *partFleet) countPoison(h *testHost) {
+// countPoison counts a request with the poison part that is sent to an endpoint, if it is late.
+func (f *partFleet) countPoison(h *testHost) bool {
 	f.mu.Lock()
 	healthy := time.Since(h.faultedAt) > healthyAfter
 	f.mu.Unlock()
 	f.runMu.Lock()
 	defer f.runMu.Unlock()
-	if c := f.counts.crashes; healthy && len(c) >= 5 && time.Since(c[4]) > afterFifth {
+	c := f.counts.crashes
+	late := healthy && len(c) >= 5 && time.Since(c[4]) > afterFifth
+	if late {
 		f.counts.latePoison++
 	}
+	return late
 }
 
 // countSound counts the first try of a sound request.
@@ -301,6 +309,10 @@
 	c := f.counts
 	t.Logf("%d crashes, %d late poison requests; sound requests: %d of %d began before, %d of %d after, %d refused",
 		len(c.crashes), c.latePoison, c.before[1], c.before[0], c.after[1], c.after[0], c.refusedSound)
+	if f.c.poisonEvery >= poisonFor { // only one poison request: nothing may be quarantined for it
+		assert.Assert(t, c.refusedSound*secondParts <= 2*(c.before[0]+c.after[0]), "%d sound requests refused", c.refusedSound)
+		return
+	}
 	assert.Assert(t, c.before[0] > 100 && c.after[0] > 100, "too few sound requests")
 	assert.Assert(t, c.latePoison <= maxLatePoison, "%d poison requests were sent later than %s after the fifth crash; %d crashes", c.latePoison, afterFifth, len(c.crashes))
 	before, after := float64(c.before[1])/float64(c.before[0]), float64(c.after[1])/float64(c.after[0])
@@ -320,16 +332,18 @@
 		"endpoints crash for other reasons": {poisonEvery: 500 * time.Millisecond, otherCrashes: 2 * time.Second},
 		"few, other reasons too":            {poisonEvery: 2 * time.Second, otherCrashes: 2 * time.Second},
 		"a region is cut off":               {poisonEvery: 500 * time.Millisecond, partitioned: true},
+		"all regions apart":                 {poisonEvery: 500 * time.Millisecond, apart: true},
+		"all regions apart, few":            {poisonEvery: 2 * time.Second, apart: true},
 		"all hosts restart meanwhile":       {poisonEvery: 500 * time.Millisecond, restarted: true},
 		"one request, its parts are sound":  {poisonEvery: 500 * time.Millisecond, sameRequest: true},
 		"one poison request among crashes":  {poisonEvery: time.Hour, otherCrashes: 300 * time.Millisecond},
 	}
 	for name, c := range cases {
-		for seed := range uint64(2) {
+		for seed := range *seeds {
 			t.Run(fmt.Sprintf("%s, seed %d", name, seed), func(t *testing.T) {
 				synctest.Test(t, func(t *testing.T) {
 					f := &partFleet{fleet: newFleet("", seed), c: c, running: map[*testEndpoint][]*partRun{}}
-					f.partitioned[0] = c.partitioned
+					f.partitioned[0], f.apart = c.partitioned, c.apart
 					time.Sleep(6 * time.Second)
 					f.play()
 					f.close()
--- a/process/quarantines/propagate.go
+++ b/process/quarantines/propagate.go
@@ -104,7 +104,7 @@
 func (q *Quarantines) entriesMessage(entries []vetchtrail.QuarantineEntry, now time.Time) *schema.Holds {
 	m := &schema.Holds{From: q.cfg.Self.Name, Version: q.entries.Version(now), Holds: schema.FromQuarantineEntries(entries, now)}
 	if q.isAggregator() {
-		m.Suspects = fromSuspects(q.suspects)
+		m.Suspects = fromSuspects(q.suspects, now)
 	}
 	return m
 }
@@ -171,7 +171,8 @@
 // recordSuspects remembers the suspects of another host's message, so that this host reports when it
 // serves one of them.
 func (q *Quarantines) recordSuspects(m *schema.Holds) {
-	suspects, err := toSuspects(m.GetSuspects())
+	now := q.cfg.Clock()
+	suspects, err := toSuspects(m.GetSuspects(), now)
 	if err != nil {
 		q.cfg.Log.Error("invalid suspects from another host", "peer", m.GetFrom(), "error", err)
 		return
@@ -179,7 +180,6 @@
 	if len(suspects) == 0 {
 		return
 	}
-	now := q.cfg.Clock()
 	isAggregator := q.isAggregator()
 	q.mu.Lock()
 	defer q.mu.Unlock()
@@ -187,7 +187,7 @@
 		q.suspects, q.suspectsUntil = suspects, now.Add(suspectsTTL)
 	}
 	for _, s := range suspects {
-		q.watched.add(s.ContentHash, now)
+		q.watchSuspect(s, now)
 	}
 }
 
--- a/process/quarantines/quarantines.go
+++ b/process/quarantines/quarantines.go
@@ -85,11 +85,15 @@
 	// found itself don't expire.
 	suspectsUntil time.Time
 	watched       watchedRequests
-	served        []servedRequest                                       // not reported yet
-	crashes       []quarantine.Crash                                    // detected by this host, not reported yet
-	recentCrashes []quarantine.Crash                                    // detected by this host within recentCrashTTL
-	informed      map[hostInstance]bool                                 // aggregators that were sent recentCrashes
-	persisted     map[vetchtrail.ContentHash]vetchtrail.QuarantineEntry // entries as the platform has them
+	soundParts    soundParts
+	// suspectedSince is since when the parts among the suspects have been suspected.
+	suspectedSince map[vetchtrail.ContentHash]time.Time
+	soundReported  map[vetchtrail.ContentHash]time.Time                  // when this host last reported that a suspected part is sound
+	served         []servedRequest                                       // not reported yet
+	crashes        []quarantine.Crash                                    // detected by this host, not reported yet
+	recentCrashes  []quarantine.Crash                                    // detected by this host within recentCrashTTL
+	informed       map[hostInstance]bool                                 // aggregators that were sent recentCrashes
+	persisted      map[vetchtrail.ContentHash]vetchtrail.QuarantineEntry // entries as the platform has them
 }
 
 // servedRequest is a watched request that an endpoint has served.
@@ -103,28 +107,53 @@
 	return &Quarantines{
 		cfg: c, entries: quarantine.NewEntries(), wake: make(chan struct{}, 1), lossTracker: newLossTracker(),
 		history: quarantine.NewCrashHistory(), persisted: map[vetchtrail.ContentHash]vetchtrail.QuarantineEntry{},
+		soundReported: map[vetchtrail.ContentHash]time.Time{},
 	}
 }
 
 // Quarantined implements vetchtrail.Quarantine. While nothing is quarantined it costs one atomic
-// load. Otherwise it computes the request's content hash, once per request, and looks it up.
+// load. Otherwise it computes the request's content hash, once per request, and looks it up, as well as the parts of its
+// prompt that others may share.
 func (q *Quarantines) Quarantined(r *vetchtrail.Request) (vetchtrail.QuarantineEntry, bool) {
 	if q.cfg.SwitchedOff || !q.entries.AnyActive() {
 		return vetchtrail.QuarantineEntry{}, false
 	}
-	return q.entries.Lookup(r.ContentHash(), q.cfg.Clock)
+	if entry, ok := q.entries.Lookup(r.ContentHash(), q.cfg.Clock); ok {
+		return entry, true
+	}
+	for _, part := range r.SharedParts() {
+		if entry, ok := q.entries.Lookup(vetchtrail.PartHash(r.Service, part.ID), q.cfg.Clock); ok {
+			entry.Part = true
+			return entry, true
+		}
+	}
+	return vetchtrail.QuarantineEntry{}, false
 }
 
 // Answered implements vetchtrail.Quarantine.
 func (q *Quarantines) Answered(r *vetchtrail.Request) {
+	if q.cfg.SwitchedOff {
+		return
+	}
+	now := q.cfg.Clock()
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	for _, part := range r.SharedParts() {
+		q.soundParts.record(vetchtrail.PartHash(r.Service, part.ID), now, now)
+	}
 	if q.watched.empty() {
 		return
 	}
-	now := q.cfg.Clock()
 	q.watched.removeExpired(now)
-	if hash := r.ContentHash(); q.watched.remove(hash) {
+	q.reportServed(r.ContentHash(), now)
+	for _, part := range r.SharedParts() {
+		q.reportServed(vetchtrail.PartHash(r.Service, part.ID), now)
+	}
+}
+
+// reportServed reports a request, or a part of one, that was served, if it is watched. The caller holds the lock.
+func (q *Quarantines) reportServed(hash vetchtrail.ContentHash, now time.Time) {
+	if q.watched.remove(hash) {
 		q.served = append(q.served, servedRequest{contentHash: hash, at: now})
 		q.wakeRun()
 	}
--- a/process/quarantines/report.go
+++ b/process/quarantines/report.go
@@ -130,7 +130,7 @@
 func withAddedAge(m *schema.Ends, added time.Duration) *schema.Ends {
 	out := &schema.Ends{From: m.GetFrom()}
 	for _, e := range m.GetEnds() {
-		out.Ends = append(out.Ends, &schema.End{Endpoint: e.GetEndpoint(), Born: e.GetBorn(), Age: e.GetAge() + int64(added), Ran: e.GetRan(), Begun: e.GetBegun()})
+		out.Ends = append(out.Ends, &schema.End{Endpoint: e.GetEndpoint(), Born: e.GetBorn(), Age: e.GetAge() + int64(added), Ran: e.GetRan(), Begun: e.GetBegun(), Parts: withAddedSoundAge(e.GetParts(), added)})
 	}
 	for _, s := range m.GetServed() {
 		out.Served = append(out.Served, &schema.Served{Digest: s.GetDigest(), Age: s.GetAge() + int64(added)})
@@ -138,6 +138,19 @@
 	return out
 }
 
+// withAddedSoundAge returns a copy of the parts of a crash with their ages increased.
+func withAddedSoundAge(parts []*schema.EndPart, added time.Duration) []*schema.EndPart {
+	out := make([]*schema.EndPart, 0, len(parts))
+	for _, p := range parts {
+		older := &schema.EndPart{Digest: p.GetDigest(), Depth: p.GetDepth(), Requests: p.GetRequests()}
+		if p.GetSoundAge() > 0 {
+			older.SoundAge = p.GetSoundAge() + int64(added)
+		}
+		out = append(out, older)
+	}
+	return out
+}
+
 // recordReport adds the crashes and served requests that a host reports to the crash history.
 func (q *Quarantines) recordReport(from string, crashes []quarantine.Crash, served []servedRequest, now time.Time) {
 	q.mu.Lock()
@@ -179,12 +192,21 @@
 	q.recordReport(m.GetFrom(), crashes, served, now)
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return &schema.Holds{From: q.cfg.Self.Name, Suspects: fromSuspects(q.suspects)}, nil
+	return &schema.Holds{From: q.cfg.Self.Name, Suspects: fromSuspects(q.suspects, now)}, nil
+}
+
+// newSuspects returns the first of some suspects, without those that are quarantined.
+func (q *Quarantines) newSuspects(suspects []quarantine.Suspect) []quarantine.Suspect {
+	suspects = slices.DeleteFunc(suspects, func(s quarantine.Suspect) bool {
+		_, quarantined := q.entries.Lookup(s.ContentHash, q.cfg.Clock)
+		return quarantined
+	})
+	return suspects[:min(maxSuspectsPerMessage, len(suspects))]
 }
 
-// detect runs a detection if one is due and quarantines the requests that it finds. It sends new
-// entries and changed suspects to the other hosts.
-func (q *Quarantines) detect(now time.Time) (found bool) {
+// detect runs a detection if one is due and quarantines the requests and parts that it finds. It sends
+// new entries and changed suspects to the other hosts.
+func (q *Quarantines) detect(now time.Time) (quarantined bool) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	if q.detectAt.IsZero() || now.Before(q.detectAt) {
@@ -194,18 +216,19 @@
 	if q.history.AwaitingReports(now) {
 		q.detectAt = now.Add(detectionDelay)
 	}
+	found := q.history.Detect(quarantine.StrategyGreedy, q.entries, now)
+	parts, again := q.detectParts(now)
+	if !again.IsZero() && (q.detectAt.IsZero() || again.Before(q.detectAt)) {
+		q.detectAt = again
+	}
 	var entries []vetchtrail.QuarantineEntry
-	for _, s := range q.history.Detect(quarantine.StrategyGreedy, q.entries, now) {
-		entry := q.entries.Add(s.ContentHash, s.Crashes, now)
+	for _, s := range append(found, parts...) {
+		entry := q.entries.AddSuspect(s, now)
 		entries = append(entries, entry)
 		countQuarantined()
-		q.cfg.Log.Warn("request held back", "digest", s.ContentHash.String(), "ends", s.Crashes, "strike", entry.Count, "for", entry.Until.Sub(now))
+		q.cfg.Log.Warn("request held back", "digest", s.ContentHash.String(), "part", s.Part, "ends", s.Crashes, "strike", entry.Count, "for", entry.Until.Sub(now))
 	}
-	suspects := slices.DeleteFunc(q.history.Suspects(suspectThreshold), func(s quarantine.Suspect) bool {
-		_, quarantined := q.entries.Lookup(s.ContentHash, q.cfg.Clock)
-		return quarantined
-	})
-	suspects = suspects[:min(maxSuspectsPerMessage, len(suspects))]
+	suspects := append(q.newSuspects(q.history.Suspects(suspectThreshold)), q.newSuspects(q.history.PartSuspects(suspectThreshold))...)
 	if len(entries) > 0 || !slices.Equal(suspects, q.suspects) {
 		q.suspects = suspects
 		q.broadcast(entries, now)
--- a/quarantine.go
+++ b/quarantine.go
@@ -5,10 +5,12 @@
 	"time"
 )
 
-// QuarantineEntry is the quarantine entry of a request. The request with this content hash
-// runs nowhere until the entry ends, because several endpoints crashed while they ran it.
+// QuarantineEntry is the quarantine entry of a request, or of a part of prompts. The request with
+// this content hash, or all requests with the part, run nowhere until the entry ends, because several
+// endpoints crashed while they ran it, or them.
 type QuarantineEntry struct {
-	ContentHash ContentHash
+	ContentHash ContentHash // of a part: see PartHash
+	Part        bool
 	// Count is how many times the request has been quarantined, this time included. Each
 	// time lasts longer.
 	Count   uint32
@@ -20,7 +22,7 @@
 }
 
 // Quarantine keeps requests that make endpoints crash (poison requests) from running on any
-// host.
+// host, and requests with a part of the prompt that does (poison parts).
 type Quarantine interface {
 	// Quarantined returns whether a request is quarantined, and its entry.
 	Quarantined(r *Request) (QuarantineEntry, bool)
@@ -28,7 +30,7 @@
 	// crashed.
 	ResponseLost(e Endpoint, r *Request, o Outcome, t Timing)
 	// Answered reports a request that an endpoint has answered, so that earlier crashes no
-	// longer count against it.
+	// longer count against it and the parts of its prompt.
 	Answered(r *Request)
 }
 
--- a/request/dispatch/quarantine.go
+++ b/request/dispatch/quarantine.go
@@ -26,6 +26,9 @@
 func (d *Dispatcher) quarantineRefusal(entry vetchtrail.QuarantineEntry) vetchtrail.Outcome {
 	o := d.refusal(vetchtrail.StepQuarantine, vetchtrail.ReasonQuarantined, time.Time{})
 	o.Err = errors.Errorf("%d endpoints ended while they ran this request (%s): it is not run again for now", entry.Crashes, entry.ContentHash)
+	if entry.Part {
+		o.Err = errors.Errorf("%d endpoints ended while they ran requests with a part of this prompt (%s): no request with it is run for now", entry.Crashes, entry.ContentHash)
+	}
 	return o
 }
 
--- a/request/quarantine/detect.go
+++ b/request/quarantine/detect.go
@@ -84,6 +84,7 @@
 			d.explained[inv.mergedCrash] = true
 		}
 	}
+	d.explainKnownParts()
 }
 
 // tally is the evidence against one request.
@@ -159,17 +160,18 @@
 	case t.independent < crashThreshold:
 		return t, false
 	}
-	required := crashThreshold + min(d.unexplainedCrashes(t)/unexplainedPerExtraCrash, maxExtraCrashes)
+	required := crashThreshold + min(d.unexplainedCrashes(t.crashes)/unexplainedPerExtraCrash, maxExtraCrashes)
 	return t, t.halfCrashes() >= 2*required
 }
 
-// unexplainedCrashes counts the unexplained crashes at which the request of t was not present, from
-// unexplainedLookback before its first crash to its last. Crashes with a common cause count as one.
-func (d *detection) unexplainedCrashes(t tally) int {
-	from, to := t.crashes[0].At.Add(-unexplainedLookback), t.crashes[len(t.crashes)-1].At
+// unexplainedCrashes counts the unexplained crashes at which a request or part with the given crashes
+// was not present, from unexplainedLookback before its first crash to its last. Crashes with a common
+// cause count as one.
+func (d *detection) unexplainedCrashes(crashes []involvement) int {
+	from, to := crashes[0].At.Add(-unexplainedLookback), crashes[len(crashes)-1].At
 	var out []involvement
 	for _, c := range d.history.crashes {
-		present := slices.ContainsFunc(t.crashes, func(inv involvement) bool { return inv.mergedCrash == c })
+		present := slices.ContainsFunc(crashes, func(inv involvement) bool { return inv.mergedCrash == c })
 		if !present && !d.explained[c] && c.At.After(from) && !c.At.After(to) {
 			out = append(out, involvement{mergedCrash: c})
 		}
--- a/request/quarantine/entries.go
+++ b/request/quarantine/entries.go
@@ -80,9 +80,14 @@
 
 // Add quarantines a request. crashes is the number of crashes that count against it.
 func (e *Entries) Add(hash vetchtrail.ContentHash, crashes int, now time.Time) vetchtrail.QuarantineEntry {
+	return e.AddSuspect(Suspect{ContentHash: hash, Crashes: crashes}, now)
+}
+
+// AddSuspect quarantines a request or a part of prompts.
+func (e *Entries) AddSuspect(s Suspect, now time.Time) vetchtrail.QuarantineEntry {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	entry := vetchtrail.QuarantineEntry{ContentHash: hash, Count: e.byHash[hash].Count + 1, Crashes: crashes, Since: now}
+	entry := vetchtrail.QuarantineEntry{ContentHash: s.ContentHash, Part: s.Part, Count: e.byHash[s.ContentHash].Count + 1, Crashes: s.Crashes, Since: now}
 	entry.Until = now.Add(EntryDuration(entry.Count))
 	e.set(entry, now)
 	return entry
--- a/request/quarantine/history.go
+++ b/request/quarantine/history.go
@@ -40,12 +40,23 @@
 	Streaming bool
 }
 
+// InFlightPart is a part of the prompts of requests that were in flight at an endpoint when it crashed.
+type InFlightPart struct {
+	ContentHash vetchtrail.ContentHash // see vetchtrail.PartHash
+	Depth       uint8                  // place in the prompts; a part never comes without those before it
+	// Requests are some of the requests with the part, not those that had been streaming for some time.
+	Requests []vetchtrail.ContentHash
+	// SoundAt is when a request with the part was last answered, as the reporting host knows; zero: it knows none.
+	SoundAt time.Time
+}
+
 // Crash is the crash of an endpoint as one host reports it.
 type Crash struct {
 	Endpoint  string
 	StartedAt time.Time // start time of the process instance that crashed; zero if unknown
 	At        time.Time
 	InFlight  []InFlight
+	Parts     []InFlightPart
 }
 
 // mergedCrash is a crash, merged from the reports of all hosts.
@@ -53,6 +64,7 @@
 	Crash
 	firstReportedAt time.Time
 	requestCount    int
+	parts           []vetchtrail.ContentHash
 }
 
 // requestHistory is the crashes at which one request was present.
@@ -75,11 +87,14 @@
 	crashes  []*mergedCrash // in the order of their first reports
 	requests map[vetchtrail.ContentHash]*requestHistory
 	repeated map[vetchtrail.ContentHash]*requestHistory // requests with more than one crash
+	parts    map[vetchtrail.ContentHash]*partHistory
 }
 
 // NewCrashHistory returns an empty history.
 func NewCrashHistory() *CrashHistory {
-	return &CrashHistory{requests: map[vetchtrail.ContentHash]*requestHistory{}, repeated: map[vetchtrail.ContentHash]*requestHistory{}}
+	return &CrashHistory{
+		requests: map[vetchtrail.ContentHash]*requestHistory{}, repeated: map[vetchtrail.ContentHash]*requestHistory{}, parts: map[vetchtrail.ContentHash]*partHistory{},
+	}
 }
 
 // RecordCrash merges one host's report of a crash. Each host reports the requests that it had sent
@@ -97,6 +112,9 @@
 	for _, r := range in.InFlight {
 		h.addRequest(c, r)
 	}
+	for _, p := range in.Parts {
+		h.addPart(c, p)
+	}
 }
 
 // find returns the recorded crash that a report is about, or nil.
@@ -142,12 +160,12 @@
 	}
 }
 
-// RecordServed records that an endpoint served a request completely at the given time. Earlier
-// crashes then no longer count against the request. It returns how many did.
+// RecordServed records that an endpoint served a request, or one with a part, completely at the given
+// time. Earlier crashes then no longer count against it. It returns how many did.
 func (h *CrashHistory) RecordServed(hash vetchtrail.ContentHash, at time.Time) (cleared int) {
 	req, ok := h.requests[hash]
 	if !ok {
-		return 0
+		return h.recordSound(hash, at)
 	}
 	before := len(req.crashes)
 	req.servedAt = vetchtrail.Later(req.servedAt, at)
@@ -185,6 +203,9 @@
 			delete(h.requests, r.ContentHash)
 		}
 	}
+	for _, hash := range c.parts {
+		h.removePart(hash, c)
+	}
 }
 
 // AwaitingReports reports whether there are crashes that some hosts may not have reported yet.
@@ -192,10 +213,12 @@
 	return slices.ContainsFunc(h.crashes, func(c *mergedCrash) bool { return now.Sub(c.firstReportedAt) < reportWait })
 }
 
-// Suspect is a request with the number of crashes that count against it.
+// Suspect is a request, or a part of prompts, with the number of crashes that count against it.
 type Suspect struct {
 	ContentHash vetchtrail.ContentHash
+	Part        bool
 	Crashes     int
+	Since       time.Time // of a part: the first of these crashes
 }
 
 // Suspects returns the requests with at least minCrashes crashes against them, but no request with
@@ -207,15 +230,17 @@
 			out = append(out, Suspect{ContentHash: hash, Crashes: n})
 		}
 	}
-	slices.SortFunc(out, func(a, b Suspect) int {
-		if a.Crashes != b.Crashes {
-			return b.Crashes - a.Crashes
-		}
-		return slices.Compare(a.ContentHash[:], b.ContentHash[:])
-	})
+	slices.SortFunc(out, mostCrashesFirst)
 	return out
 }
 
+func mostCrashesFirst(a, b Suspect) int {
+	if a.Crashes != b.Crashes {
+		return b.Crashes - a.Crashes
+	}
+	return slices.Compare(a.ContentHash[:], b.ContentHash[:])
+}
+
 // countIndependent counts crashes, where those with a common cause count as one.
 func countIndependent(crashes []involvement) int {
 	n := 0
--- a/request/quarantine/persist.go
+++ b/request/quarantine/persist.go
@@ -23,6 +23,7 @@
 	Count       uint32 `json:"strike"`
 	Crashes     int    `json:"ends"`
 	Released    bool   `json:"released,omitempty"`
+	Part        bool   `json:"part,omitempty"`
 }
 
 // ParsePersistedEntries reads the encoding that Encode returns. If some entries are invalid, it
@@ -61,7 +62,7 @@
 		}
 		released := entry.Released || i >= 0 && p.Entries[i].Count == entry.Count && p.Entries[i].Released
 		p.remove(hash)
-		p.Entries = append(p.Entries, PersistedEntry{ContentHash: hash, Count: entry.Count, Crashes: entry.Crashes, Released: released})
+		p.Entries = append(p.Entries, PersistedEntry{ContentHash: hash, Count: entry.Count, Crashes: entry.Crashes, Released: released, Part: entry.Part})
 	}
 	p.Entries = p.Entries[max(0, len(p.Entries)-maxEntries):]
 }
@@ -81,7 +82,7 @@
 			continue
 		}
 		out = append(out, vetchtrail.QuarantineEntry{
-			ContentHash: hash, Count: entry.Count, Crashes: entry.Crashes, Since: now, Until: now.Add(EntryDuration(entry.Count)), Released: entry.Released,
+			ContentHash: hash, Part: entry.Part, Count: entry.Count, Crashes: entry.Crashes, Since: now, Until: now.Add(EntryDuration(entry.Count)), Released: entry.Released,
 		})
 	}
 	return out
--- a/request/quarantine/quarantine_test.go
+++ b/request/quarantine/quarantine_test.go
@@ -207,12 +207,12 @@
 		want      []PersistedEntry
 	}{
 		"none":                     {nil, nil, nil, nil},
-		"one":                      {nil, []vetchtrail.QuarantineEntry{entry(1, 1, false)}, nil, []PersistedEntry{{hashOf(1).String(), 1, 3, false}}},
-		"second request":           {[]vetchtrail.QuarantineEntry{entry(1, 1, false)}, []vetchtrail.QuarantineEntry{entry(2, 1, false)}, nil, []PersistedEntry{{hashOf(1).String(), 1, 3, false}, {hashOf(2).String(), 1, 3, false}}},
-		"higher count":             {[]vetchtrail.QuarantineEntry{entry(1, 1, true)}, []vetchtrail.QuarantineEntry{entry(1, 2, false)}, nil, []PersistedEntry{{hashOf(1).String(), 2, 3, false}}},
-		"lower count":              {[]vetchtrail.QuarantineEntry{entry(1, 2, false)}, []vetchtrail.QuarantineEntry{entry(1, 1, false)}, nil, []PersistedEntry{{hashOf(1).String(), 2, 3, false}}},
-		"released":                 {[]vetchtrail.QuarantineEntry{entry(1, 1, false)}, []vetchtrail.QuarantineEntry{entry(1, 1, true)}, nil, []PersistedEntry{{hashOf(1).String(), 1, 3, true}}},
-		"released by another host": {[]vetchtrail.QuarantineEntry{entry(1, 1, true)}, []vetchtrail.QuarantineEntry{entry(1, 1, false)}, nil, []PersistedEntry{{hashOf(1).String(), 1, 3, true}}},
+		"one":                      {nil, []vetchtrail.QuarantineEntry{entry(1, 1, false)}, nil, []PersistedEntry{{hashOf(1).String(), 1, 3, false, false}}},
+		"second request":           {[]vetchtrail.QuarantineEntry{entry(1, 1, false)}, []vetchtrail.QuarantineEntry{entry(2, 1, false)}, nil, []PersistedEntry{{hashOf(1).String(), 1, 3, false, false}, {hashOf(2).String(), 1, 3, false, false}}},
+		"higher count":             {[]vetchtrail.QuarantineEntry{entry(1, 1, true)}, []vetchtrail.QuarantineEntry{entry(1, 2, false)}, nil, []PersistedEntry{{hashOf(1).String(), 2, 3, false, false}}},
+		"lower count":              {[]vetchtrail.QuarantineEntry{entry(1, 2, false)}, []vetchtrail.QuarantineEntry{entry(1, 1, false)}, nil, []PersistedEntry{{hashOf(1).String(), 2, 3, false, false}}},
+		"released":                 {[]vetchtrail.QuarantineEntry{entry(1, 1, false)}, []vetchtrail.QuarantineEntry{entry(1, 1, true)}, nil, []PersistedEntry{{hashOf(1).String(), 1, 3, true, false}}},
+		"released by another host": {[]vetchtrail.QuarantineEntry{entry(1, 1, true)}, []vetchtrail.QuarantineEntry{entry(1, 1, false)}, nil, []PersistedEntry{{hashOf(1).String(), 1, 3, true, false}}},
 		"expired":                  {[]vetchtrail.QuarantineEntry{entry(1, 1, false)}, nil, []vetchtrail.ContentHash{hashOf(1)}, nil},
 	}
 	for name, c := range cases {
--- a/schema/quarantine.go
+++ b/schema/quarantine.go
@@ -36,7 +36,7 @@
 func FromQuarantineEntry(e vetchtrail.QuarantineEntry, now time.Time) *Hold {
 	return &Hold{
 		Digest: e.ContentHash[:], Strike: e.Count, Ends: uint32(e.Crashes), Age: int64(now.Sub(e.Since)),
-		Remaining: int64(e.Until.Sub(now)), Released: e.Released,
+		Remaining: int64(e.Until.Sub(now)), Released: e.Released, Part: e.Part,
 	}
 }
 
@@ -64,7 +64,7 @@
 		return vetchtrail.QuarantineEntry{}, errors.Errorf("schema.ToQuarantineEntry: strike %d is out of range", m.GetStrike())
 	}
 	return vetchtrail.QuarantineEntry{
-		ContentHash: hash, Count: m.GetStrike(), Crashes: int(m.GetEnds()), Since: now.Add(-time.Duration(max(0, m.GetAge()))),
+		ContentHash: hash, Part: m.GetPart(), Count: m.GetStrike(), Crashes: int(m.GetEnds()), Since: now.Add(-time.Duration(max(0, m.GetAge()))),
 		Until: now.Add(time.Duration(m.GetRemaining())), Released: m.GetReleased(),
 	}, nil
 }
