A failure, or an end that nothing marks, is no evidence that a request is sound

A poison request, or a part of its prompt, was cleared by any answer of an endpoint: by the error of one that fails part of its requests before it writes anything, and by a response without length or chunks, whose end is that of the connection and looks whole if the endpoint crashes at the end of an event. Each lets endpoints go on crashing. Only a success whose end is marked clears now; an unmarked end counts among the requests in flight if the endpoint turns out to have crashed, and is worth no probe. Four of the five cases of TestEvidenceOfAnswer failed before.

--- a/connection/endpoint/endpoint.go
+++ b/connection/endpoint/endpoint.go
@@ -192,7 +192,7 @@
 	}
 	return vetchtrail.Outcome{
 		Kind: vetchtrail.OutcomeAnswered, Status: t.resp.StatusCode(), Step: vetchtrail.StepResponse, Peer: t.endpoint.Name, ResponseStarted: true,
-		Events: t.eventsSent,
+		Events: t.eventsSent, EndUnmarked: !t.body.framed(),
 	}, t.reusable()
 }
 
--- a/outcome.go
+++ b/outcome.go
@@ -35,9 +35,12 @@
 	ResponseStarted bool // part of a response was sent to the caller
 	// HostLost reports that the host to which the request was forwarded could not be reached or
 	// broke the connection. Peer is the name of that host.
-	HostLost  bool
-	Events    int       // number of whole events of a stream that were forwarded
-	FirstByte time.Time // when the first byte of the response arrived here; zero: none did
+	HostLost bool
+	// EndUnmarked reports that the response had neither a length nor chunks, so that its end is that of
+	// the connection: a crash at the end of an event looks the same.
+	EndUnmarked bool
+	Events      int       // number of whole events of a stream that were forwarded
+	FirstByte   time.Time // when the first byte of the response arrived here; zero: none did
 	// DeferredFailure is an endpoint's error response that was not forwarded, because another
 	// attempt may succeed. If none does, it is sent to the caller.
 	DeferredFailure *BufferedResponse
--- a/process/quarantines/losses.go
+++ b/process/quarantines/losses.go
@@ -74,7 +74,9 @@
 		l.streamed = time.Since(t.FirstByte)
 	}
 	l.InFlight = quarantine.InFlight{ContentHash: r.ContentHash(), Streaming: l.streamed > streamingThreshold}
-	if at, probe := q.lossTracker.add(e, l, now); probe {
+	// Most responses with an unmarked end are whole. They are worth no probe, but count if the endpoint turns out to have
+	// crashed.
+	if at, probe := q.lossTracker.add(e, l, o.Kind == vetchtrail.OutcomeUnknown, now); probe {
 		go q.probe(e, at.Sub(now))
 	}
 	q.mu.Lock()
@@ -84,11 +86,12 @@
 
 // mayBeCrash reports whether an outcome is one that a crash of the endpoint causes.
 func mayBeCrash(o vetchtrail.Outcome) bool {
-	return o.Kind == vetchtrail.OutcomeUnknown && (o.Reason == vetchtrail.ReasonResponseLost || o.Reason == vetchtrail.ReasonResponseBroken)
+	lost := o.Reason == vetchtrail.ReasonResponseLost || o.Reason == vetchtrail.ReasonResponseBroken
+	return o.Kind == vetchtrail.OutcomeUnknown && lost || o.Kind == vetchtrail.OutcomeAnswered && o.EndUnmarked
 }
 
 // add remembers a loss. If the endpoint is to be probed, it returns true and the time of the probe.
-func (t *lossTracker) add(e vetchtrail.Endpoint, l loss, now time.Time) (at time.Time, probe bool) {
+func (t *lossTracker) add(e vetchtrail.Endpoint, l loss, mayProbe bool, now time.Time) (at time.Time, probe bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.removeExpired(now)
@@ -101,7 +104,7 @@
 	if a.lost = append(a.lost, l); len(a.lost) > maxLossesPerEndpoint {
 		a.lost = a.lost[1:]
 	}
-	if a.probing {
+	if a.probing || !mayProbe {
 		return time.Time{}, false
 	}
 	a.probing = true
--- a/quarantine.go
+++ b/quarantine.go
@@ -26,8 +26,8 @@
 type Quarantine interface {
 	// Quarantined returns whether a request is quarantined, and its entry.
 	Quarantined(r *Request) (QuarantineEntry, bool)
-	// ResponseLost reports an attempt without a complete response: the endpoint may have
-	// crashed.
+	// ResponseLost reports an attempt without a complete response, or with one whose end is
+	// unmarked: the endpoint may have crashed.
 	ResponseLost(e Endpoint, r *Request, o Outcome, t Timing)
 	// Answered reports a request that an endpoint has answered, so that earlier crashes no
 	// longer count against it and the parts of its prompt.
--- a/request/dispatch/dispatch.go
+++ b/request/dispatch/dispatch.go
@@ -41,8 +41,10 @@
 	bufferRetryDelay = time.Second
 )
 
-// HTTP statuses of responses that this host creates itself.
+// HTTP statuses: the bounds of those of a success, and those of responses that this host creates itself.
 const (
+	statusOK           = 200
+	statusRedirect     = 300
 	statusBadRequest   = 400
 	statusUnauthorized = 401
 	statusForbidden    = 403
--- a/request/dispatch/quarantine.go
+++ b/request/dispatch/quarantine.go
@@ -34,7 +34,8 @@
 
 // reportAttempt reports to the quarantine how an attempt at an endpoint ended, and
 // records the attempt if its response was lost. An attempt whose caller disconnected
-// shows nothing about the endpoint and is not reported as lost.
+// shows nothing about the endpoint and is not reported as lost. A failure shows nothing about the request:
+// the endpoint may have failed before it began to write.
 func (d *Dispatcher) reportAttempt(ctx context.Context, e vetchtrail.Endpoint, r *vetchtrail.Request, o vetchtrail.Outcome, timing vetchtrail.Timing, attempt int) {
 	lost := o.Kind == vetchtrail.OutcomeUnknown && ctx.Err() == nil
 	if lost {
@@ -42,9 +43,9 @@
 	}
 	switch {
 	case d.cfg.Quarantine == nil:
-	case lost:
+	case lost || o.Kind == vetchtrail.OutcomeAnswered && o.EndUnmarked:
 		d.cfg.Quarantine.ResponseLost(e, r, o, timing)
-	case o.Kind == vetchtrail.OutcomeAnswered:
+	case o.Kind == vetchtrail.OutcomeAnswered && o.Status >= statusOK && o.Status < statusRedirect:
 		d.cfg.Quarantine.Answered(r)
 	}
 }
--- a/request/dispatch/quarantine_test.go
+++ b/request/dispatch/quarantine_test.go
@@ -145,3 +145,35 @@
 	assert.Equal(t, o.Reason, vetchtrail.ReasonQuarantined)
 	assert.Equal(t, len(targets.called), 1)
 }
+
+// TestEvidenceOfAnswer guards against a poison request, or a part of its prompt, that counts as sound by a response that shows nothing about it.
+func TestEvidenceOfAnswer(t *testing.T) {
+	answered := func(status int, endUnmarked bool) reply {
+		return func(_ *vetchtrail.Request, w vetchtrail.ResponseWriter) vetchtrail.Outcome {
+			_ = w.Begin(status, nil)
+			return vetchtrail.Outcome{Kind: vetchtrail.OutcomeAnswered, Status: status, Step: vetchtrail.StepResponse, ResponseStarted: true, EndUnmarked: endUnmarked}
+		}
+	}
+	cases := map[string]struct {
+		reply    reply
+		answered int
+		lost     int
+	}{
+		"whole response":            {answered(200, false), 1, 0},
+		"end of the connection":     {answered(200, true), 0, 1},
+		"failure of the endpoint":   {answered(500, false), 0, 0},
+		"rejected by the endpoint":  {answered(400, false), 0, 0},
+		"failure, unmarked end too": {answered(500, true), 0, 1},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			q := &fakeQuarantine{passFirst: 9}
+			d := newDispatcher(t, &scriptedTargets{replies: []reply{c.reply}}, 1)
+			d.cfg.Quarantine = q
+			r := &vetchtrail.Request{ID: "x", Service: "s", Route: "r", MaxAttempts: 1, Deadline: time.Now().Add(time.Second)}
+			d.Run(context.Background(), r, &responseRecorder{})
+			assert.Equal(t, q.answered, c.answered)
+			assert.Equal(t, len(q.lost), c.lost)
+		})
+	}
+}
