One map of recent entries, one filter of crashes

The records of streams' origins and of sound parts were kept in two generations by the same code twice; that is package recent now. Requests and parts share the test whether a crash counts. No change of behaviour; the tests of origins, quarantines and dispatch pass as before.

--- a/process/origins/origins.go
+++ b/process/origins/origins.go
@@ -16,11 +16,16 @@
 	"github.com/cespare/xxhash/v2"
 
 	"vetchtrail"
+	"vetchtrail/process/recent"
 	"vetchtrail/schema"
 )
 
-// maxStreamAge is the age up to which a stream can be resumed: some times the deadline of the longest requests.
-const maxStreamAge = time.Minute
+const (
+	// maxStreamAge is the age up to which a stream can be resumed: some times the deadline of the longest requests.
+	maxStreamAge = time.Minute
+	// maxRecords bounds the memory of the records to about 6 MB.
+	maxRecords = 1 << 16
+)
 
 // Hosts provides the other hosts.
 type Hosts interface {
@@ -54,15 +59,24 @@
 	cfg Config
 
 	mu       sync.Mutex
-	records  records
+	records  recent.Map[uint64, record]
 	services map[string]*versionHistory
 	listed   []*vetchtrail.Endpoint // that the histories were updated by
 	outboxes map[netip.AddrPort]*outbox
 }
 
+// record is the origin of a stream.
+type record struct {
+	service string // empty: received from another host
+	version string
+	began   time.Time
+}
+
 // New returns Origins without records.
 func New(c Config) *Origins {
-	return &Origins{cfg: c, services: map[string]*versionHistory{}, outboxes: map[netip.AddrPort]*outbox{}}
+	return &Origins{
+		cfg: c, records: recent.Map[uint64, record]{TTL: maxStreamAge, Limit: maxRecords}, services: map[string]*versionHistory{}, outboxes: map[netip.AddrPort]*outbox{},
+	}
 }
 
 // keyOf returns the key of a stream's record.
@@ -82,7 +96,7 @@
 	now, key := time.Now(), keyOf(service, attempt)
 	r := record{service: service, version: v.Version, began: now}
 	o.mu.Lock()
-	o.records.add(key, r, now)
+	o.records.Put(key, r, now)
 	_, only := o.onlyVersion(service, now)
 	o.mu.Unlock()
 	if !only {
@@ -90,6 +104,12 @@
 	}
 }
 
+// find returns the record of a stream, and false if there is none or it is too old. The caller holds the lock.
+func (o *Origins) find(key uint64, now time.Time) (record, bool) {
+	r, ok := o.records.Get(key)
+	return r, ok && now.Sub(r.began) <= maxStreamAge
+}
+
 // HandleOrigins stores the origins of another host.
 func (o *Origins) HandleOrigins(m *schema.StreamOrigins) {
 	now := time.Now()
@@ -97,8 +117,8 @@
 	defer o.mu.Unlock()
 	for _, origin := range m.GetOrigins() {
 		r := record{version: origin.GetSoftwareVersion(), began: now.Add(-time.Duration(max(0, origin.GetAge())))}
-		if _, known := o.records.find(origin.GetStream(), now); !known {
-			o.records.add(origin.GetStream(), r, now)
+		if _, known := o.find(origin.GetStream(), now); !known {
+			o.records.Put(origin.GetStream(), r, now)
 		}
 	}
 }
@@ -114,7 +134,7 @@
 func (o *Origins) known(service string, key uint64, now time.Time) (v vetchtrail.StreamVersion, only bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if r, ok := o.records.find(key, now); ok {
+	if r, ok := o.find(key, now); ok {
 		return vetchtrail.StreamVersion{Known: true, Version: r.version}, false
 	}
 	if version, only := o.onlyVersion(service, now); only {
--- a/process/origins/origins_test.go
+++ b/process/origins/origins_test.go
@@ -160,12 +160,11 @@
 		for n := range 2 * maxRecords {
 			o.Began("s", strconv.Itoa(n), vetchtrail.StreamVersion{Known: true, Version: "v1"})
 		}
-		size := func() int { return len(o.records.newer) + len(o.records.older) }
-		assert.Assert(t, size() <= maxRecords && size() >= maxRecords/2, "%d records", size())
+		assert.Assert(t, o.records.Len() <= maxRecords && o.records.Len() >= maxRecords/2, "%d records", o.records.Len())
 		for range 2 {
 			time.Sleep(2 * maxStreamAge)
 			o.Began("s", "1", vetchtrail.StreamVersion{Known: true, Version: "v1"})
 		}
-		assert.Equal(t, size(), 2)
+		assert.Equal(t, o.records.Len(), 2)
 	})
 }
--- a/process/origins/replicas.go
+++ b/process/origins/replicas.go
@@ -71,15 +71,15 @@
 
 // replicateAll does so for all streams of a service that this host passed on.
 func (o *Origins) replicateAll(service string, now time.Time) {
-	recent := map[uint64]record{}
+	began := map[uint64]record{}
 	o.mu.Lock()
-	for key, r := range o.records.all(now) {
-		if r.service == service {
-			recent[key] = r
+	for key, r := range o.records.All() {
+		if r.service == service && now.Sub(r.began) <= maxStreamAge {
+			began[key] = r
 		}
 	}
 	o.mu.Unlock()
-	for key, r := range recent {
+	for key, r := range began {
 		o.replicate(key, r, now)
 	}
 }
--- a/process/quarantines/parts.go
+++ b/process/quarantines/parts.go
@@ -28,26 +28,10 @@
 	confirmTime = 600 * time.Millisecond
 )
 
-// soundParts is when this host last had requests with a part answered, in two generations: when the newer one is old or
-// full, it replaces the older one.
-type soundParts struct {
-	newer, older map[vetchtrail.ContentHash]time.Time
-	replaceAt    time.Time
-}
-
-func (s *soundParts) record(hash vetchtrail.ContentHash, at, now time.Time) {
-	if !now.Before(s.replaceAt) || len(s.newer) >= maxSoundParts/2 {
-		s.newer, s.older, s.replaceAt = map[vetchtrail.ContentHash]time.Time{}, s.newer, now.Add(soundPartTTL)
-	}
-	s.newer[hash] = vetchtrail.Later(s.newer[hash], at)
-}
-
-// at returns when a request with a part was last answered; zero: not known.
-func (s *soundParts) at(hash vetchtrail.ContentHash) time.Time {
-	if at, ok := s.newer[hash]; ok {
-		return at
-	}
-	return s.older[hash]
+// soundAt returns when this host last had a request with a part answered; zero: not known. The caller holds the lock.
+func (q *Quarantines) soundAt(part vetchtrail.ContentHash) time.Time {
+	at, _ := q.soundParts.Get(part)
+	return at
 }
 
 // partsInFlight returns the parts of the prompts of requests that were lost in a crash, deeper ones first, and those
@@ -84,10 +68,10 @@
 func (q *Quarantines) addParts(crash *quarantine.Crash, lost []loss, now time.Time) {
 	suspected, sound := partsInFlight(lost)
 	for _, hash := range sound {
-		q.soundParts.record(hash, crash.At, now)
+		q.soundParts.Put(hash, vetchtrail.Later(crash.At, q.soundAt(hash)), now)
 	}
 	for i := range suspected {
-		suspected[i].SoundAt = q.soundParts.at(suspected[i].ContentHash)
+		suspected[i].SoundAt = q.soundAt(suspected[i].ContentHash)
 		q.watched.add(suspected[i].ContentHash, now)
 	}
 	crash.Parts = suspected
@@ -103,7 +87,7 @@
 	if now.Sub(q.soundReported[s.ContentHash]) < soundReportInterval {
 		return
 	}
-	at := q.soundParts.at(s.ContentHash)
+	at := q.soundAt(s.ContentHash)
 	if !at.After(s.Since) {
 		q.watched.add(s.ContentHash, now)
 		return
@@ -120,7 +104,7 @@
 	suspects := q.history.PartSuspects(suspectThreshold)
 	suspectedSince := make(map[vetchtrail.ContentHash]time.Time, len(suspects))
 	for _, s := range suspects {
-		if at := q.soundParts.at(s.ContentHash); at.After(s.Since) {
+		if at := q.soundAt(s.ContentHash); at.After(s.Since) {
 			q.history.RecordServed(s.ContentHash, at)
 		}
 		since, ok := q.suspectedSince[s.ContentHash]
--- a/process/quarantines/quarantines.go
+++ b/process/quarantines/quarantines.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"vetchtrail"
+	"vetchtrail/process/recent"
 	"vetchtrail/request/quarantine"
 	"vetchtrail/schema"
 )
@@ -85,7 +86,7 @@
 	// found itself don't expire.
 	suspectsUntil time.Time
 	watched       watchedRequests
-	soundParts    soundParts
+	soundParts    recent.Map[vetchtrail.ContentHash, time.Time] // when requests with a part were last answered here
 	// suspectedSince is since when the parts among the suspects have been suspected.
 	suspectedSince map[vetchtrail.ContentHash]time.Time
 	soundReported  map[vetchtrail.ContentHash]time.Time                  // when this host last reported that a suspected part is sound
@@ -107,6 +108,7 @@
 	return &Quarantines{
 		cfg: c, entries: quarantine.NewEntries(), wake: make(chan struct{}, 1), lossTracker: newLossTracker(),
 		history: quarantine.NewCrashHistory(), persisted: map[vetchtrail.ContentHash]vetchtrail.QuarantineEntry{},
+		soundParts:    recent.Map[vetchtrail.ContentHash, time.Time]{TTL: soundPartTTL, Limit: maxSoundParts},
 		soundReported: map[vetchtrail.ContentHash]time.Time{},
 	}
 }
@@ -139,7 +141,7 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	for _, part := range r.SharedParts() {
-		q.soundParts.record(vetchtrail.PartHash(r.Service, part.ID), now, now)
+		q.soundParts.Put(vetchtrail.PartHash(r.Service, part.ID), now, now)
 	}
 	if q.watched.empty() {
 		return
--- a/request/dispatch/quarantine_test.go
+++ b/request/dispatch/quarantine_test.go
@@ -171,7 +171,7 @@
 			d := newDispatcher(t, &scriptedTargets{replies: []reply{c.reply}}, 1)
 			d.cfg.Quarantine = q
 			r := &vetchtrail.Request{ID: "x", Service: "s", Route: "r", MaxAttempts: 1, Deadline: time.Now().Add(time.Second)}
-			d.Run(context.Background(), r, &responseRecorder{})
+			_ = d.Run(context.Background(), r, &responseRecorder{})
 			assert.Equal(t, q.answered, c.answered)
 			assert.Equal(t, len(q.lost), c.lost)
 		})
--- a/request/quarantine/detect.go
+++ b/request/quarantine/detect.go
@@ -134,16 +134,29 @@
 // already streaming, because poison requests mostly crash an endpoint when it starts them.
 func (t *tally) halfCrashes() int { return t.independent + min(t.independent, t.notStreaming) }
 
+// isSettled reports whether a request or part was found before, or has an entry in force.
+func (d *detection) isSettled(hash vetchtrail.ContentHash) bool {
+	entry, known := d.known[hash]
+	return slices.Contains(d.detected, hash) || known && !entry.Released && d.now.Before(entry.Until)
+}
+
+// counts reports whether a crash counts against a request or part: nothing else explains it, all hosts
+// have had time to report it, and it came after the last entry began, if there was one.
+func (d *detection) counts(hash vetchtrail.ContentHash, inv involvement) bool {
+	entry, known := d.known[hash]
+	explained := d.explained[inv.mergedCrash] && !known
+	return !explained && (!known || inv.At.After(entry.Since)) && d.now.Sub(inv.firstReportedAt) >= reportWait
+}
+
 // tally collects the evidence against a request and reports whether it is enough to quarantine it.
 func (d *detection) tally(hash vetchtrail.ContentHash, req *requestHistory) (tally, bool) {
 	t := tally{contentHash: hash}
 	entry, known := d.known[hash]
-	if slices.Contains(d.detected, hash) || known && !entry.Released && d.now.Before(entry.Until) {
+	if d.isSettled(hash) {
 		return t, false
 	}
 	for _, inv := range req.crashes {
-		explained := d.explained[inv.mergedCrash] && !known
-		if explained || known && !inv.At.After(entry.Since) || d.now.Sub(inv.firstReportedAt) < reportWait {
+		if !d.counts(hash, inv) {
 			continue
 		}
 		t.crashes = append(t.crashes, inv)
--- a/request/quarantine/parts.go
+++ b/request/quarantine/parts.go
@@ -214,17 +214,15 @@
 func (d *detection) partTally(hash vetchtrail.ContentHash, p *partHistory) (partTally, bool) {
 	t := partTally{contentHash: hash, depth: p.depth, required: repeatCrashThreshold}
 	entry, known := d.known[hash]
-	if slices.Contains(d.detected, hash) || known && !entry.Released && d.now.Before(entry.Until) {
+	if d.isSettled(hash) {
 		return t, false
 	}
 	var counted []partInvolvement
 	for _, inv := range p.crashes {
-		explained := d.explained[inv.mergedCrash] && !known
-		if explained || known && !inv.At.After(entry.Since) || d.now.Sub(inv.firstReportedAt) < reportWait {
-			continue
+		if d.counts(hash, inv.involvement) {
+			counted = append(counted, inv)
+			t.crashes = append(t.crashes, inv.involvement)
 		}
-		counted = append(counted, inv)
-		t.crashes = append(t.crashes, inv.involvement)
 	}
 	t.independent = countIndependent(t.crashes)
 	if known && !entry.Released {
