--- a/connection/peer/peer_test.go
+++ b/connection/peer/peer_test.go
@@ -51,7 +51,7 @@
 	inner, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	l := &meter.Listener{Listener: inner}
-	s, err := NewServer(ServerConfig{Membership: f, Changes: f, Runner: f, Operators: &f, Buffers: b})
+	s, err := NewServer(ServerConfig{Membership: f, Changes: f, Runner: f, Origins: f, Operators: &f, Buffers: b})
 	assert.NilError(t, err)
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
@@ -259,3 +259,30 @@
 		})
 	}
 }
+
+// HandleOrigins and HandleQuery implement StreamOrigins.
+func (fakeHost) HandleOrigins(*schema.StreamOrigins) {}
+func (fakeHost) HandleQuery(*schema.StreamOriginQuery) *schema.StreamOriginReply {
+	return &schema.StreamOriginReply{}
+}
+
+// BenchmarkOrigins measures the bytes in both directions and the time of a message with the origins of streams.
+func BenchmarkOrigins(b *testing.B) {
+	for _, n := range []int{1, 10} {
+		b.Run(fmt.Sprintf("streams=%d", n), func(b *testing.B) {
+			addr, l := serve(b, fakeHost{})
+			c := New(Config{})
+			defer c.Close()
+			m := &schema.StreamOrigins{}
+			for i := range n {
+				m.Origins = append(m.Origins, &schema.StreamOrigin{Stream: uint64(i)<<40 + 12345, SoftwareVersion: "v1.2", Age: 1_500_000})
+			}
+			assert.NilError(b, c.StoreOrigins(b.Context(), addr, m))
+			before := l.Bytes()
+			for b.Loop() {
+				assert.NilError(b, c.StoreOrigins(b.Context(), addr, m))
+			}
+			b.ReportMetric(float64(l.Bytes()-before)/float64(b.N), "wire-bytes/op")
+		})
+	}
+}
--- a/process/quarantines/quarantines_test.go
+++ b/process/quarantines/quarantines_test.go
@@ -238,9 +238,8 @@
 	})
 }
 
-// BenchmarkQuarantined measures the look-up that is made for each request: 22 ns while nothing is
-// quarantined, 146 ns with 1,000 entries. Neither allocates. The content hash isn't included: it is
-// computed by the first look-up and cached.
+// BenchmarkQuarantined measures the look-up that is made for each request, and what is stored of each answered one.
+// The content hash isn't included: it is computed by the first look-up and cached.
 func BenchmarkQuarantined(b *testing.B) {
 	q := New(Config{Clock: time.Now})
 	r := harmlessRequest(1)
@@ -260,4 +259,25 @@
 			q.Quarantined(r)
 		}
 	})
+	for _, parts := range []int{4, 64} {
+		b.Run(fmt.Sprintf("1000, %d parts", parts), func(b *testing.B) {
+			long := harmlessRequest(5000)
+			long.Prompt = make([]vetchtrail.PromptPart, parts)
+			b.ReportAllocs()
+			for b.Loop() {
+				q.Quarantined(long)
+			}
+		})
+	}
+	b.Run("answered, 64 parts", func(b *testing.B) {
+		long := harmlessRequest(1)
+		long.Prompt = make([]vetchtrail.PromptPart, 64)
+		for i := range long.Prompt {
+			long.Prompt[i].ID = uint64(i)
+		}
+		b.ReportAllocs()
+		for b.Loop() {
+			q.Answered(long)
+		}
+	})
 }
