--- a/process/quarantines/quarantines.go
+++ b/process/quarantines/quarantines.go
@@ -1,7 +1,8 @@
-// Package quarantines detects poison requests, which crash the endpoints that run them, and
-// quarantines them on all hosts. Each host finds out which endpoints have crashed with its requests
-// and reports these crashes to the crash aggregators of all regions. The aggregators decide which
-// requests to quarantine and send the entries to all hosts, which refuse these requests. The rules
+// Package quarantines detects poison requests, which crash the endpoints that run them, and poison
+// parts, which crash those that run any request with them in its prompt. It quarantines both on all
+// hosts. Each host finds out which endpoints have crashed with its requests and reports these crashes
+// to the crash aggregators of all regions. The aggregators decide which requests and parts to
+// quarantine and send the entries to all hosts, which refuse these requests. The rules
 // of the decision are in package request/quarantine; nothing here is kept across a restart, except
 // through the vetchtrail.QuarantineStore.
 package quarantines
--- a/request/quarantine/entries.go
+++ b/request/quarantine/entries.go
@@ -1,5 +1,5 @@
-// Package quarantine detects poison requests, which crash the endpoints that run them, and keeps
-// the list of those that are quarantined. A quarantined request is refused until its entry expires
+// Package quarantine detects poison requests, which crash the endpoints that run them, and poison
+// parts of prompts, and keeps the list of those that are quarantined. A quarantined request is refused until its entry expires
 // or an operator releases it. The package does no I/O and never reads a clock: times are arguments,
 // by a clock that runs on while a host is suspended. Package process/quarantines connects it to the
 // other hosts.
