Only resumed streams are asked for their origin

A request that is no stream and has a Last-Event-Id, which means nothing there, was refused while its service had several software versions, as nobody knew its origin. TestUnknownOriginRefused, 'no stream', is the case; it also shows that a resumed stream of unknown origin reaches no endpoint.

--- a/request/dispatch/software_version.go
+++ b/request/dispatch/software_version.go
@@ -92,7 +92,7 @@
 // the refusal if nobody knows it: an endpoint of another version would write a stream that doesn't fit, and
 // one that starts anew would repeat events.
 func (d *Dispatcher) findOrigin(ctx context.Context, r *vetchtrail.Request) (vetchtrail.Outcome, bool) {
-	if d.cfg.Origins == nil || r.Route == "" || r.Hops > 0 || r.LastEventID == "" {
+	if d.cfg.Origins == nil || r.Route == "" || !r.Stream || r.Hops > 0 || r.LastEventID == "" {
 		return vetchtrail.Outcome{}, true
 	}
 	r.StreamVersion = d.cfg.Origins.Find(ctx, r.Service, r.Resumes)
--- a/request/dispatch/software_version_test.go
+++ b/request/dispatch/software_version_test.go
@@ -94,3 +94,44 @@
 		})
 	}
 }
+
+// noOrigins knows the origin of no stream.
+type noOrigins struct{}
+
+// Began implements vetchtrail.StreamOrigins.
+func (noOrigins) Began(string, string, vetchtrail.StreamVersion) {}
+
+// Find implements vetchtrail.StreamOrigins.
+func (noOrigins) Find(context.Context, string, string) vetchtrail.StreamVersion {
+	return vetchtrail.StreamVersion{}
+}
+
+// TestUnknownOriginRefused guards against a resumed stream of unknown origin that runs, and against other requests that are refused for it.
+func TestUnknownOriginRefused(t *testing.T) {
+	cases := map[string]struct {
+		modify func(*vetchtrail.Request)
+		kind   vetchtrail.OutcomeKind
+		reason vetchtrail.Reason
+	}{
+		"resumed stream": {func(r *vetchtrail.Request) { r.LastEventID = "7" }, vetchtrail.OutcomeNotRun, vetchtrail.ReasonUnknownOrigin},
+		"new stream":     {func(*vetchtrail.Request) {}, vetchtrail.OutcomeAnswered, ""},
+		"forwarded, the version known": {func(r *vetchtrail.Request) {
+			r.LastEventID, r.Hops, r.AllowedRegions, r.StreamVersion.Known = "7", 1, vetchtrail.AllRegions, true
+		}, vetchtrail.OutcomeAnswered, ""},
+		"no stream": {func(r *vetchtrail.Request) { r.LastEventID, r.Stream = "7", false }, vetchtrail.OutcomeAnswered, ""},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			targets := &scriptedTargets{replies: []reply{respondWith("ok")}}
+			d := newDispatcher(t, targets, 1)
+			d.cfg.Origins = noOrigins{}
+			r := &vetchtrail.Request{ID: "x", Service: "s", Route: "r", Stream: true, Resumable: true, MaxAttempts: 1, Deadline: time.Now().Add(time.Second)}
+			c.modify(r)
+			o := d.Run(context.Background(), r, &responseRecorder{})
+			assert.Equal(t, o.Kind, c.kind, "%v", o)
+			assert.Equal(t, o.Reason, c.reason)
+			assert.Equal(t, len(targets.called) == 1, c.kind == vetchtrail.OutcomeAnswered)
+			assert.Equal(t, o.RetryAt.IsZero(), c.kind == vetchtrail.OutcomeAnswered)
+		})
+	}
+}
