A long response shows its prompt's deepest part sound only as of its beginning

A poison part crashes an endpoint as it begins to write, so that such a response says nothing of the time since.

--- a/process/quarantines/fleet_test.go
+++ b/process/quarantines/fleet_test.go
@@ -319,7 +319,7 @@
 		return false, true
 	}
 	if !poison {
-		q.Answered(r)
+		q.Answered(r, vetchtrail.Timing{})
 		return true, false
 	}
 	var e *testEndpoint
@@ -359,7 +359,7 @@
 		for range 4 { // other requests, which are answered elsewhere
 			harmless := harmlessRequest(uint64(f.random(1 << 40)))
 			q.ResponseLost(e, harmless, lost, vetchtrail.Timing{Sent: now})
-			q.Answered(harmless)
+			q.Answered(harmless, vetchtrail.Timing{})
 		}
 	}
 }
--- a/process/quarantines/parts.go
+++ b/process/quarantines/parts.go
@@ -28,21 +28,38 @@
 	confirmTime = 600 * time.Millisecond
 )
 
-// soundAt returns when this host last had a request with a part answered; zero: not known. The caller holds the lock.
+// recordSound records that an endpoint began a sound response on a part. The caller holds the lock.
+func (q *Quarantines) recordSound(part vetchtrail.ContentHash, at, now time.Time) {
+	q.soundParts.Put(part, vetchtrail.Later(at, q.soundAt(part)), now)
+}
+
+// soundAt returns when an endpoint last began a sound response on a part for this host; zero: not known. The caller
+// holds the lock.
 func (q *Quarantines) soundAt(part vetchtrail.ContentHash) time.Time {
 	at, _ := q.soundParts.Get(part)
 	return at
 }
 
+// soundTime returns up to when a response that began and ended at given times shows that the part with an index was
+// sound. A poison part crashes an endpoint as it begins to write, and may have become one since. That is told apart for the
+// deepest part only: those before it come with many requests, and to quarantine one of them stops all of these.
+func soundTime(parts []vetchtrail.PromptPart, index int, began, ended time.Time) time.Time {
+	if index == len(parts)-1 {
+		return began
+	}
+	return ended
+}
+
 // partsInFlight returns the parts of the prompts of requests that were lost in a crash, deeper ones first, and those
-// that are sound because an endpoint had written a response on them for some time.
-func partsInFlight(lost []loss) (suspected []quarantine.InFlightPart, sound []vetchtrail.ContentHash) {
+// that are sound because an endpoint had written a response on them for some time, with when that began.
+func partsInFlight(lost []loss) (suspected []quarantine.InFlightPart, sound map[vetchtrail.ContentHash]time.Time) {
+	sound = map[vetchtrail.ContentHash]time.Time{}
 	index := map[vetchtrail.ContentHash]int{}
 	for _, l := range lost {
 		for depth, part := range l.parts {
 			hash := vetchtrail.PartHash(l.service, part.ID)
 			if l.streamed >= partSoundAfter {
-				sound = append(sound, hash)
+				sound[hash] = vetchtrail.Later(sound[hash], soundTime(l.parts, depth, l.at.Add(-l.streamed), l.at))
 				continue
 			}
 			i, ok := index[hash]
@@ -57,7 +74,7 @@
 		}
 	}
 	suspected = slices.DeleteFunc(suspected, func(p quarantine.InFlightPart) bool {
-		return len(p.Requests) == 0 || slices.Contains(sound, p.ContentHash)
+		return len(p.Requests) == 0
 	})
 	slices.SortStableFunc(suspected, func(a, b quarantine.InFlightPart) int { return cmp.Compare(b.Depth, a.Depth) })
 	return suspected[:min(maxReportedParts, len(suspected))], sound
@@ -67,8 +84,8 @@
 // caller holds the lock.
 func (q *Quarantines) addParts(crash *quarantine.Crash, lost []loss, now time.Time) {
 	suspected, sound := partsInFlight(lost)
-	for _, hash := range sound {
-		q.soundParts.Put(hash, vetchtrail.Later(crash.At, q.soundAt(hash)), now)
+	for hash, at := range sound {
+		q.recordSound(hash, at, now)
 	}
 	for i := range suspected {
 		suspected[i].SoundAt = q.soundAt(suspected[i].ContentHash)
--- a/process/quarantines/prompt_parts_test.go
+++ b/process/quarantines/prompt_parts_test.go
@@ -166,7 +166,7 @@
 			f.stream(e, run, poison)
 		}
 		if f.end(e, run) {
-			q.Answered(r)
+			q.Answered(r, vetchtrail.Timing{Sent: run.sent, FirstByte: run.firstByte})
 			return began, false
 		}
 	}
--- a/process/quarantines/quarantines.go
+++ b/process/quarantines/quarantines.go
@@ -87,7 +87,7 @@
 	// found itself don't expire.
 	suspectsUntil time.Time
 	watched       watchedRequests
-	soundParts    recent.Map[vetchtrail.ContentHash, time.Time] // when requests with a part were last answered here
+	soundParts    recent.Map[vetchtrail.ContentHash, time.Time] // when requests with a part, which were answered here, last began to be
 	// suspectedSince is since when the parts among the suspects have been suspected.
 	suspectedSince map[vetchtrail.ContentHash]time.Time
 	soundReported  map[vetchtrail.ContentHash]time.Time                  // when this host last reported that a suspected part is sound
@@ -134,30 +134,35 @@
 }
 
 // Answered implements vetchtrail.Quarantine.
-func (q *Quarantines) Answered(r *vetchtrail.Request) {
+func (q *Quarantines) Answered(r *vetchtrail.Request, t vetchtrail.Timing) {
 	if q.cfg.SwitchedOff {
 		return
 	}
 	now := q.cfg.Clock()
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	for _, part := range r.SharedParts() {
-		q.soundParts.Put(vetchtrail.PartHash(r.Service, part.ID), now, now)
+	began := now
+	if !t.FirstByte.IsZero() {
+		began = now.Add(-time.Since(t.FirstByte))
+	}
+	parts := r.SharedParts()
+	for i, part := range parts {
+		q.recordSound(vetchtrail.PartHash(r.Service, part.ID), soundTime(parts, i, began, now), now)
 	}
 	if q.watched.empty() {
 		return
 	}
 	q.watched.removeExpired(now)
 	q.reportServed(r.ContentHash(), now)
-	for _, part := range r.SharedParts() {
-		q.reportServed(vetchtrail.PartHash(r.Service, part.ID), now)
+	for i, part := range parts {
+		q.reportServed(vetchtrail.PartHash(r.Service, part.ID), soundTime(parts, i, began, now))
 	}
 }
 
 // reportServed reports a request, or a part of one, that was served, if it is watched. The caller holds the lock.
-func (q *Quarantines) reportServed(hash vetchtrail.ContentHash, now time.Time) {
+func (q *Quarantines) reportServed(hash vetchtrail.ContentHash, at time.Time) {
 	if q.watched.remove(hash) {
-		q.served = append(q.served, servedRequest{contentHash: hash, at: now})
+		q.served = append(q.served, servedRequest{contentHash: hash, at: at})
 		q.wakeRun()
 	}
 }
--- a/process/quarantines/quarantines_test.go
+++ b/process/quarantines/quarantines_test.go
@@ -185,7 +185,7 @@
 		f.hosts[1].request(poisonRequest(), false) // served after all, by another host
 		time.Sleep(suspectsTTL + watchedTTL)
 		for _, h := range f.hosts {
-			h.q.Answered(harmlessRequest(7))
+			h.q.Answered(harmlessRequest(7), vetchtrail.Timing{})
 		}
 		suspects, watched = count()
 		assert.Equal(t, suspects, 0)
@@ -277,7 +277,7 @@
 		}
 		b.ReportAllocs()
 		for b.Loop() {
-			q.Answered(long)
+			q.Answered(long, vetchtrail.Timing{})
 		}
 	})
 }
--- a/quarantine.go
+++ b/quarantine.go
@@ -31,7 +31,7 @@
 	ResponseLost(e Endpoint, r *Request, o Outcome, t Timing)
 	// Answered reports a request that an endpoint has answered, so that earlier crashes no
 	// longer count against it and the parts of its prompt.
-	Answered(r *Request)
+	Answered(r *Request, t Timing)
 }
 
 // QuarantineStore persists quarantine entries, so that they outlast a restart of all hosts.
--- a/request/dispatch/quarantine.go
+++ b/request/dispatch/quarantine.go
@@ -46,7 +46,7 @@
 	case lost || o.Kind == vetchtrail.OutcomeAnswered && o.EndUnmarked:
 		d.cfg.Quarantine.ResponseLost(e, r, o, timing)
 	case o.Kind == vetchtrail.OutcomeAnswered && o.Status >= statusOK && o.Status < statusRedirect:
-		d.cfg.Quarantine.Answered(r)
+		d.cfg.Quarantine.Answered(r, timing)
 	}
 }
 
--- a/request/dispatch/quarantine_test.go
+++ b/request/dispatch/quarantine_test.go
@@ -30,7 +30,7 @@
 	q.lost = append(q.lost, e.Name)
 }
 
-func (q *fakeQuarantine) Answered(*vetchtrail.Request) { q.answered++ }
+func (q *fakeQuarantine) Answered(*vetchtrail.Request, vetchtrail.Timing) { q.answered++ }
 
 // TestQuarantinedRefused checks that a quarantined request reaches no endpoint on any
 // path, and is refused without a retry time. A path without the check would let a poison
