Two requests are enough against a part from four crashes on, where nothing else crashes endpoints

Two different requests that crashed four endpoints without another crash beside them are as telling as three.

--- a/request/quarantine/parts.go
+++ b/request/quarantine/parts.go
@@ -11,12 +11,12 @@
 const (
 	// minPoisonRequests is how many different requests it must take to explain a part's crashes for the part to be
 	// quarantined. The parts of a single poison request that is repeated are sound. From repeatedCrashes on, two
-	// different requests are enough: they crashed endpoints again and again.
+	// different requests are enough where at most one endpoint crashed without them.
 	minPoisonRequests = 3
-	repeatedCrashes   = 5
+	repeatedCrashes   = 4
 	// maxExtraPartCrashes replaces maxExtraCrashes for a part. Requests with a poison part don't end with the retries
 	// of one caller, so that each further crash costs more.
-	maxExtraPartCrashes = 5
+	maxExtraPartCrashes = 7
 	// tieCrashes is how many crashes beyond the required ones it takes to quarantine several parts with the same
 	// evidence. With fewer, another crash may tell them apart.
 	tieCrashes = 2
@@ -229,10 +229,14 @@
 		return t, t.independent >= t.required
 	}
 	requests := requestsToExplain(counted)
-	if t.independent < crashThreshold || requests < 2 || requests < minPoisonRequests && t.independent < repeatedCrashes {
+	if t.independent < crashThreshold || requests < 2 {
 		return t, false
 	}
-	t.required = crashThreshold + min(d.unexplainedCrashes(t.crashes)/unexplainedPerExtraCrash, maxExtraPartCrashes)
+	unexplained := d.unexplainedCrashes(t.crashes)
+	if requests < minPoisonRequests && (t.independent < repeatedCrashes || unexplained > 1) {
+		return t, false
+	}
+	t.required = crashThreshold + min(unexplained/unexplainedPerExtraCrash, maxExtraPartCrashes)
 	return t, t.independent >= t.required
 }
 
