--- a/process/quarantines/prompt_parts_test.go
+++ b/process/quarantines/prompt_parts_test.go
@@ -309,16 +309,15 @@
 	c := f.counts
 	t.Logf("%d crashes, %d late poison requests; sound requests: %d of %d began before, %d of %d after, %d refused",
 		len(c.crashes), c.latePoison, c.before[1], c.before[0], c.after[1], c.after[0], c.refusedSound)
-	if f.c.poisonEvery >= poisonFor { // only one poison request: nothing may be quarantined for it
-		assert.Assert(t, c.refusedSound*secondParts <= 2*(c.before[0]+c.after[0]), "%d sound requests refused", c.refusedSound)
-		return
+	assert.Assert(t, c.latePoison <= maxLatePoison, "%d poison requests were sent later than %s after the fifth crash; %d crashes", c.latePoison, afterFifth, len(c.crashes))
+	// A second part that is quarantined by mistake stops one in secondParts of the sound requests.
+	assert.Assert(t, c.refusedSound*secondParts <= 2*(c.before[0]+c.after[0]), "%d sound requests refused", c.refusedSound)
+	if len(c.crashes) == 0 && f.c.poisonEvery >= poisonFor {
+		return // the only poison request found no endpoint
 	}
 	assert.Assert(t, c.before[0] > 100 && c.after[0] > 100, "too few sound requests")
-	assert.Assert(t, c.latePoison <= maxLatePoison, "%d poison requests were sent later than %s after the fifth crash; %d crashes", c.latePoison, afterFifth, len(c.crashes))
 	before, after := float64(c.before[1])/float64(c.before[0]), float64(c.after[1])/float64(c.after[0])
 	assert.Assert(t, after >= minSoundRatio*before, "%d of %d sound requests began", c.after[1], c.after[0])
-	// A second part that is quarantined by mistake stops one in secondParts of the sound requests.
-	assert.Assert(t, c.refusedSound*secondParts <= 2*(c.before[0]+c.after[0]), "%d sound requests refused", c.refusedSound)
 }
 
 // TestPoisonPartFound guards against requests that crash endpoint after endpoint because they share a part of their prompt.
