Outcomes say why a response that had begun was not continued

The outcome of a stream that was cut said only that its answer was lost. Who ended the attempt, what refused another one and whether the configuration had changed in between couldn't be told. The outcome line now has not_continued, silent, revision_taken and revision; the message between hosts has silent; vetchtrail_responses_cut_total counts these responses and vetchtrail_process_pause_seconds the times in which a process did not run. No decision changes: mayRetry returns its reason (retryRefusal).

--- a/connection/endpoint/endpoint.go
+++ b/connection/endpoint/endpoint.go
@@ -428,6 +428,7 @@
 		Kind: vetchtrail.OutcomeUnknown, Status: fasthttp.StatusBadGateway, Step: step, Peer: t.endpoint.Name,
 		Reason: reason, Err: err, ResponseStarted: t.begun || t.req.ResponseStarted, Events: t.eventsSent,
 	}
+	o.EndpointSilent = errors.Is(err, errSilent)
 	switch {
 	case ctx.Err() != nil:
 		o.Reason = vetchtrail.CancelReason(ctx)
--- a/outcome.go
+++ b/outcome.go
@@ -39,8 +39,13 @@
 	// EndUnmarked reports that the response had neither a length nor chunks, so that its end is that of
 	// the connection: a crash at the end of an event looks the same.
 	EndUnmarked bool
-	Events      int       // number of whole events of a stream that were forwarded
-	FirstByte   time.Time // when the first byte of the response arrived here; zero: none did
+	// EndpointSilent reports that the endpoint was silent when the attempt ended.
+	EndpointSilent bool
+	// NotContinued is why no other attempt followed one that ended after the response had begun; empty: it
+	// had not begun, or was continued.
+	NotContinued Reason
+	Events       int       // number of whole events of a stream that were forwarded
+	FirstByte    time.Time // when the first byte of the response arrived here; zero: none did
 	// DeferredFailure is an endpoint's error response that was not forwarded, because another
 	// attempt may succeed. If none does, it is sent to the caller.
 	DeferredFailure *BufferedResponse
@@ -116,7 +121,10 @@
 	ReasonHops                  Reason = "hops"             // the request was already forwarded once
 	ReasonNoEndpoint            Reason = "no-endpoint"      // no endpoint of the service is known
 	ReasonQueueFull             Reason = "queue-full"       // the service's queue is full
-	ReasonRetryBudget           Reason = "retry-budget"     // unused
+	ReasonRetryBudget           Reason = "retry-budget"     // the retry budget allows no further attempt
+	ReasonAttempts              Reason = "attempts"         // the route allows no further attempt
+	ReasonNotRepeatable         Reason = "not-repeatable"   // the request may have run and may not run twice
+	ReasonNotResumable          Reason = "not-resumable"    // the route's streams may not be resumed at another endpoint
 	ReasonUnreachable           Reason = "unreachable"      // the endpoint, host or data centre can't be reached
 	ReasonEndpointRefused       Reason = "endpoint-refused" // the endpoint refused the request, or recent ones, before starting
 	ReasonResponseBroken        Reason = "answer-broken"    // the response broke off or can't be verified
--- a/process/journal/journal.go
+++ b/process/journal/journal.go
@@ -134,13 +134,14 @@
 	if r.Lost {
 		j.log.Info(MsgLost, "request", r.Request, "service", r.Service, "route", r.Route, "workspace", r.Workspace, "peer", r.Outcome.Peer,
 			"step", string(r.Outcome.Step), "reason", string(r.Outcome.Reason), "attempt", r.Attempt, "hops", r.Hops, "prompt", r.PromptTokens,
-			"version", r.SoftwareVersion, "last_event", r.LastEventID, "resumes", r.Resumes, "events", r.Outcome.Events, "took", r.Took, "first", timeToFirst(r), "digest", r.ContentHash.String(), "parts", partIDs(r.SharedParts), "error", errorText(r.Outcome.Err))
+			"version", r.SoftwareVersion, "last_event", r.LastEventID, "resumes", r.Resumes, "events", r.Outcome.Events, "silent", r.Outcome.EndpointSilent, "took", r.Took, "first", timeToFirst(r), "digest", r.ContentHash.String(), "parts", partIDs(r.SharedParts), "error", errorText(r.Outcome.Err))
 		return
 	}
 	if r.Ended {
 		j.log.Info(MsgOutcome, append([]any{"request", r.Request, "service", r.Service, "route", r.Route, "workspace", r.Workspace, "outcome", r.Outcome.Kind.String(),
 			"step", string(r.Outcome.Step), "peer", r.Outcome.Peer, "reason", string(r.Outcome.Reason),
-			"hops", r.Hops, "events", r.Outcome.Events, "took", r.Took, "first", timeToFirst(r), "status", r.Outcome.Status, "begun", r.Outcome.ResponseStarted, "host_lost", r.Outcome.HostLost, "error", errorText(r.Outcome.Err)}, plannedRetry(r)...)...)
+			"hops", r.Hops, "events", r.Outcome.Events, "took", r.Took, "first", timeToFirst(r), "status", r.Outcome.Status, "begun", r.Outcome.ResponseStarted, "host_lost", r.Outcome.HostLost, "error", errorText(r.Outcome.Err)},
+			append(cutResponse(r), plannedRetry(r)...)...)...)
 		return
 	}
 	j.log.Info(MsgDecision, "request", r.Request, "service", r.Service, "route", r.Route, "prompt", r.PromptTokens, "workspace", r.Workspace, "home", r.Home,
@@ -154,6 +155,16 @@
 		"charge", r.Cost, "quota_here", r.Quota.HostLeft, "quota_region", r.Quota.RegionLeft, "quota_age", r.Quota.ReportAge)
 }
 
+// cutResponse returns the log fields of a response that ended after it had begun: whether the endpoint of its last
+// attempt was silent, why no other attempt continued it, and the revisions of the configuration when the request
+// was taken and when it ended. It returns none for any other outcome.
+func cutResponse(r *vetchtrail.JournalRecord) []any {
+	if !r.Outcome.ResponseStarted || r.Outcome.Kind == vetchtrail.OutcomeAnswered {
+		return nil
+	}
+	return []any{"silent", r.Outcome.EndpointSilent, "not_continued", string(r.Outcome.NotContinued), "revision_taken", r.RevisionTaken, "revision", r.Revision}
+}
+
 // plannedRetry returns the log fields of the outcome's planned retry: how it was planned, and the
 // time until then from the end of the request. It returns none if the retry was not planned.
 func plannedRetry(r *vetchtrail.JournalRecord) []any {
--- a/process/journal/lines.go
+++ b/process/journal/lines.go
@@ -77,14 +77,17 @@
 	// Fields of an outcome or of a lost attempt.
 	Outcome         string        `json:"outcome,omitempty"`
 	Step            string        `json:"step,omitempty"`
-	Peer            string        `json:"peer,omitempty"`       // endpoint or host where the request ended
-	Took            time.Duration `json:"took,omitempty"`       // from the request's arrival at this host, or the attempt's start
-	First           time.Duration `json:"first,omitempty"`      // from then to the first byte of the response
-	Status          int           `json:"status,omitempty"`     // HTTP status
-	RetryPlan       string        `json:"retry_plan,omitempty"` // whether the time to retry is a slot for which capacity is reserved; empty: it was not planned
-	RetryIn         time.Duration `json:"retry_in,omitempty"`   // with RetryPlan: from the end of the request
-	Events          int           `json:"events,omitempty"`     // of a streamed response
-	ResponseStarted bool          `json:"begun,omitempty"`      // part of the response was sent to the caller
+	Peer            string        `json:"peer,omitempty"`           // endpoint or host where the request ended
+	Took            time.Duration `json:"took,omitempty"`           // from the request's arrival at this host, or the attempt's start
+	First           time.Duration `json:"first,omitempty"`          // from then to the first byte of the response
+	Status          int           `json:"status,omitempty"`         // HTTP status
+	RetryPlan       string        `json:"retry_plan,omitempty"`     // whether the time to retry is a slot for which capacity is reserved; empty: it was not planned
+	RetryIn         time.Duration `json:"retry_in,omitempty"`       // with RetryPlan: from the end of the request
+	Events          int           `json:"events,omitempty"`         // of a streamed response
+	ResponseStarted bool          `json:"begun,omitempty"`          // part of the response was sent to the caller
+	Silent          bool          `json:"silent,omitempty"`         // the endpoint was silent when the attempt ended
+	NotContinued    string        `json:"not_continued,omitempty"`  // why no other attempt continued a response that had begun
+	RevisionTaken   uint64        `json:"revision_taken,omitempty"` // of the configuration when the request was taken; Revision is that at its end
 	// HostLost reports that the host to which the request was forwarded was lost.
 	HostLost bool   `json:"host_lost,omitempty"`
 	Error    string `json:"error,omitempty"`
--- a/process/load/event_interval.go
+++ b/process/load/event_interval.go
@@ -5,6 +5,8 @@
 	"math"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"vetchtrail"
 )
 
@@ -58,6 +60,9 @@
 	maxRunningAge = 300 * time.Millisecond
 )
 
+// processPause is the time for which this host's process did not run.
+var processPause = metrics.GetOrCreateHistogram("vetchtrail_process_pause_seconds")
+
 // Run calls RecordRunning until ctx ends.
 func (t *Table) Run(ctx context.Context) {
 	ticker := time.NewTicker(runningInterval)
@@ -79,6 +84,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.wasStopped(now) {
+		processPause.Update(now.Sub(t.runningAt).Seconds())
 		t.stoppedUntil = now
 	}
 	t.runningAt = now
--- a/record.go
+++ b/record.go
@@ -26,6 +26,7 @@
 	Cost            float64 // in units of the workspace's quota; 0: none
 	Quota           QuotaVerdict
 	Revision        uint64
+	RevisionTaken   uint64 // with Ended: of the configuration when the request was taken
 	// ListingRevision and ListingAge are those of the listing by which the decision was made; 0: there was none.
 	ListingRevision uint64
 	ListingAge      time.Duration
--- a/request/dispatch/dispatch.go
+++ b/request/dispatch/dispatch.go
@@ -119,13 +119,14 @@
 func (d *Dispatcher) Run(ctx context.Context, r *vetchtrail.Request, w vetchtrail.ResponseWriter) vetchtrail.Outcome {
 	d.inFlight.Add(1)
 	defer d.inFlight.Add(-1)
-	started, callerCanRetry := time.Now(), r.CallerCanRetry
+	started, callerCanRetry, revisionTaken := time.Now(), r.CallerCanRetry, r.Revision
 	o := d.planReturn(r, d.run(ctx, r, w), callerCanRetry)
 	d.cfg.Journal.Record(vetchtrail.JournalRecord{
 		At: started, Request: r.ID, Service: r.Service, Route: r.Route, Workspace: r.Workspace, Hops: r.Hops,
-		Ended: true, Outcome: o, Took: time.Since(started),
+		Ended: true, Outcome: o, Took: time.Since(started), Revision: d.cfg.Rules().Revision(), RevisionTaken: revisionTaken,
 	})
 	countRequest(r, o, time.Since(started))
+	countCut(r, o)
 	return o
 }
 
@@ -265,7 +266,7 @@
 	if o.Kind != vetchtrail.OutcomeNotRun || h.last.Kind != vetchtrail.OutcomeUnknown || h.last.Step == "" {
 		return o
 	}
-	earlier := h.last
+	earlier := notContinued(h.last, o.Reason)
 	earlier.RetryAt = o.RetryAt
 	return earlier
 }
@@ -312,8 +313,8 @@
 		}
 		history.add(r, p, o, d.processEnded(ctx, r, p, o))
 		o = history.overallOutcome(o)
-		if !d.mayRetry(ctx, r, o, &history, n) {
-			return d.replayFailure(d.withRetryTime(r, p, o), w)
+		if reason := d.retryRefusal(ctx, r, o, &history, n); reason != "" {
+			return d.replayFailure(d.withRetryTime(r, p, notContinued(o, reason)), w)
 		}
 		history.last = o
 		if o, ok := d.applyRules(r); !ok {
@@ -395,34 +396,47 @@
 	return o
 }
 
-// mayRetry reports whether another attempt is safe and within the retry budget.
-// A host that received the request from another host never retries it; only the host
+// retryRefusal returns why no other attempt may be made, or nothing if one is safe and within the
+// retry budget. A host that received the request from another host never retries it; only the host
 // that forwarded it may.
-func (d *Dispatcher) mayRetry(ctx context.Context, r *vetchtrail.Request, o vetchtrail.Outcome, history *attemptHistory, attempt int) bool {
+func (d *Dispatcher) retryRefusal(ctx context.Context, r *vetchtrail.Request, o vetchtrail.Outcome, history *attemptHistory, attempt int) vetchtrail.Reason {
 	switch {
-	case attempt >= maxTotalAttempts || r.Hops > 0 || ctx.Err() != nil:
-		return false
-	case history.reachedTarget >= attemptLimit(r):
-		return false
+	case ctx.Err() != nil:
+		return vetchtrail.CancelReason(ctx)
+	case r.Hops > 0:
+		return vetchtrail.ReasonHops
+	case attempt >= maxTotalAttempts, history.reachedTarget >= attemptLimit(r):
+		return vetchtrail.ReasonAttempts
 	case o.ResponseStarted && !r.Resumable:
-		return false
+		return vetchtrail.ReasonNotResumable
 	case r.LastEventID != "" && !d.knowsVersion(r):
-		return false
+		return vetchtrail.ReasonUnknownOrigin
 	case !time.Now().Before(r.Deadline):
-		return false
+		return vetchtrail.ReasonDeadline
 	case o.Kind == vetchtrail.OutcomeUnknown && !r.Repeatable:
-		return false
+		return vetchtrail.ReasonNotRepeatable
 	case history.reached == 0:
-		return true // no process received it, so a retry adds no load
+		return "" // no process received it, so a retry adds no load
 	case r.RetryUnsent:
 		if r.RetryTaken {
 			countRetry(r.Service, true)
 		}
-		return true
+		return ""
 	}
 	ok := !d.cfg.SwitchedOff.Has(vetchtrail.MechanismRetries) && d.takeRetry(r, attempt)
 	countRetry(r.Service, ok)
-	return ok
+	if !ok {
+		return vetchtrail.ReasonRetryBudget
+	}
+	return ""
+}
+
+// notContinued returns the outcome of a request that no other attempt follows, with the reason.
+func notContinued(o vetchtrail.Outcome, reason vetchtrail.Reason) vetchtrail.Outcome {
+	if o.ResponseStarted && o.Kind != vetchtrail.OutcomeAnswered {
+		o.NotContinued = reason
+	}
+	return o
 }
 
 // attemptLimit returns how many endpoints may receive a request.
--- a/request/dispatch/metrics.go
+++ b/request/dispatch/metrics.go
@@ -25,6 +25,15 @@
 	metrics.GetOrCreateHistogram(fmt.Sprintf(`vetchtrail_request_seconds{service=%q}`, service)).Update(duration.Seconds())
 }
 
+// countCut counts a response that ended after it had begun, at the host that received the request from its caller:
+// by whether the endpoint of its last attempt was silent, and by why no other attempt continued it.
+func countCut(r *vetchtrail.Request, o vetchtrail.Outcome) {
+	if r.Hops > 0 || !o.ResponseStarted || o.Kind == vetchtrail.OutcomeAnswered {
+		return
+	}
+	metrics.GetOrCreateCounter(fmt.Sprintf(`vetchtrail_responses_cut_total{service=%q,silent="%t",reason=%q}`, r.Service, o.EndpointSilent, o.NotContinued)).Inc()
+}
+
 // Metrics of the age of the listing by which requests are sent to endpoints.
 const (
 	ListingAgeMetric    = "vetchtrail_listing_age_at_send_seconds"
--- a/schema/convert.go
+++ b/schema/convert.go
@@ -331,7 +331,7 @@
 func FromOutcome(o vetchtrail.Outcome, now time.Time) *Outcome {
 	m := &Outcome{
 		Kind: uint32(o.Kind), Status: int32(o.Status), Step: string(o.Step), Peer: o.Peer,
-		Reason: string(o.Reason), RetryAfter: remaining(o.RetryAt, now), Begun: o.ResponseStarted,
+		Reason: string(o.Reason), RetryAfter: remaining(o.RetryAt, now), Begun: o.ResponseStarted, Silent: o.EndpointSilent,
 	}
 	if o.Err != nil {
 		m.Error = o.Err.Error()
@@ -344,6 +344,7 @@
 	o := vetchtrail.Outcome{
 		Kind: vetchtrail.OutcomeKind(m.GetKind()), Status: int(m.GetStatus()), Step: vetchtrail.Step(m.GetStep()),
 		Peer: m.GetPeer(), Reason: vetchtrail.Reason(m.GetReason()), RetryAt: timeAfter(m.GetRetryAfter(), now), ResponseStarted: m.GetBegun(),
+		EndpointSilent: m.GetSilent(),
 	}
 	if m.GetError() != "" {
 		o.Err = errors.New(m.GetError())
