--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -9,16 +9,17 @@
 
 // arguments lists the subcommands for the command-line parser (kong).
 type arguments struct {
-	Demo      demoCommand      `cmd:"" help:"Run a small deployment in one process: serve requests, lose a region, recover it."`
-	Engine    engineCommand    `cmd:"" help:"Run a stand-in for a model engine."`
-	Plain     plainCommand     `cmd:"" help:"Run a stand-in for a plain HTTP service."`
-	Store     storeCommand     `cmd:"" help:"Run a stand-in for the platform's key-value store."`
-	Hostlist  hostlistCommand  `cmd:"" help:"Run a stand-in for the platform's list of endpoints, which lags behind."`
-	Directory directoryCommand `cmd:"" help:"Run a stand-in for the directory from which clients read the addresses of entry hosts."`
-	Link      linkCommand      `cmd:"" help:"Run a stand-in for the links between regions."`
-	Load      loadCommand      `cmd:"" help:"Compare policies under load and faults, with the same requests for each."`
-	Capacity  capacityCommand  `cmd:"" help:"Write the tables of docs/CAPACITY.md from benchmark output on standard input."`
-	Examples  examplesCommand  `cmd:"" help:"Write the configuration and settings files of the example deployments."`
+	Demo         demoCommand         `cmd:"" help:"Run a small deployment in one process: serve requests, lose a region, recover it."`
+	Engine       engineCommand       `cmd:"" help:"Run a stand-in for a model engine."`
+	HostedEngine hostedEngineCommand `cmd:"" help:"Run a stand-in for a model engine of the hosted platform."`
+	Plain        plainCommand        `cmd:"" help:"Run a stand-in for a plain HTTP service."`
+	Store        storeCommand        `cmd:"" help:"Run a stand-in for the platform's key-value store."`
+	Hostlist     hostlistCommand     `cmd:"" help:"Run a stand-in for the platform's list of endpoints, which lags behind."`
+	Directory    directoryCommand    `cmd:"" help:"Run a stand-in for the directory from which clients read the addresses of entry hosts."`
+	Link         linkCommand         `cmd:"" help:"Run a stand-in for the links between regions."`
+	Load         loadCommand         `cmd:"" help:"Compare policies under load and faults, with the same requests for each."`
+	Capacity     capacityCommand     `cmd:"" help:"Write the tables of docs/CAPACITY.md from benchmark output on standard input."`
+	Examples     examplesCommand     `cmd:"" help:"Write the configuration and settings files of the example deployments."`
 }
 
 func main() {
--- a/cmd/standin/serve.go
+++ b/cmd/standin/serve.go
@@ -13,6 +13,7 @@
 
 	"github.com/go-faster/errors"
 
+	hosted "vetchtrail/platform/standin"
 	"vetchtrail/standin/engine"
 	"vetchtrail/standin/kv"
 	"vetchtrail/standin/link"
@@ -65,6 +66,27 @@
 	}))
 }
 
+// hostedEngineCommand runs a stand-in for a model engine of the hosted platform.
+type hostedEngineCommand struct {
+	Addr        netip.AddrPort `arg:"" help:"Address to listen on."`
+	ID          string         `arg:"" help:"Id of the endpoint."`
+	Slots       int            `default:"128" help:"Number of requests decoded at once."`
+	Queue       int            `default:"384" help:"Number of further requests that are queued."`
+	TokensPerMs float64        `default:"112" help:"Prompt tokens read in a millisecond."`
+	First       time.Duration  `default:"47ms" help:"Time from the end of the prompt to the first event."`
+	Interval    time.Duration  `default:"23ms" help:"Time between two events while one request runs."`
+	Growth      float64        `default:"0.015" help:"Share by which each further running request lengthens that time."`
+}
+
+// Run serves the engine until a signal stops it.
+func (c *hostedEngineCommand) Run() error {
+	ctx, stop := signalContext()
+	defer stop()
+	return serve(ctx, c.Addr, hosted.NewEngine(hosted.EngineConfig{
+		ID: c.ID, Slots: c.Slots, Queue: c.Queue, TokensPerMs: c.TokensPerMs, First: c.First, EventInterval: c.Interval, Growth: c.Growth,
+	}))
+}
+
 // plainCommand runs a stand-in for a plain HTTP service, one that is not a model engine.
 type plainCommand struct {
 	Addr netip.AddrPort `arg:"" help:"Address to listen on."`
--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -11,11 +11,8 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"runtime"
 	"strconv"
 	"strings"
-	"sync"
-	"syscall"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -44,21 +41,15 @@
 
 // Fleet is a running deployment.
 type Fleet struct {
+	*Processes // by the name of the host, endpoint or service
 	cfg        Config
 	Client     *client.Client
-	startCalls chan func() // calls that start a process; see runStartCalls
-	mu         sync.Mutex
-	processes  map[string]*exec.Cmd // running, by the name of the host, endpoint or service
 }
 
 // Start starts the stand-ins and the daemons and waits until the store and all
 // daemons respond.
 func Start(ctx context.Context, c Config) (*Fleet, error) {
-	f := &Fleet{
-		cfg: c, Client: client.New(), startCalls: make(chan func()),
-		processes: map[string]*exec.Cmd{},
-	}
-	go f.runStartCalls()
+	f := &Fleet{cfg: c, Client: client.New(), Processes: NewProcesses(c.Binaries, c.WorkDir)}
 	if err := f.startAll(ctx); err != nil {
 		f.Close()
 		return nil, err
@@ -66,16 +57,6 @@
 	return f, nil
 }
 
-// runStartCalls starts all processes from one thread, which is locked to this
-// goroutine until Close. The kernel kills a process with Pdeathsig when the thread
-// that started it ends, and the Go runtime may end any other thread.
-func (f *Fleet) runStartCalls() {
-	runtime.LockOSThread()
-	for start := range f.startCalls {
-		start()
-	}
-}
-
 // startAll starts all processes and waits until they respond.
 func (f *Fleet) startAll(ctx context.Context) error {
 	d := &f.cfg.Deployment
@@ -92,7 +73,7 @@
 		"hostlist": {"hostlist", d.EndpointList.String()},
 		"link":     {"link", d.LinkControl.String(), pipes},
 	} {
-		if err := f.startProcess(name, "standin", args...); err != nil {
+		if err := f.Start(name, "standin", args...); err != nil {
 			return err
 		}
 	}
@@ -150,28 +131,6 @@
 	return nil
 }
 
-// startProcess starts a program under a name. Its output is appended to a log file
-// of that name.
-func (f *Fleet) startProcess(name, program string, args ...string) error {
-	out, err := os.OpenFile(filepath.Join(f.cfg.WorkDir, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
-	if err != nil {
-		return err
-	}
-	defer func() { _ = out.Close() }()
-	cmd := exec.Command(filepath.Join(f.cfg.Binaries, program), args...) //nolint:noctx // ends by a signal, see Kill and Close
-	cmd.Stdout, cmd.Stderr = out, out
-	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-	started := make(chan error)
-	f.startCalls <- func() { started <- cmd.Start() }
-	if err := <-started; err != nil {
-		return errors.Wrapf(err, "fleet: start %s", name)
-	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.processes[name] = cmd
-	return nil
-}
-
 // StartEndpoint starts the stand-in of an endpoint.
 func (f *Fleet) StartEndpoint(name string) error {
 	d := &f.cfg.Deployment
@@ -179,9 +138,9 @@
 		switch {
 		case e.Name != name:
 		case e.Service == d.Spec.Model.Name:
-			return f.startProcess(name, "standin", append([]string{"engine", e.Addr.String(), "--slots", strconv.Itoa(e.Slots)}, f.cfg.EngineArgs...)...)
+			return f.Start(name, "standin", append([]string{"engine", e.Addr.String(), "--slots", strconv.Itoa(e.Slots)}, f.cfg.EngineArgs...)...)
 		default:
-			return f.startProcess(name, "standin", "plain", e.Addr.String())
+			return f.Start(name, "standin", "plain", e.Addr.String())
 		}
 	}
 	return errors.Errorf("fleet: unknown endpoint %s", name)
@@ -218,60 +177,7 @@
 	if err := os.WriteFile(file, text, 0o600); err != nil {
 		return err
 	}
-	return f.startProcess(name, "vetchtraild", "serve", file)
-}
-
-// signal sends a signal to a process.
-func (f *Fleet) signal(name string, s syscall.Signal) (*exec.Cmd, error) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	cmd, ok := f.processes[name]
-	if !ok {
-		return nil, errors.Errorf("fleet: %s is not running", name)
-	}
-	return cmd, cmd.Process.Signal(s)
-}
-
-// Kill kills a process and waits until it has ended.
-func (f *Fleet) Kill(name string) error {
-	cmd, err := f.signal(name, syscall.SIGKILL)
-	if err != nil {
-		return err
-	}
-	_ = cmd.Wait()
-	f.removeProcess(name)
-	return nil
-}
-
-// Stop terminates a process gracefully, by SIGTERM, and waits until it has ended. It
-// returns an error if the process fails.
-func (f *Fleet) Stop(name string) error {
-	cmd, err := f.signal(name, syscall.SIGTERM)
-	if err != nil {
-		return err
-	}
-	err = cmd.Wait()
-	f.removeProcess(name)
-	return err
-}
-
-// removeProcess removes an ended process from the running ones.
-func (f *Fleet) removeProcess(name string) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	delete(f.processes, name)
-}
-
-// Suspend suspends a process until Resume is called.
-func (f *Fleet) Suspend(name string) error {
-	_, err := f.signal(name, syscall.SIGSTOP)
-	return err
-}
-
-// Resume resumes a process that Suspend suspended.
-func (f *Fleet) Resume(name string) error {
-	_, err := f.signal(name, syscall.SIGCONT)
-	return err
+	return f.Start(name, "vetchtraild", "serve", file)
 }
 
 // linkFault is the body of the link's PUT /cut.
@@ -320,10 +226,7 @@
 func (f *Fleet) Executions(ctx context.Context) (map[string][]ledger.Execution, error) {
 	out := map[string][]ledger.Execution{}
 	for _, e := range f.cfg.Deployment.Document.Endpoints {
-		f.mu.Lock()
-		_, running := f.processes[e.Name]
-		f.mu.Unlock()
-		if !running {
+		if !f.Running(e.Name) {
 			continue
 		}
 		var list []ledger.Execution
@@ -335,23 +238,6 @@
 	return out, nil
 }
 
-// Close kills all processes and waits until they have ended.
-func (f *Fleet) Close() {
-	f.mu.Lock()
-	processes := make([]*exec.Cmd, 0, len(f.processes))
-	for _, p := range f.processes {
-		processes = append(processes, p)
-	}
-	f.mu.Unlock()
-	for _, p := range processes {
-		_ = p.Process.Kill()
-	}
-	for _, p := range processes {
-		_ = p.Wait()
-	}
-	close(f.startCalls)
-}
-
 // RacesAndPanics returns an excerpt of each log that reports a data race, a panic or a
 // fatal error. The exit status does not show these, as most processes are killed.
 func (f *Fleet) RacesAndPanics() []string {
