A forwarded attempt at a silent endpoint is ended by the host that would make the next one

Callers saw streams cut that their endpoint would have finished. The host that calls the endpoint ended a forwarded attempt when the endpoint had been silent for 0.7 s, by its own view and without a retry budget; whether another attempt follows was decided one way between regions later by the host that forwarded it, from its own budget, attempts, rules and time.

The host that calls the endpoint now only reports the silence (message Silent), and the sender cancels the call if it has a retry and a place for the next attempt; else the stream goes on. An attempt that is cancelled while its endpoint is silent still counts against the endpoint.

--- a/connection/endpoint/endpoint.go
+++ b/connection/endpoint/endpoint.go
@@ -97,6 +97,7 @@
 	body            *body
 	timing          vetchtrail.Timing
 	begun           bool
+	silent          bool                         // the endpoint was silent at the last check
 	eventsSent      int                          // of the stream, to the caller
 	eventCounted    int                          // bytes of the current event in the request's buffer account
 	pause           pause                        // of the stream while its caller reads too slowly
@@ -199,17 +200,21 @@
 // silenceCheck returns the function that a waiting read polls to detect a silent endpoint,
 // or nil for a request that waits until its deadline. Only attempts of routed requests that
 // may run twice have such a function. It reports true only if another attempt can replace
-// this one.
+// this one. An attempt of a forwarded request goes on until the host that forwarded it cancels it.
 func (t *attempt) silenceCheck() func() bool {
 	if !t.req.Repeatable || t.req.Route == "" || t.client.cfg.Observer == nil {
 		return nil
 	}
 	counted := false
 	return func() bool {
-		if !t.client.cfg.Observer.Silent(t.endpoint, time.Now()) {
+		t.silent = t.client.cfg.Observer.Silent(t.endpoint, time.Now())
+		if !t.silent {
 			return false
 		}
-		ended := !t.req.Final && (t.client.cfg.Replaceable == nil || t.client.cfg.Replaceable(t.endpoint, t.req))
+		if t.req.Hops > 0 && !t.req.Final {
+			vetchtrail.ReportSilence(t.writer) // the host that forwarded the request decides
+		}
+		ended := t.req.Hops == 0 && !t.req.Final && (t.client.cfg.Replaceable == nil || t.client.cfg.Replaceable(t.endpoint, t.req))
 		if ended || !counted {
 			countSilent(t.req.Service, ended)
 		}
@@ -428,7 +433,7 @@
 		Kind: vetchtrail.OutcomeUnknown, Status: fasthttp.StatusBadGateway, Step: step, Peer: t.endpoint.Name,
 		Reason: reason, Err: err, ResponseStarted: t.begun || t.req.ResponseStarted, Events: t.eventsSent,
 	}
-	o.EndpointSilent = errors.Is(err, errSilent)
+	o.EndpointSilent = t.silent
 	switch {
 	case ctx.Err() != nil:
 		o.Reason = vetchtrail.CancelReason(ctx)
--- a/connection/peer/client.go
+++ b/connection/peer/client.go
@@ -289,6 +289,9 @@
 				deadlineTimer.Stop() // the caller's pace is no stall of the host
 			}
 			err = writeCounted(ctx, r, w, part.Body)
+		case *schema.ForwardReply_Silent:
+			vetchtrail.ReportSilence(w)
+			continue // not a part of the response
 		case *schema.ForwardReply_End:
 			o := schema.ToOutcome(part.End, time.Now())
 			o.ResponseStarted = begun
--- a/connection/peer/server.go
+++ b/connection/peer/server.go
@@ -207,6 +207,11 @@
 	return w.stream.Send(&schema.ForwardReply{Part: &schema.ForwardReply_Body{Body: part}})
 }
 
+// EndpointSilent implements vetchtrail.SilenceObserver. An error shows with the next part of the response.
+func (w *streamWriter) EndpointSilent() {
+	_ = w.stream.Send(&schema.ForwardReply{Part: &schema.ForwardReply_Silent{Silent: &schema.Silent{}}})
+}
+
 // TimeFromAge returns the time of an event whose age a message states.
 func TimeFromAge(now time.Time, ageMillis uint32) time.Time {
 	return now.Add(-time.Duration(ageMillis) * time.Millisecond)
--- a/request/dispatch/dispatch.go
+++ b/request/dispatch/dispatch.go
@@ -471,8 +471,8 @@
 	r.ResponseVersion = vetchtrail.StreamVersion{}
 	if p.dataCentre != "" {
 		sent := time.Now()
-		o := d.cfg.Peers.Forward(ctx, p.host, r, &beginObserver{ResponseWriter: w, begun: func() { d.retrySent(r) }})
-		if reached(o) {
+		o := d.forward(ctx, r, p, w)
+		if reached(o) && !r.RetryTaken {
 			d.retrySent(r)
 		}
 		d.cfg.Membership.ForwardEnded(p.dataCentre, r.Service, o, time.Now())
@@ -485,7 +485,7 @@
 	d.returnReservation(r, o)
 	d.cfg.Endpoints.Release(p.endpoint.Name, vetchtrail.Observation{
 		Request: r.ID, StartedAt: p.endpoint.Born, Route: r.Route, Outcome: o, Timing: timing, PromptTokens: r.PromptTokens(),
-		Cancelled:          ctx.Err() != nil || o.Reason == vetchtrail.ReasonOverCapacity,
+		Cancelled:          ctx.Err() != nil && !o.EndpointSilent || o.Reason == vetchtrail.ReasonOverCapacity,
 		PredictedFirstByte: p.predictedTTFT,
 	}, time.Now())
 	d.reportAttempt(ctx, p.endpoint, r, o, timing, attempt)
--- a/request/dispatch/event_tracker.go
+++ b/request/dispatch/event_tracker.go
@@ -38,6 +38,9 @@
 	return nil
 }
 
+// EndpointSilent implements vetchtrail.SilenceObserver.
+func (t *eventTracker) EndpointSilent() { vetchtrail.ReportSilence(t.next) }
+
 // began stores the software version that began the stream. The host that received the request from
 // its caller also stores it for the hosts at which the caller may resume the stream.
 func (t *eventTracker) began() {
@@ -47,14 +50,18 @@
 	}
 }
 
-// beginObserver calls begun when the response begins.
-type beginObserver struct {
+// forwardObserver calls begun when the response to a forwarded request begins, and silent while its
+// endpoint is silent.
+type forwardObserver struct {
 	vetchtrail.ResponseWriter
-	begun func()
+	begun, silent func()
 }
 
+// EndpointSilent implements vetchtrail.SilenceObserver.
+func (b *forwardObserver) EndpointSilent() { b.silent() }
+
 // Begin implements vetchtrail.ResponseWriter.
-func (b *beginObserver) Begin(status int, header []vetchtrail.HeaderField) error {
+func (b *forwardObserver) Begin(status int, header []vetchtrail.HeaderField) error {
 	b.begun()
 	return b.ResponseWriter.Begin(status, header)
 }
--- a/request/dispatch/quarantine.go
+++ b/request/dispatch/quarantine.go
@@ -34,10 +34,10 @@
 
 // reportAttempt reports to the quarantine how an attempt at an endpoint ended, and
 // records the attempt if its response was lost. An attempt whose caller disconnected
-// shows nothing about the endpoint and is not reported as lost. A failure shows nothing about the request:
+// shows nothing about the endpoint and is not reported as lost, unless the endpoint was silent then. A failure shows nothing about the request:
 // the endpoint may have failed before it began to write.
 func (d *Dispatcher) reportAttempt(ctx context.Context, e vetchtrail.Endpoint, r *vetchtrail.Request, o vetchtrail.Outcome, timing vetchtrail.Timing, attempt int) {
-	lost := o.Kind == vetchtrail.OutcomeUnknown && ctx.Err() == nil
+	lost := o.Kind == vetchtrail.OutcomeUnknown && (ctx.Err() == nil || o.EndpointSilent)
 	if lost {
 		d.recordLostAttempt(e, r, o, timing.Sent, attempt)
 	}
--- a/request/dispatch/replacement.go
+++ b/request/dispatch/replacement.go
@@ -36,19 +36,19 @@
 
 // Replaceable reports whether another attempt can replace the one at endpoint e, which is
 // silent. If so, it takes the retry from the budget: all streams of an endpoint are silent
-// at the same time, and only as many may end as the budget lets continue. For a forwarded
-// request, only the time is checked here; the retry is made, and its budget kept, by the
-// host that forwarded it.
+// at the same time, and only as many may end as the budget lets continue.
 func (d *Dispatcher) Replaceable(e vetchtrail.Endpoint, r *vetchtrail.Request) bool {
+	return d.replaceable(e.Name, r)
+}
+
+// replaceable does what Replaceable does for an attempt at an endpoint or a data centre.
+func (d *Dispatcher) replaceable(target string, r *vetchtrail.Request) bool {
 	if d.cfg.SwitchedOff.Has(vetchtrail.MechanismFinalAttempts) {
 		return true
 	}
 	again := *r
 	again.CallerCanRetry = false
-	dec := d.decide(&again, attemptHistory{excluded: []string{e.Name}})
-	if r.Hops > 0 {
-		return dec.Reason != vetchtrail.ReasonDeadline
-	}
+	dec := d.decide(&again, attemptHistory{excluded: []string{target}})
 	canRun := dec.Kind == vetchtrail.RunElsewhere || (dec.Kind == vetchtrail.RunHere && d.waitQueue(r).Len() == 0)
 	if !canRun || !d.takeRetry(r, 0) {
 		return false
@@ -57,6 +57,28 @@
 	return true
 }
 
+// forward forwards a request. It cancels the call when the request's endpoint is silent and another
+// attempt can replace this one.
+func (d *Dispatcher) forward(ctx context.Context, r *vetchtrail.Request, p placement, w vetchtrail.ResponseWriter) vetchtrail.Outcome {
+	forwardCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	replaced := false
+	o := d.cfg.Peers.Forward(forwardCtx, p.host, r, &forwardObserver{
+		ResponseWriter: w, begun: func() { d.retrySent(r) },
+		silent: func() {
+			d.retrySent(r)
+			if !replaced && !r.Final && d.replaceable(p.dataCentre, r) {
+				replaced = true
+				cancel()
+			}
+		},
+	})
+	if replaced && ctx.Err() == nil && o.Kind != vetchtrail.OutcomeAnswered {
+		o.Reason, o.EndpointSilent = vetchtrail.ReasonResponseBroken, true
+	}
+	return o
+}
+
 // processEnded reports whether the response of an attempt was lost because the process of
 // its endpoint has ended: the endpoint then refuses connections.
 func (d *Dispatcher) processEnded(ctx context.Context, r *vetchtrail.Request, p placement, o vetchtrail.Outcome) bool {
--- a/response.go
+++ b/response.go
@@ -13,6 +13,20 @@
 	Write(part []byte) error
 }
 
+// SilenceObserver is implemented by a ResponseWriter that is told while the endpoint of its attempt
+// is silent. The attempt goes on meanwhile.
+type SilenceObserver interface {
+	// EndpointSilent is called about every fraction of a second, between two calls of Begin or Write.
+	EndpointSilent()
+}
+
+// ReportSilence tells a writer that the endpoint of its attempt is silent, if it wants to know.
+func ReportSilence(w ResponseWriter) {
+	if o, ok := w.(SilenceObserver); ok {
+		o.EndpointSilent()
+	}
+}
+
 // EndpointCaller sends a request to an endpoint and writes the endpoint's response to w.
 type EndpointCaller interface {
 	Call(ctx context.Context, e Endpoint, r *Request, w ResponseWriter) (Outcome, Timing)
