An attempt at a silent endpoint goes on until another one brings the next event

Callers saw streams cut that their endpoint would have finished, when all endpoints paused for a second. An attempt at a silent endpoint was ended first and replaced afterwards: by a place that was taken meanwhile, by an endpoint that stood still too, or by none, as no endpoint of the version was left.

The host that received the request places the replacement, with its retry, and starts it beside the attempt; the one that brings the next event is kept and the other cancelled (handover). A replacement that is refused, fails or breaks changes nothing. Both go on for 300 ms at most, since an endpoint must not work for long on a stream that another continues. Then the attempt is kept if its endpoint accepts connections and either all endpoints stand still or the replacement's is silent too; else the replacement is, so that a stream at an endpoint that has gone is continued as early as before.

--- a/buffer.go
+++ b/buffer.go
@@ -20,10 +20,17 @@
 // nothing for too long while the bound on buffered bytes was reached.
 var ErrCallerSlow = errors.New("caller reads too slowly")
 
-// CancelReason returns why a request whose context is done was cancelled.
+// ErrSuperseded is the cause with which the context of an attempt is cancelled when the response of
+// another attempt of the same request is kept.
+var ErrSuperseded = errors.New("another attempt is kept")
+
+// CancelReason returns why a request, or an attempt of one, whose context is done was cancelled.
 func CancelReason(ctx context.Context) Reason {
-	if errors.Is(context.Cause(ctx), ErrCallerSlow) {
+	switch cause := context.Cause(ctx); {
+	case errors.Is(cause, ErrCallerSlow):
 		return ReasonCallerSlow
+	case errors.Is(cause, ErrSuperseded):
+		return ReasonSuperseded
 	}
 	return ReasonCallerGone
 }
--- a/connection/endpoint/endpoint.go
+++ b/connection/endpoint/endpoint.go
@@ -57,12 +57,9 @@
 
 // Config configures a Client.
 type Config struct {
-	Guard Guard
-	// Replaceable is called when an endpoint is silent. It reports whether another attempt can
-	// replace the one that waits there, which then ends. nil: one always can.
-	Replaceable func(e vetchtrail.Endpoint, r *vetchtrail.Request) bool
-	Dialect     vetchtrail.Dialect  // for routed requests; nil: dialect.Default
-	Observer    vetchtrail.Observer // nil: none
+	Guard    Guard
+	Dialect  vetchtrail.Dialect  // for routed requests; nil: dialect.Default
+	Observer vetchtrail.Observer // nil: none
 	// Connected is called after a connection to an endpoint was opened for a request; nil: it isn't.
 	Connected func(e vetchtrail.Endpoint)
 	// SocketBytes bounds the kernel's buffers of a connection; 0: the kernel decides.
@@ -197,29 +194,25 @@
 	}, t.reusable()
 }
 
-// silenceCheck returns the function that a waiting read polls to detect a silent endpoint,
-// or nil for a request that waits until its deadline. Only attempts of routed requests that
-// may run twice have such a function. It reports true only if another attempt can replace
-// this one. An attempt of a forwarded request goes on until the host that forwarded it cancels it.
-func (t *attempt) silenceCheck() func() bool {
+// silenceCheck returns the function that a waiting read polls to detect a silent endpoint, or nil
+// for a request that doesn't want to know. Only attempts of routed requests that may run twice have
+// such a function. It tells the writer of the response; the attempt goes on.
+func (t *attempt) silenceCheck() func() {
 	if !t.req.Repeatable || t.req.Route == "" || t.client.cfg.Observer == nil {
 		return nil
 	}
 	counted := false
-	return func() bool {
-		t.silent = t.client.cfg.Observer.Silent(t.endpoint, time.Now())
+	return func() {
+		var silence vetchtrail.Silence
+		silence, t.silent = t.client.cfg.Observer.Silent(t.endpoint, time.Now())
 		if !t.silent {
-			return false
+			return
 		}
-		if t.req.Hops > 0 && !t.req.Final {
-			vetchtrail.ReportSilence(t.writer) // the host that forwarded the request decides
-		}
-		ended := t.req.Hops == 0 && !t.req.Final && (t.client.cfg.Replaceable == nil || t.client.cfg.Replaceable(t.endpoint, t.req))
-		if ended || !counted {
-			countSilent(t.req.Service, ended)
+		if !counted {
+			CountSilent(t.req.Service, false)
 		}
 		counted = true
-		return ended
+		vetchtrail.ReportSilence(t.writer, silence)
 	}
 }
 
--- a/connection/endpoint/events.go
+++ b/connection/endpoint/events.go
@@ -107,6 +107,7 @@
 func (t *attempt) recordEvent(last time.Time) time.Time {
 	now := time.Now()
 	t.eventsSent++
+	t.silent = false
 	if t.pause.ended() {
 		return time.Time{} // the interval would be the caller's
 	}
--- a/connection/endpoint/pool.go
+++ b/connection/endpoint/pool.go
@@ -59,13 +59,9 @@
 	lastUsed    time.Time     // end of the last request
 
 	readDeadline time.Time
-	silenceCheck func() bool // polled by waiting reads; nil: they wait until their deadline
+	silenceCheck func() // polled by waiting reads; nil: none
 }
 
-// errSilent is the error of a read that ended because the endpoint is silent: it runs
-// streams of this host but has sent nothing on any of them for too long.
-var errSilent = errors.New("the endpoint has gone silent")
-
 // SetDeadline implements net.Conn.
 func (c *conn) SetDeadline(t time.Time) error {
 	c.readDeadline = t
@@ -81,12 +77,10 @@
 	for {
 		_ = c.SetReadDeadline(vetchtrail.Earlier(time.Now().Add(silenceCheckInterval), c.readDeadline))
 		n, err := c.Conn.Read(p)
-		switch {
-		case n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) || !time.Now().Before(c.readDeadline):
+		if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) || !time.Now().Before(c.readDeadline) {
 			return n, err
-		case c.silenceCheck():
-			return 0, errSilent
 		}
+		c.silenceCheck()
 	}
 }
 
--- a/outcome.go
+++ b/outcome.go
@@ -131,6 +131,7 @@
 	ReasonResponseLost          Reason = "answer-lost"      // no complete response arrived
 	ReasonCallerGone            Reason = "caller-gone"      // the caller disconnected
 	ReasonCallerSlow            Reason = "caller-slow"      // the caller read nothing while the bound on buffered bytes was reached
+	ReasonSuperseded            Reason = "superseded"       // another attempt of the request was kept
 	ReasonBadRequest            Reason = "bad-request"
 	ReasonUnknownService        Reason = "unknown-service"
 	ReasonIdempotencyKey        Reason = "key"              // the idempotency key is malformed or was used for another request
--- a/process/daemon/daemon.go
+++ b/process/daemon/daemon.go
@@ -221,8 +221,7 @@
 			d.lists.AwaitResumed(ctx)
 			return d.dispatcher.CheckBeforeSend(e, r)
 		},
-		Replaceable: func(e vetchtrail.Endpoint, r *vetchtrail.Request) bool { return d.dispatcher.Replaceable(e, r) },
-		Connected:   func(e vetchtrail.Endpoint) { d.table.RecordConnected(e, time.Now()) },
+		Connected: func(e vetchtrail.Endpoint) { d.table.RecordConnected(e, time.Now()) },
 	})
 	d.prober = reachability.New(reachability.Config{Table: d.table, Connect: d.endpoints.Connect, Refuses: d.endpoints.RefusesConnection})
 	d.newQuarantines(switchedOff)
--- a/process/load/event_interval.go
+++ b/process/load/event_interval.go
@@ -106,15 +106,34 @@
 }
 
 // Silent implements vetchtrail.Observer.
-func (t *Table) Silent(e vetchtrail.Endpoint, now time.Time) bool {
+func (t *Table) Silent(e vetchtrail.Endpoint, now time.Time) (vetchtrail.Silence, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s, ok := t.instance(e.Name, e.Born)
 	if !ok || !t.silent(s, now) {
-		return false
+		return vetchtrail.Silence{}, false
 	}
 	t.suspect(s, now)
-	return true
+	return vetchtrail.Silence{Connected: s.connectedSinceSilent(), Standstill: t.standsStill(s, now)}, true
+}
+
+// connectedSinceSilent reports whether this host opened a connection to the endpoint since it last sent anything.
+func (s *endpointState) connectedSinceSilent() bool { return s.reach.reachedAt.After(s.lastSeen) }
+
+// standsStill reports whether this host reads streams of other endpoints of a silent endpoint's service, and all of
+// these are silent too. The caller holds the lock.
+func (t *Table) standsStill(silent *endpointState, now time.Time) bool {
+	others := false
+	for _, s := range t.services[silent.Service] {
+		if s == silent || len(s.startedStreams) == s.pausedStreams {
+			continue
+		}
+		if !t.silent(s, now) {
+			return false
+		}
+		others = true
+	}
+	return others
 }
 
 // StreamPaused implements vetchtrail.Observer. Nothing arrives on a stream that this host doesn't read, which is no
--- a/request.go
+++ b/request.go
@@ -61,13 +61,9 @@
 	ResponseVersion StreamVersion
 	CallerCanRetry  bool // the caller still has most of its time, so it can retry after a refusal
 	ResponseStarted bool // part of a response was sent to the caller: only the rest of that stream may follow
-	// Final reports that no other attempt could replace the current one. The attempt then goes on
-	// until its deadline, even if its endpoint is silent. The host that received the request from
-	// its caller sets it.
+	// Final reports that no other attempt could replace the current one if its endpoint is silent.
+	// The host that received the request from its caller sets it.
 	Final bool
-	// RetryTaken reports that the retry that replaces the current attempt has already been taken
-	// from the retry budget.
-	RetryTaken bool
 	// RetryUnsent reports that a retry was taken from the retry budget and has not been sent yet. The host that
 	// received the request from its caller sets it, and gives the retry back at the end of the request.
 	RetryUnsent bool
--- a/request/dispatch/dispatch.go
+++ b/request/dispatch/dispatch.go
@@ -275,9 +275,6 @@
 // It retries only requests that certainly did not run or that may run twice.
 func (d *Dispatcher) runWithRetries(ctx context.Context, r *vetchtrail.Request, w vetchtrail.ResponseWriter) vetchtrail.Outcome {
 	var history attemptHistory
-	if r.Stream && r.Resumable {
-		w = &eventTracker{next: w, req: r, origins: d.cfg.Origins}
-	}
 	if r.Hops == 0 {
 		d.budget(r.Service).CountRequest(time.Now())
 	}
@@ -296,10 +293,10 @@
 			return d.replayFailure(history.overallOutcome(o), w)
 		}
 		if r.Hops == 0 {
-			r.Final, r.RetryTaken = d.isFinal(r, p, &history, n, time.Now()), false
+			r.Final = d.isFinal(r, p, &history, n, time.Now())
 			countAttempt(r.Service, n, &history)
 		}
-		o = d.runAttempt(ctx, r, p, n, w)
+		o, p, n = d.runReplaceable(ctx, r, p, &history, n, w, nil)
 		use.attemptEnded(o)
 		// After an attempt that may have reached an endpoint, the request no longer
 		// counts as one that its caller can retry: part of its time is spent, and a
@@ -418,9 +415,6 @@
 	case history.reached == 0:
 		return "" // no process received it, so a retry adds no load
 	case r.RetryUnsent:
-		if r.RetryTaken {
-			countRetry(r.Service, true)
-		}
 		return ""
 	}
 	ok := !d.cfg.SwitchedOff.Has(vetchtrail.MechanismRetries) && d.takeRetry(r, attempt)
@@ -471,8 +465,8 @@
 	r.ResponseVersion = vetchtrail.StreamVersion{}
 	if p.dataCentre != "" {
 		sent := time.Now()
-		o := d.forward(ctx, r, p, w)
-		if reached(o) && !r.RetryTaken {
+		o := d.cfg.Peers.Forward(ctx, p.host, r, &beginObserver{ResponseWriter: w, begun: func() { d.retrySent(r) }})
+		if reached(o) {
 			d.retrySent(r)
 		}
 		d.cfg.Membership.ForwardEnded(p.dataCentre, r.Service, o, time.Now())
--- a/request/dispatch/event_tracker.go
+++ b/request/dispatch/event_tracker.go
@@ -39,7 +39,7 @@
 }
 
 // EndpointSilent implements vetchtrail.SilenceObserver.
-func (t *eventTracker) EndpointSilent() { vetchtrail.ReportSilence(t.next) }
+func (t *eventTracker) EndpointSilent(s vetchtrail.Silence) { vetchtrail.ReportSilence(t.next, s) }
 
 // began stores the software version that began the stream. The host that received the request from
 // its caller also stores it for the hosts at which the caller may resume the stream.
@@ -50,18 +50,19 @@
 	}
 }
 
-// forwardObserver calls begun when the response to a forwarded request begins, and silent while its
-// endpoint is silent.
-type forwardObserver struct {
+// beginObserver calls begun when the response begins.
+type beginObserver struct {
 	vetchtrail.ResponseWriter
-	begun, silent func()
+	begun func()
 }
 
 // EndpointSilent implements vetchtrail.SilenceObserver.
-func (b *forwardObserver) EndpointSilent() { b.silent() }
+func (b *beginObserver) EndpointSilent(s vetchtrail.Silence) {
+	vetchtrail.ReportSilence(b.ResponseWriter, s)
+}
 
 // Begin implements vetchtrail.ResponseWriter.
-func (b *forwardObserver) Begin(status int, header []vetchtrail.HeaderField) error {
+func (b *beginObserver) Begin(status int, header []vetchtrail.HeaderField) error {
 	b.begun()
 	return b.ResponseWriter.Begin(status, header)
 }
--- /dev/null
+++ b/request/dispatch/handover_test.go
@@ -0,0 +1,213 @@
+package dispatch
+
+import (
+	"context"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"vetchtrail"
+	"vetchtrail/request/budget"
+)
+
+const (
+	eventA       = "id: 1\ndata: a\n\n"
+	eventB       = "id: 2\ndata: b\n\n"
+	pollInterval = 200 * time.Millisecond // between two reports of silence
+)
+
+// branchScript is what an endpoint does with an attempt after the events that it sends at once.
+type branchScript struct {
+	silence vetchtrail.Silence // that is reported meanwhile; zero: none is
+	silent  time.Duration      // for which it sends nothing
+	event   string             // then
+	outcome vetchtrail.Outcome
+}
+
+var (
+	answered = vetchtrail.Outcome{Kind: vetchtrail.OutcomeAnswered, Status: 200, Step: vetchtrail.StepResponse, ResponseStarted: true}
+	broken   = vetchtrail.Outcome{Kind: vetchtrail.OutcomeUnknown, Status: 502, Step: vetchtrail.StepResponse, Reason: vetchtrail.ReasonResponseBroken}
+	refused  = vetchtrail.Outcome{Kind: vetchtrail.OutcomeNotRun, Status: 503, Step: vetchtrail.StepResponse, Reason: vetchtrail.ReasonEndpointRefused}
+	failed   = vetchtrail.Outcome{
+		Kind: vetchtrail.OutcomeUnknown, Status: 502, Step: vetchtrail.StepResponse, Reason: vetchtrail.ReasonEndpointFailed,
+		DeferredFailure: &vetchtrail.BufferedResponse{Status: 500, Body: []byte("failed")},
+	}
+	forever = time.Hour
+)
+
+// stallingTargets are endpoints and hosts whose first attempt for a request brings one event and then
+// follows the first script, and whose other attempts follow the second.
+type stallingTargets struct {
+	dispatcher            *Dispatcher
+	original, replacement branchScript
+
+	mu       sync.Mutex
+	attempts map[string]int // by request
+}
+
+func (s *stallingTargets) Call(ctx context.Context, e vetchtrail.Endpoint, r *vetchtrail.Request, w vetchtrail.ResponseWriter) (vetchtrail.Outcome, vetchtrail.Timing) {
+	s.dispatcher.CheckBeforeSend(e, r)
+	return s.run(ctx, r, w), vetchtrail.Timing{}
+}
+
+func (s *stallingTargets) Forward(ctx context.Context, _ vetchtrail.Host, r *vetchtrail.Request, w vetchtrail.ResponseWriter) vetchtrail.Outcome {
+	return s.run(ctx, r, w)
+}
+
+func (s *stallingTargets) run(ctx context.Context, r *vetchtrail.Request, w vetchtrail.ResponseWriter) vetchtrail.Outcome {
+	s.mu.Lock()
+	s.attempts[r.ID]++
+	script := s.replacement
+	if s.attempts[r.ID] == 1 {
+		script = s.original
+	}
+	s.mu.Unlock()
+	if script.event == eventB && r.LastEventID == "" {
+		_ = w.Begin(200, nil)
+		_ = w.Write([]byte(eventA))
+	}
+	ended := time.After(script.silent)
+	for {
+		select {
+		case <-ctx.Done():
+			return vetchtrail.Outcome{
+				Kind: vetchtrail.OutcomeUnknown, Step: vetchtrail.StepResponse, Reason: vetchtrail.CancelReason(ctx), EndpointSilent: true, ResponseStarted: r.ResponseStarted,
+			}
+		case <-time.After(pollInterval):
+			if script.silence != (vetchtrail.Silence{}) {
+				vetchtrail.ReportSilence(w, script.silence)
+			}
+			continue
+		case <-ended:
+		}
+		break
+	}
+	if script.outcome.Kind == vetchtrail.OutcomeAnswered {
+		if w.Begin(200, nil) != nil || w.Write([]byte(script.event)) != nil {
+			return vetchtrail.Outcome{Kind: vetchtrail.OutcomeUnknown, Step: vetchtrail.StepResponse, Reason: vetchtrail.CancelReason(ctx)}
+		}
+	}
+	return script.outcome
+}
+
+func resumableRequest(id string, timeLeft time.Duration) *vetchtrail.Request {
+	return &vetchtrail.Request{
+		ID: id, Service: "s", Route: "r", Stream: true, Resumable: true, Repeatable: true, MaxAttempts: 2, AllowedRegions: 3, Deadline: time.Now().Add(timeLeft),
+	}
+}
+
+// TestHandover guards against a stream at a silent endpoint that is cut because its replacement is no
+// better, against one whose endpoint has gone and that is not continued, and against parts of both.
+func TestHandover(t *testing.T) {
+	standstill := vetchtrail.Silence{Connected: true, Standstill: true}
+	alone := vetchtrail.Silence{Connected: true}
+	gone := vetchtrail.Silence{Standstill: true}
+	cases := map[string]struct {
+		original, replacement branchScript
+		kind                  vetchtrail.OutcomeKind
+		body                  string
+		attempts              int
+		took                  time.Duration // at most
+	}{
+		"the replacement brings the next event": {branchScript{alone, forever, eventB, answered}, branchScript{event: eventB, silent: 100 * time.Millisecond, outcome: answered}, vetchtrail.OutcomeAnswered, eventA + eventB, 2, 310 * time.Millisecond},
+		"the endpoint has gone":                 {branchScript{gone, forever, eventB, answered}, branchScript{event: eventB, silent: time.Second, outcome: answered}, vetchtrail.OutcomeAnswered, eventA + eventB, 2, 1210 * time.Millisecond},
+		"only this endpoint is silent":          {branchScript{alone, forever, eventB, answered}, branchScript{event: eventB, silent: time.Second, outcome: answered}, vetchtrail.OutcomeAnswered, eventA + eventB, 2, 1210 * time.Millisecond},
+		"all stand still":                       {branchScript{standstill, time.Second, eventB, answered}, branchScript{event: eventB, silent: forever, outcome: answered}, vetchtrail.OutcomeAnswered, eventA + eventB, 2, 1010 * time.Millisecond},
+		"the replacement is silent too":         {branchScript{alone, time.Second, eventB, answered}, branchScript{alone, forever, eventB, answered}, vetchtrail.OutcomeAnswered, eventA + eventB, 2, 1010 * time.Millisecond},
+		"the endpoint goes on first":            {branchScript{alone, 450 * time.Millisecond, eventB, answered}, branchScript{event: eventB, silent: 270 * time.Millisecond, outcome: answered}, vetchtrail.OutcomeAnswered, eventA + eventB, 2, 460 * time.Millisecond},
+		"the replacement is refused":            {branchScript{alone, time.Second, eventB, answered}, branchScript{outcome: refused}, vetchtrail.OutcomeAnswered, eventA + eventB, 2, 1010 * time.Millisecond},
+		"the replacement fails":                 {branchScript{alone, time.Second, eventB, answered}, branchScript{silent: 100 * time.Millisecond, outcome: failed}, vetchtrail.OutcomeAnswered, eventA + eventB, 2, 1010 * time.Millisecond},
+		"the replacement breaks":                {branchScript{alone, time.Second, eventB, answered}, branchScript{silent: 100 * time.Millisecond, outcome: broken}, vetchtrail.OutcomeAnswered, eventA + eventB, 2, 1010 * time.Millisecond},
+		"the endpoint breaks meanwhile":         {branchScript{alone, 300 * time.Millisecond, eventB, broken}, branchScript{event: eventB, silent: 500 * time.Millisecond, outcome: answered}, vetchtrail.OutcomeAnswered, eventA + eventB, 2, 710 * time.Millisecond},
+		"both break":                            {branchScript{alone, 400 * time.Millisecond, eventB, broken}, branchScript{silent: 100 * time.Millisecond, outcome: broken}, vetchtrail.OutcomeUnknown, eventA, 2, 410 * time.Millisecond},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				targets := &stallingTargets{original: c.original, replacement: c.replacement, attempts: map[string]int{}}
+				d := newDispatcher(t, nil, 2)
+				d.cfg.EndpointCaller, d.cfg.Peers, targets.dispatcher = targets, targets, d
+				var got responseRecorder
+				began := time.Now()
+				o := d.Run(context.Background(), resumableRequest("x", 10*time.Second), &got)
+				assert.Equal(t, o.Kind, c.kind, "%v", o)
+				assert.Equal(t, got.body.String(), c.body)
+				assert.Equal(t, got.begins, 1)
+				assert.Equal(t, targets.attempts["x"], c.attempts)
+				assert.Assert(t, time.Since(began) <= c.took, "took %s", time.Since(began))
+			})
+		})
+	}
+}
+
+// TestReplacedAtSilentEndpoint guards against replacements beyond the limits of the route, the retry
+// budget and the time, and against streams that are cut where there is none.
+func TestReplacedAtSilentEndpoint(t *testing.T) {
+	cases := map[string]struct {
+		endpoints  int // in this data centre, in addition to the remote host
+		route      string
+		attempts   int     // that the route allows
+		retries    float64 // allowed by the budget
+		timeLeft   time.Duration
+		mechanisms vetchtrail.Mechanisms // that are switched off
+		replaced   int                   // of two attempts at silent endpoints
+	}{
+		"another endpoint":         {endpoints: 2, route: "r", attempts: 2, retries: 100, timeLeft: time.Minute, replaced: 2},
+		"another data centre":      {endpoints: 1, route: "r", attempts: 2, retries: 100, timeLeft: time.Minute, replaced: 2},
+		"no other endpoint":        {endpoints: 2, route: "at-b", attempts: 2, retries: 100, timeLeft: time.Minute},
+		"last attempt":             {endpoints: 2, route: "r", attempts: 1, retries: 100, timeLeft: time.Minute},
+		"no retry left":            {endpoints: 2, route: "r", attempts: 2, timeLeft: time.Minute},
+		"one retry left":           {endpoints: 2, route: "r", attempts: 2, retries: 1, timeLeft: time.Minute, replaced: 1},
+		"retries are switched off": {endpoints: 2, route: "r", attempts: 2, retries: 100, timeLeft: time.Minute, mechanisms: vetchtrail.MechanismsOf(vetchtrail.MechanismRetries)},
+		"final-attempts off":       {endpoints: 2, route: "r", attempts: 1, retries: 100, timeLeft: time.Minute, mechanisms: vetchtrail.MechanismsOf(vetchtrail.MechanismFinalAttempts)},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				targets := &stallingTargets{
+					original:    branchScript{vetchtrail.Silence{Connected: true}, time.Second, eventB, answered},
+					replacement: branchScript{event: eventB, silent: 50 * time.Millisecond, outcome: answered}, attempts: map[string]int{},
+				}
+				d := newDispatcher(t, nil, c.endpoints)
+				d.cfg.EndpointCaller, d.cfg.Peers, targets.dispatcher, d.cfg.SwitchedOff = targets, targets, d, c.mechanisms
+				d.SetRetryBudget(budget.Config{Window: time.Minute, Base: c.retries / retryBudgetShare, Hosts: func() int { return 1 }})
+				var tasks sync.WaitGroup
+				for _, id := range []string{"x", "y"} {
+					tasks.Go(func() {
+						r := resumableRequest(id, c.timeLeft)
+						r.MaxAttempts, r.Route = c.attempts, c.route
+						var got responseRecorder
+						o := d.Run(context.Background(), r, &got)
+						assert.Check(t, o.Kind == vetchtrail.OutcomeAnswered, "%v", o)
+						assert.Check(t, strings.HasSuffix(got.body.String(), eventB), "%q", got.body.String())
+					})
+				}
+				tasks.Wait()
+				assert.Equal(t, targets.attempts["x"]+targets.attempts["y"]-2, c.replaced)
+			})
+		})
+	}
+}
+
+// TestCallerLeavesDuringHandover guards against an attempt that goes on after its caller has left.
+func TestCallerLeavesDuringHandover(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		targets := &stallingTargets{
+			original:    branchScript{vetchtrail.Silence{Connected: true, Standstill: true}, forever, eventB, answered},
+			replacement: branchScript{event: eventB, silent: forever, outcome: answered}, attempts: map[string]int{},
+		}
+		d := newDispatcher(t, nil, 2)
+		d.cfg.EndpointCaller, d.cfg.Peers, targets.dispatcher = targets, targets, d
+		ctx, leave := context.WithCancel(context.Background())
+		time.AfterFunc(300*time.Millisecond, leave)
+		began := time.Now()
+		o := d.Run(ctx, resumableRequest("x", 10*time.Second), &responseRecorder{})
+		assert.Equal(t, o.Reason, vetchtrail.ReasonCallerGone)
+		assert.Equal(t, targets.attempts["x"], 2)
+		assert.Assert(t, time.Since(began) < 310*time.Millisecond)
+	})
+}
--- a/response.go
+++ b/response.go
@@ -16,17 +16,26 @@
 // SilenceObserver is implemented by a ResponseWriter that is told while the endpoint of its attempt
 // is silent. The attempt goes on meanwhile.
 type SilenceObserver interface {
-	// EndpointSilent is called about every fraction of a second, between two calls of Begin or Write.
-	EndpointSilent()
+	// EndpointSilent is called several times a second, between two calls of Begin or Write.
+	EndpointSilent(s Silence)
 }
 
 // ReportSilence tells a writer that the endpoint of its attempt is silent, if it wants to know.
-func ReportSilence(w ResponseWriter) {
+func ReportSilence(w ResponseWriter, s Silence) {
 	if o, ok := w.(SilenceObserver); ok {
-		o.EndpointSilent()
+		o.EndpointSilent(s)
 	}
 }
 
+// Silence is what a host knows about an endpoint that is silent.
+type Silence struct {
+	// Connected reports that the host opened a connection to the endpoint since it is silent.
+	Connected bool
+	// Standstill reports that the host reads streams of several endpoints of the service, and all of
+	// these are silent.
+	Standstill bool
+}
+
 // EndpointCaller sends a request to an endpoint and writes the endpoint's response to w.
 type EndpointCaller interface {
 	Call(ctx context.Context, e Endpoint, r *Request, w ResponseWriter) (Outcome, Timing)
@@ -46,8 +55,8 @@
 	// EventReceived reports the time between two events of a stream.
 	EventReceived(e Endpoint, interval time.Duration, now time.Time)
 	// Silent returns whether an endpoint runs streams of this host but has sent nothing on
-	// any of them for too long.
-	Silent(e Endpoint, now time.Time) bool
+	// any of them for too long, and what is known about that.
+	Silent(e Endpoint, now time.Time) (Silence, bool)
 	// LoadReported reports the load that an endpoint stated in a response.
 	LoadReported(e Endpoint, l LoadReport)
 	// SlowdownReported reports that a load report in a response contained a slowdown. If err
