A first attempt may go to silent endpoints if no other is available

Where the policy would refuse and no endpoint is available, those that are silent but accept connections are candidates: nothing is better, and they probably go on soon. Replacements and retries still don't go there.

--- a/decision.go
+++ b/decision.go
@@ -124,6 +124,7 @@
 	Unavailable       bool          // it can't be used now
 	UnavailableReason Reason        // with Unavailable: the reason
 	AvailableIn       float64       // with Unavailable: seconds until it can be used again; 0: not known
+	Connected         bool          // with ReasonSilent: it still accepts connections
 	ViaPeers          bool          // with Unavailable: this host doesn't reach it, but other hosts that call it probably do
 	ExcessFailureRate float64       // how far its failure rate exceeds that of its service, 0 to 1
 	EventInterval     float64       // observed seconds between two events of its streams; 0: not known
--- a/process/load/load.go
+++ b/process/load/load.go
@@ -382,7 +382,7 @@
 		v.Unavailable, v.UnavailableReason, v.AvailableIn = true, s.backOffReason, s.backOffUntil.Sub(now).Seconds()
 		v.ViaPeers = s.reachedByOthers(now)
 	case t.silent(s, now):
-		v.Unavailable, v.UnavailableReason = true, vetchtrail.ReasonSilent
+		v.Unavailable, v.UnavailableReason, v.Connected = true, vetchtrail.ReasonSilent, s.connectedSinceSilent()
 	case s.rateLimit.Advertised && now.Before(s.rateExhaustedUntil):
 		v.Unavailable, v.UnavailableReason, v.AvailableIn = true, vetchtrail.ReasonRateLimited, s.rateExhaustedUntil.Sub(now).Seconds()
 	case !s.coldStart.allows(now):
--- a/request/dispatch/placement.go
+++ b/request/dispatch/placement.go
@@ -60,7 +60,28 @@
 	d.markOtherVersions(v, r)
 	random := d.randomPool.Get().(*rand.Rand)
 	defer d.randomPool.Put(random)
-	return d.cfg.Policy.Decide(now, r, v, random)
+	dec := d.cfg.Policy.Decide(now, r, v, random)
+	if dec.Kind == vetchtrail.Refuse && history.reached == 0 && admitSilent(v) {
+		return d.cfg.Policy.Decide(now, r, v, random)
+	}
+	return dec
+}
+
+// admitSilent lets a first attempt go to silent endpoints that accept connections, if no endpoint is available:
+// there is nothing better, and they probably go on soon. It reports whether there are any.
+func admitSilent(v *vetchtrail.View) bool {
+	admitted := false
+	for i := range v.Endpoints {
+		if !v.Endpoints[i].Unavailable {
+			return false
+		}
+	}
+	for i := range v.Endpoints {
+		if e := &v.Endpoints[i]; e.UnavailableReason == vetchtrail.ReasonSilent && e.Connected {
+			e.Unavailable, admitted = false, true
+		}
+	}
+	return admitted
 }
 
 // assumedResponseShare is the assumed length of a response, as a share of its maximum
--- a/request/dispatch/silence_test.go
+++ b/request/dispatch/silence_test.go
@@ -152,3 +152,31 @@
 	assert.Equal(t, got.body.String(), "id: 1\ndata: a\n\nid: 2\ndata: b\n\n")
 	assert.Assert(t, got.silent > 0)
 }
+
+// TestFirstAttemptAtStandstill guards against requests that are refused while all endpoints of their
+// service are silent for a moment, although these accept connections.
+func TestFirstAttemptAtStandstill(t *testing.T) {
+	silent := func(connected bool) vetchtrail.EndpointView {
+		return vetchtrail.EndpointView{Name: "1", Unavailable: true, UnavailableReason: vetchtrail.ReasonSilent, Connected: connected}
+	}
+	cases := map[string]struct {
+		endpoints []vetchtrail.EndpointView
+		admitted  bool
+	}{
+		"all accept connections":         {[]vetchtrail.EndpointView{silent(true), silent(true)}, true},
+		"one accepts connections":        {[]vetchtrail.EndpointView{silent(false), silent(true)}, true},
+		"none accepts connections":       {[]vetchtrail.EndpointView{silent(false), silent(false)}, false},
+		"one goes on":                    {[]vetchtrail.EndpointView{silent(true), {Name: "2"}}, false},
+		"unavailable for another reason": {[]vetchtrail.EndpointView{{Name: "1", Unavailable: true, UnavailableReason: vetchtrail.ReasonDraining, Connected: true}}, false},
+		"no endpoint of the service":     {nil, false},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			v := &vetchtrail.View{Endpoints: c.endpoints}
+			assert.Equal(t, admitSilent(v), c.admitted)
+			for _, e := range v.Endpoints {
+				assert.Equal(t, !e.Unavailable, e.Name == "2" || c.admitted && e.Connected)
+			}
+		})
+	}
+}
