The rest of a response that has begun keeps the route that it began with

A stream was cut when its attempt was lost after a configuration had moved its route to another service or removed it: between two attempts, and before each is sent, the newest configuration judged the request as if it came now. Its caller had sent it under the older one, and an answer that has begun can't be refused any more. Evidence: TestBegunResponseKeepsItsRoute, whose cases 'route moved' and 'route removed' end unknown with no-route on the code before.

Such a request keeps the regions, home and priority that it has. What must stop still does: regions of its workspace narrow it, and a key or a workspace that was taken away, or a quarantine, ends it. A request whose response has not begun is judged as before.

--- a/request/dispatch/dispatch.go
+++ b/request/dispatch/dispatch.go
@@ -201,10 +201,16 @@
 
 // constraintsOf returns the home, priority and allowed regions that the
 // configuration defines for a request, by its route or, without one, by its
-// service. If the request may not run at all, it returns the reason.
+// service. If the request may not run at all, it returns the reason. The rest of a
+// response that has begun keeps a route that was moved or removed since, but not a
+// region, key or workspace that was taken away.
 func constraintsOf(newest *rules.Rules, r *vetchtrail.Request) (rules.Constraints, vetchtrail.Reason) {
 	if r.Route != "" {
-		return newest.RouteConstraints(r.Route, r.Service, r.Workspace, r.EntryRegion)
+		constraints, reason := newest.RouteConstraints(r.Route, r.Service, r.Workspace, r.EntryRegion)
+		if reason == vetchtrail.ReasonNoRoute && r.ResponseStarted {
+			return newest.BegunConstraints(rules.Constraints{Home: r.HomeRegion, Allowed: r.AllowedRegions, Priority: r.Priority}, r.Workspace)
+		}
+		return constraints, reason
 	}
 	constraints, ok := newest.ServiceConstraints(r.Service, r.Workspace, r.EntryRegion)
 	if !ok {
--- a/version/rules/route.go
+++ b/version/rules/route.go
@@ -66,21 +66,43 @@
 	if workspaceName == "" && !t.Keyed {
 		return c, ""
 	}
+	w, reason := r.narrow(&c, workspaceName)
+	if reason != "" {
+		return Constraints{}, reason
+	}
+	c.Priority = combinedPriority(w.priority, t.Rank)
+	return c, ""
+}
+
+// BegunConstraints returns the constraints of a request whose response has begun and whose route was moved to another
+// service or removed since. The response keeps the route that it began with. Its workspace, if there is one, must
+// still exist, and narrows where the rest may be processed.
+func (r *Rules) BegunConstraints(c Constraints, workspaceName string) (Constraints, vetchtrail.Reason) {
+	if workspaceName == "" {
+		return c, ""
+	}
+	if _, reason := r.narrow(&c, workspaceName); reason != "" {
+		return Constraints{}, reason
+	}
+	return c, ""
+}
+
+// narrow narrows constraints by those of a workspace, and sets its home.
+func (r *Rules) narrow(c *Constraints, workspaceName string) (workspace, vetchtrail.Reason) {
 	w, ok := r.workspaces[workspaceShardOf(workspaceName)][workspaceName]
 	if !ok {
-		return Constraints{}, vetchtrail.ReasonUnknownWorkspace
+		return workspace{}, vetchtrail.ReasonUnknownWorkspace
 	}
 	if w.home != noHome {
 		c.Home = vetchtrail.RegionID(w.home)
 	}
 	if w.allowed != 0 && c.Allowed&w.allowed == 0 {
-		return Constraints{}, vetchtrail.ReasonNoCommonHome
+		return workspace{}, vetchtrail.ReasonNoCommonHome
 	}
 	if w.allowed != 0 {
 		c.Allowed &= w.allowed
 	}
-	c.Priority = combinedPriority(w.priority, t.Rank)
-	return c, ""
+	return w, ""
 }
 
 // ranksPerPriority is how many route ranks are distinguished within one priority
