Soak: starts at endpoints that ended meanwhile don't count as a loop

The check 'a request is not forwarded in a loop' allowed two starts of a request. The documented limit, and the users' rule (BUDGET: engines that ended or were cut off in the meantime are not counted), allow that: an attempt at a process that has ended doesn't count.

The check now counts all starts but those whose endpoint crashed, was killed or refused connections while the request may have run there; the bound stays two. TestPromiseChecks and TestEndedWhileRunning hold the bound.

--- a/soak/check.go
+++ b/soak/check.go
@@ -49,6 +49,7 @@
 	notes             map[string]int                // observations that break no promise, counted
 	keys              map[string][]attempt          // by idempotency key
 	earlierExecutions map[string][]ledger.Execution // by endpoint, of its killed processes
+	earlierCrashes    map[string][]time.Time        // the same of its crashes by the poison request
 	processes         map[string]process            // by host
 	rateLimits        []advertisement               // rate limits that engines advertised
 	poisonArrivals    int                           // of the poison request at engines, as far as their records were read
@@ -58,7 +59,7 @@
 func newChecker(f *fleet.Fleet, d *deployment.Deployment, faults []Fault) *checker {
 	return &checker{
 		fleet: f, d: d, startedAt: time.Now(), faults: faults, notes: map[string]int{}, keys: map[string][]attempt{},
-		earlierExecutions: map[string][]ledger.Execution{}, processes: map[string]process{},
+		earlierExecutions: map[string][]ledger.Execution{}, earlierCrashes: map[string][]time.Time{}, processes: map[string]process{},
 	}
 }
 
@@ -87,7 +88,7 @@
 	c.processes[host] = process{number: c.processes[host].number + 1}
 }
 
-// keepExecutions stores the executions that an endpoint recorded. It is called before the
+// keepExecutions stores the executions and the crashes that an endpoint recorded. It is called before the
 // endpoint's process is killed, as the next process starts with an empty record.
 func (c *checker) keepExecutions(ctx context.Context, endpoint string) error {
 	list, err := c.executions(ctx, endpoint)
@@ -95,9 +96,11 @@
 		c.note("executions not read before a kill") // frozen, or not up yet
 		return nil
 	}
+	history, _ := c.crashHistory(ctx, endpoint)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.earlierExecutions[endpoint] = append(c.earlierExecutions[endpoint], list...)
+	c.earlierCrashes[endpoint] = append(c.earlierCrashes[endpoint], history.Crashes...)
 	return nil
 }
 
@@ -247,16 +250,18 @@
 	c.mu.Unlock()
 	keys, requests := map[string]int{}, map[string]int{}
 	for name, list := range all {
+		history, _ := c.crashHistory(ctx, name)
+		ends := slices.Concat(c.endsByFaults(name), c.earlierCrashes[name], history.Crashes)
 		for _, e := range list {
 			keys[e.Key]++
-			requests[e.Request]++
 			c.checkRegion(name, e)
+			if !endedWhileRunning(e.At, ends) {
+				requests[e.Request]++
+			}
 		}
 	}
 	for id, n := range requests {
-		if id != "" && n > maxExecutions {
-			c.recordViolation("a request is not forwarded in a loop", "%s was started %d times", id, n)
-		}
+		c.checkExecutionCount(id, n)
 	}
 	for key, list := range c.keys {
 		c.checkKeyedRequest(key, list, keys[key])
@@ -264,10 +269,34 @@
 	return nil
 }
 
-// maxExecutions is how many times endpoints may start one request, retries included. A request with
-// an idempotency key may run only once, which checkKeyedRequest checks.
+// maxExecutions is how many times endpoints may start one request, retries included. Endpoints that ended
+// while they ran it don't count. A request with an idempotency key may run only once, which checkKeyedRequest
+// checks.
 const maxExecutions = 2
 
+// checkExecutionCount checks how many times endpoints that did not end meanwhile started a request.
+func (c *checker) checkExecutionCount(request string, n int) {
+	if request != "" && n > maxExecutions {
+		c.recordViolation("a request is not forwarded in a loop", "%s was started %d times", request, n)
+	}
+}
+
+// endedWhileRunning reports whether an endpoint ended while a request that it started at a time may have run there.
+func endedWhileRunning(startedAt time.Time, ends []time.Time) bool {
+	return slices.ContainsFunc(ends, func(end time.Time) bool { return !end.Before(startedAt) && end.Before(startedAt.Add(modelTimeout)) })
+}
+
+// endsByFaults returns when the schedule ended an endpoint's process or made it refuse connections.
+func (c *checker) endsByFaults(endpoint string) []time.Time {
+	var out []time.Time
+	for _, f := range c.faults {
+		if f.Target == endpoint && (f.Kind == EngineKill || f.Kind == EngineRefuses) {
+			out = append(out, c.startedAt.Add(f.Start))
+		}
+	}
+	return out
+}
+
 // checkRegion checks that a request of a workspace ran in one of the regions that it is bound to.
 func (c *checker) checkRegion(endpoint string, e ledger.Execution) {
 	for _, w := range c.d.Document.Workspaces {
--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -65,6 +65,8 @@
 		"not run, and did not run":           {func(c *checker) { c.checkKeyedRequest("k", []attempt{at(0, "not-run", "")}, 0) }, ""},
 		"not run, but ran":                   {func(c *checker) { c.checkKeyedRequest("k", []attempt{at(0, "not-run", "")}, 1) }, "a request reported as not run did not run"},
 		"not run at first, ran at the retry": {func(c *checker) { c.checkKeyedRequest("k", []attempt{at(0, "not-run", ""), at(1, "answered", "a")}, 1) }, ""},
+		"started twice":                      {func(c *checker) { c.checkExecutionCount("r", 2) }, ""},
+		"started three times":                {func(c *checker) { c.checkExecutionCount("r", 3) }, "a request is not forwarded in a loop"},
 		"runs in its region":                 {func(c *checker) { c.checkRegion("centre-1-engine-1", ledger.Execution{Workspace: "region-1-bound"}) }, ""},
 		"runs in another region":             {func(c *checker) { c.checkRegion("centre-2-engine-1", ledger.Execution{Workspace: "region-1-bound"}) }, "a workspace's requests run in its region"},
 		"newer revision":                     {func(c *checker) { c.recordRevision("h", process{}, 4); c.recordRevision("h", process{revision: 4}, 5) }, ""},
@@ -101,6 +103,29 @@
 	}
 }
 
+// TestEndedWhileRunning guards against executions that don't count although their endpoint did not end.
+func TestEndedWhileRunning(t *testing.T) {
+	at := time.Now()
+	cases := map[string]struct {
+		ends []time.Duration // from the start of the request
+		want bool
+	}{
+		"never":           {nil, false},
+		"before":          {[]time.Duration{-time.Millisecond}, false},
+		"while it ran":    {[]time.Duration{-time.Second, time.Second}, true},
+		"long afterwards": {[]time.Duration{modelTimeout}, false},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			var ends []time.Time
+			for _, d := range c.ends {
+				ends = append(ends, at.Add(d))
+			}
+			assert.Equal(t, endedWhileRunning(at, ends), c.want)
+		})
+	}
+}
+
 // TestSchedule guards against a schedule that differs between runs of one seed, so that a failed
 // run can't be reproduced. It also guards against two faults on one resource at a time, as the end
 // of one would clear the other, and against kinds of fault that never occur.
--- a/soak/poison.go
+++ b/soak/poison.go
@@ -53,17 +53,24 @@
 // poisonArrivalsAt returns how many times the poison request reached an engine's process, or 0 if
 // the engine can't be reached.
 func (c *checker) poisonArrivalsAt(ctx context.Context, endpoint string) int {
+	history, ok := c.crashHistory(ctx, endpoint)
+	if !ok {
+		c.note("poison arrivals not read: engine not reached")
+	}
+	return len(history.PoisonRequests)
+}
+
+// crashHistory returns the crashes of an endpoint's process, or false if it can't be reached.
+func (c *checker) crashHistory(ctx context.Context, endpoint string) (engine.CrashHistory, bool) {
 	ctx, cancel := context.WithTimeout(ctx, queryTimeout)
 	defer cancel()
 	addr, err := c.fleet.EndpointAddr(endpoint)
 	if err != nil {
-		return 0
+		return engine.CrashHistory{}, false
 	}
 	var history engine.CrashHistory
-	if c.fleet.Client.Get(ctx, addr, "/life", &history) != nil {
-		c.note("poison arrivals not read: engine not reached")
-	}
-	return len(history.PoisonRequests)
+	err = c.fleet.Client.Get(ctx, addr, "/life", &history)
+	return history, err == nil
 }
 
 // checkPoisonArrivals checks how many times the poison request reached engines. Each region may
