A replacement avoids the endpoint at which the original still runs

A forwarded attempt and its replacement, which another data centre of the region runs, could have reached one endpoint at the same time, twice with the same id; one after the other they could before, too. The report of silence names the endpoint, and the replacement carries it (avoid) to the host that places it. TestReplacementAvoidsEndpoint, TestReplacementKnowsEndpoint.

--- a/connection/peer/client.go
+++ b/connection/peer/client.go
@@ -290,7 +290,9 @@
 			}
 			err = writeCounted(ctx, r, w, part.Body)
 		case *schema.ForwardReply_Silent:
-			vetchtrail.ReportSilence(w, vetchtrail.Silence{Connected: part.Silent.GetConnected(), Standstill: part.Silent.GetStandstill()})
+			vetchtrail.ReportSilence(w, vetchtrail.Silence{
+				Connected: part.Silent.GetConnected(), Standstill: part.Silent.GetStandstill(), Endpoint: part.Silent.GetEndpoint(),
+			})
 			continue // not a part of the response
 		case *schema.ForwardReply_End:
 			o := schema.ToOutcome(part.End, time.Now())
--- a/connection/peer/server.go
+++ b/connection/peer/server.go
@@ -209,7 +209,7 @@
 
 // EndpointSilent implements vetchtrail.SilenceObserver. An error shows with the next part of the response.
 func (w *streamWriter) EndpointSilent(s vetchtrail.Silence) {
-	_ = w.stream.Send(&schema.ForwardReply{Part: &schema.ForwardReply_Silent{Silent: &schema.Silent{Connected: s.Connected, Standstill: s.Standstill}}})
+	_ = w.stream.Send(&schema.ForwardReply{Part: &schema.ForwardReply_Silent{Silent: &schema.Silent{Connected: s.Connected, Standstill: s.Standstill, Endpoint: s.Endpoint}}})
 }
 
 // TimeFromAge returns the time of an event whose age a message states.
--- a/process/load/event_interval.go
+++ b/process/load/event_interval.go
@@ -114,7 +114,7 @@
 		return vetchtrail.Silence{}, false
 	}
 	t.suspect(s, now)
-	return vetchtrail.Silence{Connected: s.connectedSinceSilent(), Standstill: t.standsStill(s, now)}, true
+	return vetchtrail.Silence{Connected: s.connectedSinceSilent(), Standstill: t.standsStill(s, now), Endpoint: s.Name}, true
 }
 
 // connectedSinceSilent reports whether this host opened a connection to the endpoint since it last sent anything.
--- a/request.go
+++ b/request.go
@@ -64,6 +64,8 @@
 	// Final reports that no other attempt could replace the current one if its endpoint is silent.
 	// The host that received the request from its caller sets it.
 	Final bool
+	// Avoid is the endpoint that must not run it, because another attempt is there; empty: none.
+	Avoid string
 	// RetryUnsent reports that a retry was taken from the retry budget and has not been sent yet. The host that
 	// received the request from its caller sets it, and gives the retry back at the end of the request.
 	RetryUnsent bool
--- a/request/dispatch/dispatch.go
+++ b/request/dispatch/dispatch.go
@@ -281,6 +281,9 @@
 // It retries only requests that certainly did not run or that may run twice.
 func (d *Dispatcher) runWithRetries(ctx context.Context, r *vetchtrail.Request, w vetchtrail.ResponseWriter) vetchtrail.Outcome {
 	var history attemptHistory
+	if r.Avoid != "" {
+		history.excluded = append(history.excluded, r.Avoid)
+	}
 	if r.Hops == 0 {
 		d.budget(r.Service).CountRequest(time.Now())
 	}
--- a/request/dispatch/handover.go
+++ b/request/dispatch/handover.go
@@ -179,7 +179,7 @@
 		return
 	}
 	again := *b.req
-	again.CallerCanRetry, again.RetryUnsent, again.Reservation = false, false, vetchtrail.Reservation{}
+	again.CallerCanRetry, again.RetryUnsent, again.Reservation, again.Avoid = false, false, vetchtrail.Reservation{}, s.Endpoint
 	ctx, cancel := context.WithCancelCause(h.ctx)
 	h.replacement = &branch{handover: h, req: &again, attempt: h.lastAttempt + 1, cancel: cancel, done: make(chan struct{})}
 	go h.replace(ctx, h.replacement)
@@ -287,7 +287,7 @@
 	for range maxPlacementRounds {
 		dec := d.decide(r, history)
 		canRun := dec.Kind == vetchtrail.RunElsewhere || dec.Kind == vetchtrail.RunHere && d.waitQueue(r).Len() == 0
-		if !canRun || !r.RetryUnsent && !d.takeRetry(r, 0) {
+		if !canRun || ctx.Err() != nil || !r.RetryUnsent && !d.takeRetry(r, 0) {
 			return false
 		}
 		if p, ok := d.acquire(ctx, r, dec); ok {
--- a/request/dispatch/handover_test.go
+++ b/request/dispatch/handover_test.go
@@ -47,6 +47,7 @@
 
 	mu       sync.Mutex
 	attempts map[string]int // by request
+	avoided  string         // endpoint that the last attempt was to avoid
 }
 
 func (s *stallingTargets) Call(ctx context.Context, e vetchtrail.Endpoint, r *vetchtrail.Request, w vetchtrail.ResponseWriter) (vetchtrail.Outcome, vetchtrail.Timing) {
@@ -61,6 +62,7 @@
 func (s *stallingTargets) run(ctx context.Context, r *vetchtrail.Request, w vetchtrail.ResponseWriter) vetchtrail.Outcome {
 	s.mu.Lock()
 	s.attempts[r.ID]++
+	s.avoided = r.Avoid
 	script := s.replacement
 	if s.attempts[r.ID] == 1 {
 		script = s.original
@@ -211,3 +213,32 @@
 		assert.Assert(t, time.Since(began) < 310*time.Millisecond)
 	})
 }
+
+// TestReplacementAvoidsEndpoint guards against a replacement that another host of the region sends to the
+// endpoint at which the original still runs.
+func TestReplacementAvoidsEndpoint(t *testing.T) {
+	for range 20 {
+		targets := &scriptedTargets{replies: []reply{respondWith(eventB)}}
+		d := newDispatcher(t, targets, 2)
+		r := resumableRequest("x", 10*time.Second)
+		r.Hops, r.Avoid, r.AllowedRegions = 1, "1", 1
+		o := d.Run(context.Background(), r, &responseRecorder{})
+		assert.Equal(t, o.Kind, vetchtrail.OutcomeAnswered, "%v", o)
+		assert.DeepEqual(t, targets.called, []string{"2"})
+	}
+}
+
+// TestReplacementKnowsEndpoint guards against a replacement that isn't told where the original runs.
+func TestReplacementKnowsEndpoint(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		targets := &stallingTargets{
+			original:    branchScript{vetchtrail.Silence{Connected: true, Endpoint: "remote-1"}, time.Second, eventB, answered},
+			replacement: branchScript{event: eventB, silent: 50 * time.Millisecond, outcome: answered}, attempts: map[string]int{},
+		}
+		d := newDispatcher(t, nil, 2)
+		d.cfg.EndpointCaller, d.cfg.Peers, targets.dispatcher = targets, targets, d
+		o := d.Run(context.Background(), resumableRequest("x", 10*time.Second), &responseRecorder{})
+		assert.Equal(t, o.Kind, vetchtrail.OutcomeAnswered, "%v", o)
+		assert.Equal(t, targets.avoided, "remote-1")
+	})
+}
--- a/response.go
+++ b/response.go
@@ -34,6 +34,7 @@
 	// Standstill reports that the host reads streams of several endpoints of the service, and all of
 	// these are silent.
 	Standstill bool
+	Endpoint   string
 }
 
 // EndpointCaller sends a request to an endpoint and writes the endpoint's response to w.
--- a/schema/convert.go
+++ b/schema/convert.go
@@ -212,7 +212,7 @@
 		Route:  r.Route, GoalRemaining: remaining(r.Goal, now), Prompt: fromPrompt(r.Prompt), Resumable: r.Resumable, LastEvent: r.LastEventID,
 		Begun: r.ResponseStarted, PatienceRemaining: remaining(r.QueueUntil, now),
 		AnswerTokens: uint32(r.ExpectedTokens), MostTokens: uint32(r.MaxTokens), Fresh: r.CallerCanRetry,
-		BeginRemaining: remaining(r.FirstEventBy, now), Digest: contentHashOf(r), Final: r.Final,
+		BeginRemaining: remaining(r.FirstEventBy, now), Digest: contentHashOf(r), Final: r.Final, Avoid: r.Avoid,
 	}
 	if r.StreamVersion.Known {
 		m.StreamVersion, m.Service, m.ContinuedService = FromStreamVersion(r.StreamVersion), "", r.Service
@@ -298,7 +298,7 @@
 		Resumable: m.GetResumable(), LastEventID: m.GetLastEvent(),
 		ResponseStarted: m.GetBegun(), QueueUntil: timeAfter(m.GetPatienceRemaining(), now),
 		ExpectedTokens: int(m.GetAnswerTokens()), MaxTokens: int(m.GetMostTokens()), CallerCanRetry: m.GetFresh(),
-		FirstEventBy: timeAfter(m.GetBeginRemaining(), now), Final: m.GetFinal(), StreamVersion: ToStreamVersion(m.StreamVersion),
+		FirstEventBy: timeAfter(m.GetBeginRemaining(), now), Final: m.GetFinal(), Avoid: m.GetAvoid(), StreamVersion: ToStreamVersion(m.StreamVersion),
 	}
 	if r.StreamVersion.Known {
 		r.Service = m.GetContinuedService()
