--- a/scenario/scenario_test.go
+++ b/scenario/scenario_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"os"
-	"os/exec"
 	"strconv"
 	"strings"
 	"sync"
@@ -42,21 +41,12 @@
 // run builds the programs, with the race detector if VETCHTRAIL_RACE is set, runs the tests and
 // returns their exit code.
 func run(m *testing.M) int {
-	dir, err := os.MkdirTemp("", "vetchtrail")
+	dir, err := fleet.BuildPrograms("vetchtrail/cmd/...")
 	if err != nil {
 		fmt.Println(err)
 		return 1
 	}
 	defer func() { _ = os.RemoveAll(dir) }()
-	args := []string{"build", "-o", dir + "/"}
-	if os.Getenv("VETCHTRAIL_RACE") != "" {
-		args = append(args, "-race")
-	}
-	out, err := exec.Command("go", append(args, "vetchtrail/cmd/...")...).CombinedOutput()
-	if err != nil {
-		fmt.Printf("build: %v\n%s", err, out)
-		return 1
-	}
 	binaries = dir
 	code := m.Run()
 	for _, excerpt := range programFailures.list {
--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -12,7 +12,6 @@
 	"os/exec"
 	"path/filepath"
 	"strconv"
-	"strings"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -237,25 +236,3 @@
 	}
 	return out, nil
 }
-
-// RacesAndPanics returns an excerpt of each log that reports a data race, a panic or a
-// fatal error. The exit status does not show these, as most processes are killed.
-func (f *Fleet) RacesAndPanics() []string {
-	var out []string
-	logs, _ := filepath.Glob(filepath.Join(f.cfg.WorkDir, "*.log"))
-	for _, path := range logs {
-		text, err := os.ReadFile(path)
-		if err != nil {
-			continue
-		}
-		for _, marker := range []string{"WARNING: DATA RACE", "\npanic: ", "\nfatal error: "} {
-			if at := strings.Index(string(text), marker); at >= 0 {
-				out = append(out, filepath.Base(path)+": "+string(text[at:min(len(text), at+maxExcerptBytes)]))
-			}
-		}
-	}
-	return out
-}
-
-// maxExcerptBytes bounds an excerpt that RacesAndPanics returns.
-const maxExcerptBytes = 3000
--- a/standin/fleet/processes.go
+++ b/standin/fleet/processes.go
@@ -5,6 +5,7 @@
 	"os/exec"
 	"path/filepath"
 	"runtime"
+	"strings"
 	"sync"
 	"syscall"
 
@@ -59,6 +60,25 @@
 	return nil
 }
 
+// BuildPrograms builds programs into a new directory, with the race detector if VETCHTRAIL_RACE is set, and returns
+// the directory.
+func BuildPrograms(packages ...string) (string, error) {
+	dir, err := os.MkdirTemp("", "vetchtrail")
+	if err != nil {
+		return "", err
+	}
+	args := []string{"build", "-o", dir + "/"}
+	if os.Getenv("VETCHTRAIL_RACE") != "" {
+		args = append(args, "-race")
+	}
+	out, err := exec.Command("go", append(args, packages...)...).CombinedOutput() //nolint:noctx // ends by itself
+	if err != nil {
+		_ = os.RemoveAll(dir)
+		return "", errors.Wrapf(err, "fleet.BuildPrograms: %s", out)
+	}
+	return dir, nil
+}
+
 // Signal sends a signal to a process.
 func (p *Processes) Signal(name string, s syscall.Signal) error {
 	_, err := p.signal(name, s)
@@ -135,3 +155,25 @@
 	}
 	close(p.startCalls)
 }
+
+// RacesAndPanics returns an excerpt of each log that reports a data race, a panic or a
+// fatal error. The exit status does not show these, as most processes are killed.
+func (p *Processes) RacesAndPanics() []string {
+	var out []string
+	logs, _ := filepath.Glob(filepath.Join(p.workDir, "*.log"))
+	for _, path := range logs {
+		text, err := os.ReadFile(path)
+		if err != nil {
+			continue
+		}
+		for _, marker := range []string{"WARNING: DATA RACE", "\npanic: ", "\nfatal error: "} {
+			if at := strings.Index(string(text), marker); at >= 0 {
+				out = append(out, filepath.Base(path)+": "+string(text[at:min(len(text), at+maxExcerptBytes)]))
+			}
+		}
+	}
+	return out
+}
+
+// maxExcerptBytes bounds an excerpt that RacesAndPanics returns.
+const maxExcerptBytes = 3000
