--- a/standin/fleet/fleet_test.go
+++ b/standin/fleet/fleet_test.go
@@ -23,7 +23,7 @@
 		t.Run(name, func(t *testing.T) {
 			dir := t.TempDir()
 			assert.NilError(t, os.WriteFile(filepath.Join(dir, "host.log"), []byte(c.text), 0o600))
-			f := &Fleet{cfg: Config{WorkDir: dir}}
+			f := &Processes{workDir: dir}
 			assert.Equal(t, len(f.RacesAndPanics()), c.want)
 		})
 	}
