An operator's change doesn't fail for one late response of the store

Traced by the tool's message, as nothing else reads before that check; the failure itself was not seen again. Propose now reads up to three times. TestProposeReadsAgain fails on the code before.

--- a/version/changelog/changelog.go
+++ b/version/changelog/changelog.go
@@ -39,6 +39,9 @@
 	// maxProposeAttempts is how many revisions Propose tries to write before it
 	// reports a conflict.
 	maxProposeAttempts = 8
+	// maxReadAttempts is how often Propose reads from the store before it fails. A read without a
+	// response takes some seconds.
+	maxReadAttempts = 3
 
 	defaultRetryInterval = 200 * time.Millisecond
 	// WatchTimeout is how long one call waits at the store for the next revision.
--- a/version/changelog/changelog_test.go
+++ b/version/changelog/changelog_test.go
@@ -263,3 +263,23 @@
 	all.Wait()
 	assert.Assert(t, accepted > 0)
 }
+
+// TestProposeReadsAgain guards against an operator's change that fails because one response of the store is lost.
+func TestProposeReadsAgain(t *testing.T) {
+	cases := map[string]struct {
+		failures int // of the store's calls in a row
+		accepted bool
+	}{
+		"one call fails":    {1, true},
+		"two calls fail":    {2, true},
+		"the store is down": {maxReadAttempts, false},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			store := &fakeStore{entries: map[string]vetchtrail.StoreEntry{}, failures: c.failures}
+			_, err := newLog(store).Propose(context.Background(), change("c", 0))
+			assert.Equal(t, err == nil, c.accepted, "%v", err)
+			assert.Equal(t, store.writes > 0, c.accepted)
+		})
+	}
+}
--- a/version/changelog/propose.go
+++ b/version/changelog/propose.go
@@ -41,7 +41,7 @@
 // hosts won every revision that was tried, ErrOutcomeUnknown if the change may take
 // effect, and other errors if nothing was written.
 func (l *Log) Propose(ctx context.Context, c vetchtrail.Change) (uint64, error) {
-	if err := l.CatchUp(ctx); err != nil {
+	if err := l.readAgain(ctx, l.CatchUp); err != nil {
 		return 0, errors.Wrap(err, "changelog.Propose: read the newest configuration")
 	}
 	for range maxProposeAttempts {
@@ -63,7 +63,7 @@
 			l.snapshotIfDue(ctx)
 			return c.Revision, nil
 		}
-		if err := l.readChanges(ctx); err != nil {
+		if err := l.readAgain(ctx, l.readChanges); err != nil {
 			return 0, errors.Wrap(err, "changelog.Propose: read the change of another host")
 		}
 	}
@@ -71,6 +71,17 @@
 	return 0, &vetchtrail.ConflictError{Expect: c.Revision - 1, Current: l.Revision()}
 }
 
+// readAgain reads from the store, and tries again if that fails: an operator's change must not fail for one
+// response that is lost or late. It returns the error of the last attempt.
+func (l *Log) readAgain(ctx context.Context, read func(context.Context) error) error {
+	err := read(ctx)
+	for n := 1; err != nil && n < maxReadAttempts && ctx.Err() == nil; n++ {
+		l.sleep(ctx)
+		err = read(ctx)
+	}
+	return err
+}
+
 // acceptedRevision returns the revision of the change in memory that has the id.
 func (l *Log) acceptedRevision(id string) (uint64, bool) {
 	l.mu.Lock()
