TestSilenceOfService: what a host reports of a silent endpoint

The facts on which a handover keeps the original: that the endpoint accepts connections since it is silent, and that all endpoints at which the host reads streams are silent.

--- a/process/load/prefill_test.go
+++ b/process/load/prefill_test.go
@@ -1,6 +1,7 @@
 package load
 
 import (
+	"io"
 	"net/netip"
 	"slices"
 	"testing"
@@ -388,3 +389,42 @@
 		})
 	}
 }
+
+// TestSilenceOfService guards against a silence of one endpoint that is taken for one of all, and against one
+// whose connections still succeed or not.
+func TestSilenceOfService(t *testing.T) {
+	e, other := vetchtrail.Endpoint{Name: "a", Service: "s"}, vetchtrail.Endpoint{Name: "b", Service: "s"}
+	now := time.Unix(1000, 0)
+	long := now.Add(time.Minute)
+	start := func(t *Table, e vetchtrail.Endpoint, id string) *vetchtrail.Request {
+		r := request(id, 2, 0)
+		r.Stream = true
+		t.Acquire(e.Name, r, now)
+		t.ResponseStarted(e, r, now)
+		return r
+	}
+	cases := map[string]struct {
+		do   func(t *Table)
+		want vetchtrail.Silence
+	}{
+		"only its streams are read": {func(*Table) {}, vetchtrail.Silence{}},
+		"another is silent too":     {func(t *Table) { start(t, other, "y") }, vetchtrail.Silence{Standstill: true}},
+		"another goes on":           {func(t *Table) { start(t, other, "y"); t.EventReceived(other, time.Second, long) }, vetchtrail.Silence{}},
+		"another's caller is slow":  {func(t *Table) { t.StreamPaused(other, start(t, other, "y")) }, vetchtrail.Silence{}},
+		"it accepts connections":    {func(t *Table) { t.RecordConnected(e, long) }, vetchtrail.Silence{Connected: true}},
+		"it accepted one before":    {func(t *Table) { t.RecordConnected(e, now.Add(-time.Second)) }, vetchtrail.Silence{}},
+		"it refuses connections":    {func(t *Table) { t.RecordConnectFailure(e, long, io.EOF) }, vetchtrail.Silence{}},
+		"both, and it accepts them": {func(t *Table) { start(t, other, "y"); t.RecordConnected(e, long) }, vetchtrail.Silence{Connected: true, Standstill: true}},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			tab := twoRegions(0)
+			start(tab, e, "x")
+			c.do(tab)
+			got, silent := tab.Silent(e, long)
+			assert.Assert(t, silent)
+			c.want.Endpoint = "a"
+			assert.Equal(t, got, c.want)
+		})
+	}
+}
