--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -3,4 +3,4 @@
 # TROUBLE=0 leaves out the disruption.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/harness ] && [ -x target/vetchtraild ] || exit 2
-exec target/harness encoding review/3
+exec target/harness form review/3
