Lists: applying a diff costs its length, not a search for each endpoint

A diff was applied by a binary search in its removals for each of 10,000 endpoints: 44 of 277 s processor time of a simulated fleet (profile of TestLeavingKnownWithinInLargeFleet/killed). Only the names of the diff are searched for now. Tests of package lists pass as before.

--- a/process/lists/diff.go
+++ b/process/lists/diff.go
@@ -81,25 +81,25 @@
 // shared, not copied.
 func (d endpointDiff) apply(before []*vetchtrail.Endpoint) []*vetchtrail.Endpoint {
 	out := make([]*vetchtrail.Endpoint, 0, len(before)+len(d.changed))
-	changed := d.changed
-	for _, e := range before {
-		for len(changed) > 0 && changed[0].Name < e.Name {
-			out, changed = append(out, changed[0]), changed[1:]
+	changed, removed := d.changed, d.removed
+	for len(changed) > 0 || len(removed) > 0 {
+		isRemoval := len(changed) == 0 || len(removed) > 0 && removed[0] < changed[0].Name
+		var name string
+		if isRemoval {
+			name, removed = removed[0], removed[1:]
+		} else {
+			name = changed[0].Name
+		}
+		at, found := slices.BinarySearchFunc(before, name, func(e *vetchtrail.Endpoint, name string) int { return strings.Compare(e.Name, name) })
+		out, before = append(out, before[:at]...), before[at:]
+		if found {
+			before = before[1:]
 		}
-		switch {
-		case len(changed) > 0 && changed[0].Name == e.Name:
+		if !isRemoval {
 			out, changed = append(out, changed[0]), changed[1:]
-		case !d.removes(e.Name):
-			out = append(out, e)
 		}
 	}
-	return append(out, changed...)
-}
-
-// removes reports whether the diff removes an endpoint.
-func (d endpointDiff) removes(name string) bool {
-	_, ok := slices.BinarySearch(d.removed, name)
-	return ok
+	return append(out, before...)
 }
 
 // checksumOf returns the sum of the endpoints' hashes. Hosts compare it to check whether they have
