Polling the store is left to hosts with wide links

Callers: a request reaches a leaving endpoint. Cause: a poll returns what all endpoints have written since the last one, some 1.8 MB a second with 10,000 endpoints, so that a host with a link of 20 Mbit/s needs 0.7 s of each second for it, and 1.2 s after a takeover. Hosts rank for the task by their capacity, but one with a narrow link ranked first for over a third of the tasks where such hosts are seventeen times as many. The capacity counts to the third power for heavy tasks now: below one in twenty (TestHeavyTaskAvoidsNarrowHosts). Among hosts of the same capacity nothing changes (TestHeavyTaskOrderOfEqualHosts). Hosts of an older build rank differently until they are replaced: more than one host of a region polls then.

--- a/process/daemon/daemon.go
+++ b/process/daemon/daemon.go
@@ -171,6 +171,7 @@
 	d.membership = membership.New(membership.Config{
 		Self: d.self, Seeds: d.cfg.Seeds, Load: d.table, Revision: d.appliedRevision.Load, Regions: d.regions, Log: d.log, RandomSeed: d.randomSeed(),
 		CallsWholeRegion: d.hosted != nil, RateLimits: rateReceiver{d}, LeavingEndpoints: leavingReceiver{d}, Demands: demandExchange{d},
+		HeavyTasks: []string{lists.PollTask},
 	})
 	d.table.SetPeers(d.membership.RegionCount, d.randomSeed())
 	d.journal = journal.New(journal.Config{Log: d.log})
--- a/process/lists/configuration.go
+++ b/process/lists/configuration.go
@@ -57,7 +57,7 @@
 		return true
 	}
 	confirmed := l.pollsPlatform(now)
-	for _, h := range l.cfg.Hosts.FirstOthers(pollTask, configCheckPeers, now) {
+	for _, h := range l.cfg.Hosts.FirstOthers(PollTask, configCheckPeers, now) {
 		ok, err := l.checkPeer(ctx, h)
 		if err != nil {
 			l.cfg.Log.Info("newest configuration not asked", "peer", h.Name, "error", err)
--- a/process/lists/fetch.go
+++ b/process/lists/fetch.go
@@ -187,7 +187,7 @@
 // this host has settled, the seeds precede them: if all hosts start at once, the seeds poll the
 // platform, since no host relies on its rank yet.
 func (l *Lists) peersToQuery(now time.Time) []vetchtrail.Host {
-	out := l.cfg.Hosts.FirstOthers(pollTask, maxPeers, now)
+	out := l.cfg.Hosts.FirstOthers(PollTask, maxPeers, now)
 	if now.Sub(l.startedAt) >= settleTime {
 		return out
 	}
--- a/process/lists/poll.go
+++ b/process/lists/poll.go
@@ -2,10 +2,10 @@
 
 import "time"
 
-// pollTask is the task of polling the platform for the listing. The calls of all hosts together
+// PollTask is the task of polling the platform for the listing. The calls of all hosts together
 // are rate-limited and billed, so one host of a region polls and the others query it. All hosts
 // hash this text to rank themselves for the task, so it must not change.
-const pollTask = "follow the platform"
+const PollTask = "follow the platform"
 
 // referenceBound is the KnownWithin for which this package's waits are given. Within a shorter one
 // they are shorter in proportion, so that their sum stays below it. From an endpoint's leaving until
@@ -117,7 +117,7 @@
 			s.listingAge = min(s.listingAge, now.Sub(*polled))
 		}
 	}
-	s.rankInRegion, s.rankInDataCentre = l.cfg.Hosts.Rank(pollTask, now)
+	s.rankInRegion, s.rankInDataCentre = l.cfg.Hosts.Rank(PollTask, now)
 	s.rejectedBefore, s.silentBefore = l.countRejected(s.rankInRegion, now)
 	s.outdated = s.listingAge >= l.outdatedAge()
 	if at := l.takeoverAt.Load(); at != nil {
@@ -129,7 +129,7 @@
 // countRejected returns how many of the region's hosts that rank before this one the platform is
 // known to reject, and how many others are silent. It checks at most the first maxPeers of them.
 func (l *Lists) countRejected(rank int, now time.Time) (rejected, silent int) {
-	for _, h := range l.cfg.Hosts.FirstOthers(pollTask, min(rank, maxPeers), now) {
+	for _, h := range l.cfg.Hosts.FirstOthers(PollTask, min(rank, maxPeers), now) {
 		switch {
 		case l.peerRejected(h.Name, now):
 			rejected++
@@ -175,7 +175,7 @@
 // if the host that polls is lost.
 func (l *Lists) ShouldWatchConfiguration() bool {
 	now := time.Now()
-	rank, _ := l.cfg.Hosts.Rank(pollTask, now)
+	rank, _ := l.cfg.Hosts.Rank(PollTask, now)
 	return rank == 1 && now.Sub(l.startedAt) >= settleTime
 }
 
--- a/process/lists/startup.go
+++ b/process/lists/startup.go
@@ -41,7 +41,7 @@
 // listing is fetched from the first peer that replies that it has one.
 func (l *Lists) queryStartupPeers(ctx context.Context) {
 	now := time.Now()
-	peers := append(l.seeds(), l.cfg.Hosts.FirstOthers(pollTask, 1, now)...)
+	peers := append(l.seeds(), l.cfg.Hosts.FirstOthers(PollTask, 1, now)...)
 	for _, h := range peers {
 		if l.startupQueries.Add(1) > maxStartupQueries {
 			l.startupQueries.Add(-1)
--- a/process/membership/capacity.go
+++ b/process/membership/capacity.go
@@ -84,8 +84,21 @@
 // rate is the host's capacity. A host then ranks first for a share of the tasks that equals
 // its share of the capacity: weighted rendezvous hashing (Schindelhauer and Schomaker 2005).
 // So tasks that make many other hosts send queries are seldom assigned to a host with a
-// narrow link.
-func rankKey(task string, h *vetchtrail.Host) float64 {
+// narrow link. An exponent above 1 shifts a task further to the hosts with much capacity; it
+// makes no difference among hosts of the same capacity.
+func rankKey(task string, h *vetchtrail.Host, exponent float64) float64 {
 	u := (float64(hashPair(task, h.Name)>>11) + 0.5) / (1 << 53)
-	return -math.Log(u) / capacityOf(*h)
+	return -math.Log(u) / math.Pow(capacityOf(*h), exponent)
+}
+
+// heavyTaskExponent is the exponent of heavy tasks: a host with a tenth of another one's capacity
+// ranks before it once in a thousand times, so that it does so seldom even where such hosts are
+// twenty times as many.
+const heavyTaskExponent = 3
+
+// RankHosts sorts hosts by their rank for a heavy task.
+func RankHosts(task string, hosts []vetchtrail.Host) {
+	slices.SortFunc(hosts, func(a, b vetchtrail.Host) int {
+		return cmp.Compare(rankKey(task, &a, heavyTaskExponent), rankKey(task, &b, heavyTaskExponent))
+	})
 }
--- a/process/membership/capacity_test.go
+++ b/process/membership/capacity_test.go
@@ -1,8 +1,10 @@
 package membership
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -77,7 +79,7 @@
 	first := func(task string, candidates []vetchtrail.Host) string {
 		best := candidates[0]
 		for _, h := range candidates[1:] {
-			if rankKey(task, &h) < rankKey(task, &best) {
+			if rankKey(task, &h, 1) < rankKey(task, &best, 1) {
 				best = h
 			}
 		}
@@ -96,3 +98,40 @@
 	}
 	assert.Assert(t, tasksOfA > 1750 && tasksOfA < 1880, "%d of 2000 tasks have a as their first host", tasksOfA)
 }
+
+// TestHeavyTaskAvoidsNarrowHosts guards against a heavy task that falls to a host with a narrow link because there are many of them.
+func TestHeavyTaskAvoidsNarrowHosts(t *testing.T) {
+	hosts := make([]vetchtrail.Host, 0, 340)
+	for i := range cap(hosts) {
+		h := vetchtrail.Host{Name: fmt.Sprint("h", i), Capacity: 222}
+		if i%17 == 0 {
+			h.Capacity = 2219
+		}
+		hosts = append(hosts, h)
+	}
+	const tasks = 500
+	narrowFirst, narrowUsual := 0, 0
+	for i := range tasks {
+		task := fmt.Sprint("duty ", i)
+		RankHosts(task, hosts)
+		if hosts[0].Capacity < 1000 {
+			narrowFirst++
+		}
+		usual := slices.MinFunc(hosts, func(a, b vetchtrail.Host) int { return cmp.Compare(rankKey(task, &a, 1), rankKey(task, &b, 1)) })
+		if usual.Capacity < 1000 {
+			narrowUsual++
+		}
+	}
+	assert.Assert(t, narrowFirst < tasks/20, "%d of %d heavy tasks", narrowFirst, tasks)
+	assert.Assert(t, narrowUsual > tasks/3, "%d of %d usual tasks", narrowUsual, tasks)
+}
+
+// TestHeavyTaskOrderOfEqualHosts guards against a heavy task that ranks hosts of the same capacity differently.
+func TestHeavyTaskOrderOfEqualHosts(t *testing.T) {
+	hosts := make([]vetchtrail.Host, 0, 22)
+	for i := range cap(hosts) {
+		hosts = append(hosts, vetchtrail.Host{Name: fmt.Sprint("h", i), Capacity: 2000})
+	}
+	RankHosts("x", hosts)
+	assert.Assert(t, slices.IsSortedFunc(hosts, func(a, b vetchtrail.Host) int { return cmp.Compare(rankKey("x", &a, 1), rankKey("x", &b, 1)) }))
+}
--- a/process/membership/membership.go
+++ b/process/membership/membership.go
@@ -77,6 +77,9 @@
 	// CallsWholeRegion is set if hosts call the endpoints of their whole region
 	// directly, so that no request is forwarded within the region.
 	CallsWholeRegion bool
+	// HeavyTasks are tasks that take much of a host's link or processor. They are left to the hosts
+	// with the greatest capacity as far as possible.
+	HeavyTasks []string
 }
 
 // RateLimits receives the rate limit of an endpoint that another host reports.
--- a/process/membership/rank.go
+++ b/process/membership/rank.go
@@ -15,9 +15,10 @@
 func (m *Membership) Rank(task string, now time.Time) (region, dataCentre int) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	own := rankKey(task, &m.self)
+	exponent := m.exponentOf(task)
+	own := rankKey(task, &m.self, exponent)
 	m.eachOtherInRegion(now, func(h *vetchtrail.Host) {
-		if rankKey(task, h) >= own {
+		if rankKey(task, h, exponent) >= own {
 			return
 		}
 		region++
@@ -33,7 +34,7 @@
 func (m *Membership) FirstOthers(task string, n int, now time.Time) []vetchtrail.Host {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	r := ranking{task: task}
+	r := ranking{task: task, exponent: m.exponentOf(task)}
 	m.eachOtherInRegion(now, r.add)
 	return r.first(n)
 }
@@ -43,7 +44,7 @@
 func (m *Membership) FirstInRegion(region, task string, n int, now time.Time) []vetchtrail.Host {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	r := ranking{task: task}
+	r := ranking{task: task, exponent: m.exponentOf(task)}
 	if region == m.self.Region {
 		self := m.selfAt(now)
 		r.add(&self)
@@ -54,11 +55,20 @@
 	return r.first(n)
 }
 
+// exponentOf returns the exponent of the hosts' capacities for a task.
+func (m *Membership) exponentOf(task string) float64 {
+	if slices.Contains(m.cfg.HeavyTasks, task) {
+		return heavyTaskExponent
+	}
+	return 1
+}
+
 // ranking sorts hosts for a task. To be cheap, it points to the hosts instead of copying
 // them and computes each key once: all hosts of a region are ranked several times a second.
 type ranking struct {
-	task  string
-	hosts []ranked
+	task     string
+	exponent float64
+	hosts    []ranked
 }
 
 // ranked is a host with its rankKey.
@@ -68,7 +78,9 @@
 }
 
 // add adds a host to the ranking. The host must not change before first is called.
-func (r *ranking) add(h *vetchtrail.Host) { r.hosts = append(r.hosts, ranked{rankKey(r.task, h), h}) }
+func (r *ranking) add(h *vetchtrail.Host) {
+	r.hosts = append(r.hosts, ranked{rankKey(r.task, h, r.exponent), h})
+}
 
 // first returns copies of the first n hosts.
 func (r *ranking) first(n int) []vetchtrail.Host {
