Tests: responses cut inside their head

Report of another operator: an endpoint stopped in the middle of a response's head and closed, and callers got a 200 with an empty or short body.

--- a/connection/caller/response_passthrough_test.go
+++ b/connection/caller/response_passthrough_test.go
@@ -164,3 +164,29 @@
 		}
 	}
 }
+
+// TestCutHeadReachesNoCaller guards against a response with success, and an empty or short body, although the endpoint closed the
+// connection inside its head.
+func TestCutHeadReachesNoCaller(t *testing.T) {
+	heads := map[string]string{
+		"length":               "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: 2\r\n\r\n",
+		"chunks":               "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nTransfer-Encoding: chunked\r\n\r\n",
+		"ends with connection": "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nConnection: close\r\n\r\n",
+		"stream":               "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
+		"interim response":     "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n",
+	}
+	for _, leg := range passLegs() {
+		f := newPassFleet(t, leg)
+		f.endpoint.closeAfter.Store(true)
+		for name, head := range heads {
+			t.Run(leg.name+"/"+name, func(t *testing.T) {
+				for cut := 0; cut < len(head); cut++ {
+					for _, method := range []string{http.MethodGet, http.MethodHead, http.MethodPost} {
+						_, got, err := f.exchange(passRequest{method: method, path: routedPath + "x"}.bytes(leg), head[:cut], method == http.MethodHead)
+						assert.Assert(t, err != nil || strings.HasPrefix(got.first, "HTTP/1.1 5"), "%s cut after %q: %q", method, head[:cut], got.first)
+					}
+				}
+			})
+		}
+	}
+}
