origins: a host that nobody answers doesn't take its own listing for the newest

Callers: a stream that began at an endpoint of a new software version, through another host, was resumed at a host that had been cut off or stopped for some seconds, and went on at an endpoint of the version before. Now one other host at least has to reply, and one that lists several versions says so (new field; hosts of an older build don't). A host that knows of no other takes its own listing while that is new.

--- a/process/origins/origins.go
+++ b/process/origins/origins.go
@@ -133,8 +133,9 @@
 
 // HandleQuery answers another host's query for the origin of a stream.
 func (o *Origins) HandleQuery(m *schema.StreamOriginQuery) *schema.StreamOriginReply {
-	v, only := o.known(m.GetService(), m.GetStream(), time.Now())
-	return &schema.StreamOriginReply{SoftwareVersion: schema.FromStreamVersion(v), Only: only}
+	now := time.Now()
+	v, only := o.known(m.GetService(), m.GetStream(), now)
+	return &schema.StreamOriginReply{SoftwareVersion: schema.FromStreamVersion(v), Only: only, Several: !v.Known && o.listedSeveral(m.GetService(), now)}
 }
 
 // known returns what this host knows of a stream's origin: its record or, without one, the version that is the
--- a/process/origins/origins_test.go
+++ b/process/origins/origins_test.go
@@ -193,3 +193,78 @@
 		assert.Equal(t, o.records.Len(), 2)
 	})
 }
+
+// slowPeers delays the replies to a host's queries, as for a host that is cut off or was stopped meanwhile.
+type slowPeers struct {
+	fakeHosts
+	delay time.Duration
+}
+
+// FindOrigin implements Peers.
+func (p slowPeers) FindOrigin(ctx context.Context, addr netip.AddrPort, m *schema.StreamOriginQuery) (*schema.StreamOriginReply, error) {
+	select {
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	case <-time.After(p.delay):
+	}
+	return p.fakeHosts.FindOrigin(ctx, addr, m)
+}
+
+// TestStreamOfNewVersionAtHostOutOfStep guards against a host that resumes a stream at the version that it takes for the only one, while it
+// lacks a new version at which the stream began at another host.
+func TestStreamOfNewVersionAtHostOutOfStep(t *testing.T) {
+	v1 := vetchtrail.StreamVersion{Known: true, Version: "v1"}
+	cases := map[string]struct {
+		delay time.Duration // of replies to the host
+		third []string      // versions that a third host lists, which has no record of the stream
+		young bool          // the third host has only just started
+		want  vetchtrail.StreamVersion
+	}{
+		"cut off":                          {delay: time.Minute},
+		"replies after the search":         {delay: findTimeout + time.Millisecond},
+		"another lists both versions":      {third: []string{"v1", "v2"}},
+		"another lists the new version":    {third: []string{"v2"}},
+		"another lists one version":        {third: []string{"v1"}, want: v1},
+		"another lists one version, new":   {third: []string{"v1"}, young: true, want: v1},
+		"another lists both, but too late": {third: []string{"v1", "v2"}, delay: time.Minute},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := fakeHosts{}
+				began, listBegan := f.start("h")
+				host, listHost := f.start("hh")
+				var listThird func(...string)
+				if c.third != nil && !c.young {
+					_, listThird = f.start("hhh")
+					listThird("v1")
+				}
+				listBegan("v1")
+				listHost("v1")
+				time.Sleep(2 * maxStreamAge)
+				listHost("v1")
+				if c.young {
+					_, listThird = f.start("hhh")
+				}
+				if c.third != nil {
+					listThird(c.third...)
+				}
+				listBegan("v1", "v2")
+				others := fakeHosts{} // those that get the record
+				for addr, o := range f {
+					if o == began {
+						others[addr] = o
+					}
+				}
+				began.cfg.Hosts, began.cfg.Peers = others, others
+				began.Began("s", "x", vetchtrail.StreamVersion{Known: true, Version: "v2"})
+				synctest.Wait()
+				if c.third != nil {
+					delete(f, began.cfg.Self.PeerAddr) // lost, with the record
+				}
+				host.cfg.Peers = slowPeers{f, c.delay}
+				assert.Equal(t, host.Find(t.Context(), "s", "x"), c.want)
+			})
+		})
+	}
+}
--- a/process/origins/replicas.go
+++ b/process/origins/replicas.go
@@ -165,34 +165,66 @@
 	return "replica"
 }
 
+// answers is what other hosts have replied to a query so far.
+type answers struct {
+	record   vetchtrail.StreamVersion // of the stream
+	only     vetchtrail.StreamVersion // said to be the service's only version
+	disputed bool                     // by hosts that name different versions, or list several
+	count    int
+}
+
+// add adds a reply.
+func (a *answers) add(reply *schema.StreamOriginReply) {
+	a.count++
+	v := schema.ToStreamVersion(reply.SoftwareVersion)
+	switch {
+	case v.Known && !reply.GetOnly():
+		a.record = v
+	case v.Known:
+		a.disputed = a.disputed || a.only.Known && a.only != v
+		a.only = v
+	case reply.GetSeveral():
+		a.disputed = true
+	}
+}
+
 // ask asks hosts for the origin of a stream. The first record decides. Without one it is the only version of the
-// service, by this host or by others; it is disputed, and not known, if they disagree or this host has listed another
-// version.
-func (o *Origins) ask(ctx context.Context, hosts []vetchtrail.Host, q *schema.StreamOriginQuery, single vetchtrail.StreamVersion) (v vetchtrail.StreamVersion, only, disputed bool) {
+// service, by this host or by others; it is disputed, and not known, if they disagree, this host has listed another
+// version, or none of them replies: this host may then be the one that lacks a new version, as it is cut off or was stopped.
+func (o *Origins) ask(ctx context.Context, hosts []vetchtrail.Host, q *schema.StreamOriginQuery, own vetchtrail.StreamVersion) (v vetchtrail.StreamVersion, only, disputed bool) {
 	ctx, cancel := context.WithTimeout(ctx, findTimeout)
 	defer cancel()
-	replies, disagree := o.query(ctx, hosts, q), false
-	for {
-		var reply *schema.StreamOriginReply
+	a, replies := answers{only: own}, o.query(ctx, hosts, q)
+	for over := false; !over && !a.record.Known; {
 		select {
+		case reply, ok := <-replies:
+			if ok {
+				a.add(reply)
+			}
+			over = !ok
 		case <-ctx.Done():
-		case reply = <-replies:
-		}
-		if reply == nil { // all have answered, or the time is over
-			if single.Known && (disagree || !o.agrees(q.GetService(), single)) {
-				return vetchtrail.StreamVersion{}, false, true
+			over = true
+			for len(replies) > 0 { // that arrived while this host was stopped
+				a.add(<-replies)
 			}
-			return single, single.Known, false
-		}
-		v := schema.ToStreamVersion(reply.SoftwareVersion)
-		switch {
-		case v.Known && !reply.GetOnly():
-			return v, false, false
-		case v.Known:
-			disagree = disagree || single.Known && single != v
-			single = v
 		}
 	}
+	switch {
+	case a.record.Known:
+		return a.record, false, false
+	case !a.only.Known && !a.disputed:
+		return vetchtrail.StreamVersion{}, false, false
+	case a.disputed, !o.agrees(q.GetService(), a.only), a.count == 0 && !o.isAlone(hosts):
+		return vetchtrail.StreamVersion{}, false, true
+	}
+	return a.only, true, false
+}
+
+// isAlone reports whether this host is the only one, of those hosts that are asked, and reads the platform itself. A host that is cut off counts
+// the others as lost after some seconds, but its listing is older then.
+func (o *Origins) isAlone(hosts []vetchtrail.Host) bool {
+	l := o.cfg.Listing()
+	return len(hosts) == 0 && l != nil && time.Since(l.ReadAt) < o.cfg.KnownWithin/2
 }
 
 // query sends a query to hosts and returns their replies. The channel is closed once all have replied or failed.
--- a/process/origins/versions.go
+++ b/process/origins/versions.go
@@ -84,6 +84,14 @@
 	return h.versions[0], true
 }
 
+// listedSeveral reports whether this host's listings have shown several versions of a service for as long as a stream lasts.
+func (o *Origins) listedSeveral(service string, now time.Time) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	h, ok := o.services[service]
+	return ok && (!h.single() || h.changed && now.Sub(h.since) <= maxStreamAge)
+}
+
 // Only implements vetchtrail.StreamOrigins.
 func (o *Origins) Only(service string) vetchtrail.StreamVersion {
 	o.mu.Lock()
