Lists: referrals of busy hosts are followed for 0.7 s at most

Cause: up to ten hosts were queried one after the other, 0.7 s each if they didn't answer, 7 s in all: a wait in the sum from the store to the last host that no bound held (shorter in proportion within a shorter bound). Then the next round begins, as one of the hosts may have become free.

--- a/process/lists/query.go
+++ b/process/lists/query.go
@@ -27,6 +27,9 @@
 	// maxHostsPerQuery bounds the hosts that one query is sent to when busy hosts refer to
 	// others. This host counts as one of them.
 	maxHostsPerQuery = 10
+	// maxReferralTime is how long referrals are followed. Then the next round of queries begins, as one of the hosts may
+	// have become free meanwhile.
+	maxReferralTime = 700 * time.Millisecond
 )
 
 // query queries a host for a listing newer than a revision. If the host's link is busy, query goes
@@ -40,7 +43,8 @@
 	l.recordPeerPoll(first, time.Now())
 	queried := map[netip.AddrPort]bool{to: true, l.cfg.Self.PeerAddr: true}
 	next := l.parseReferrals(first)
-	for len(next) > 0 && len(queried) < maxHostsPerQuery {
+	until := time.Now().Add(l.scaled(maxReferralTime))
+	for len(next) > 0 && len(queried) < maxHostsPerQuery && time.Now().Before(until) {
 		addr := next[0]
 		next = next[1:]
 		if queried[addr] {
