Lists: a host that has just started says that it doesn't poll yet

Callers: a leaving endpoint is used for longer after each start of the host that ranks first. Replies say so now, and the next host polls meanwhile. TestStartingHostDoesNotPollForOthers failed before.

--- a/process/lists/fetch.go
+++ b/process/lists/fetch.go
@@ -175,6 +175,16 @@
 	}
 }
 
+// recordSettling records whether a host has just started and doesn't poll yet.
+func (l *Lists) recordSettling(host string, settling bool, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.settlingUntil, host)
+	if settling {
+		l.settlingUntil[host] = now.Add(settleTime)
+	}
+}
+
 // recordSilent records that a host has not responded within hedgeDelay. It is silent until it responds or its query has
 // timed out.
 func (l *Lists) recordSilent(host string, now time.Time) {
@@ -230,6 +240,7 @@
 			l.cfg.Log.Info("configuration not pulled", "peer", h.Name, "revision", reply.GetConfiguration(), "error", err)
 		}
 	}
+	l.recordSettling(h.Name, reply.GetSettling(), time.Now())
 	if reply.GetSeen() == 0 {
 		return l.scaled(queryTimeout), true, nil
 	}
--- a/process/lists/lists.go
+++ b/process/lists/lists.go
@@ -105,6 +105,9 @@
 	// unreachableUntil maps the name of a peer that did not respond to the time until which
 	// it is not queried again.
 	unreachableUntil map[string]time.Time
+	// settlingUntil maps the name of a peer that has just started to the time until which this host
+	// takes it that the peer doesn't poll.
+	settlingUntil map[string]time.Time
 	// silentUntil maps the name of a peer that has not responded within hedgeDelay to the time until
 	// which this is known.
 	silentUntil map[string]time.Time
@@ -116,7 +119,7 @@
 		c.Clock = time.Now
 	}
 	return &Lists{
-		cfg: c, startedAt: time.Now(), rejectedUntil: map[string]time.Time{}, unreachableUntil: map[string]time.Time{}, silentUntil: map[string]time.Time{},
+		cfg: c, startedAt: time.Now(), rejectedUntil: map[string]time.Time{}, unreachableUntil: map[string]time.Time{}, settlingUntil: map[string]time.Time{}, silentUntil: map[string]time.Time{},
 		uplink: uplink{bytesPerSecond: servedLinkShare * c.LinkMbps * bytesPerMbit}, rnd: rand.New(rand.NewPCG(xxhash.Sum64String(c.Self.Name), 0)),
 	}
 }
--- a/process/lists/poll.go
+++ b/process/lists/poll.go
@@ -78,6 +78,7 @@
 	rankInRegion     int           // hosts of its region that rank before it
 	rankInDataCentre int           // hosts of its data centre that rank before it
 	rejectedBefore   int           // how many of the rankInRegion hosts the platform is known to reject
+	settlingBefore   int           // how many others of them have just started and don't poll yet
 	silentBefore     int           // how many others of them have not responded to a query for some time
 	outdated         bool          // the platform has not been polled when it was due
 	sinceTakeover    time.Duration // time since this host took over; negative: it never did
@@ -92,9 +93,9 @@
 		return true
 	case s.uptime < settleTime:
 		return s.seed || s.overdue(1+s.jitter*startupTakeoverSteps)
-	case s.rankInRegion <= s.rejectedBefore*pollersPerRejected:
+	case s.rankInRegion <= s.rejectedBefore*pollersPerRejected+s.settlingBefore:
 		return true // first in the region, or close enough behind rejected hosts
-	case s.outdated && s.rankInRegion <= s.rejectedBefore*pollersPerRejected+s.silentBefore:
+	case s.outdated && s.rankInRegion <= s.rejectedBefore*pollersPerRejected+s.settlingBefore+s.silentBefore:
 		return true // next behind hosts that may have crashed; it is one host for each, as they may also be busy
 	}
 	return s.overdue(float64(s.rankInDataCentre))
@@ -118,7 +119,7 @@
 		}
 	}
 	s.rankInRegion, s.rankInDataCentre = l.cfg.Hosts.Rank(PollTask, now)
-	s.rejectedBefore, s.silentBefore = l.countRejected(s.rankInRegion, now)
+	s.rejectedBefore, s.settlingBefore, s.silentBefore = l.countIdle(s.rankInRegion, now)
 	s.outdated = s.listingAge >= l.outdatedAge()
 	if at := l.takeoverAt.Load(); at != nil {
 		s.sinceTakeover = now.Sub(*at)
@@ -126,18 +127,21 @@
 	return s
 }
 
-// countRejected returns how many of the region's hosts that rank before this one the platform is
-// known to reject, and how many others are silent. It checks at most the first maxPeers of them.
-func (l *Lists) countRejected(rank int, now time.Time) (rejected, silent int) {
+// countIdle returns how many of the region's hosts that rank before this one the platform is known to
+// reject, how many others have just started, and how many others are silent. It checks at most the
+// first maxPeers of them.
+func (l *Lists) countIdle(rank int, now time.Time) (rejected, settling, silent int) {
 	for _, h := range l.cfg.Hosts.FirstOthers(PollTask, min(rank, maxPeers), now) {
 		switch {
 		case l.peerRejected(h.Name, now):
 			rejected++
+		case l.peerSettling(h.Name, now):
+			settling++
 		case l.peerSilent(h.Name, now):
 			silent++
 		}
 	}
-	return rejected, silent
+	return rejected, settling, silent
 }
 
 // peerRejected reports whether the platform is assumed to reject a peer.
@@ -147,6 +151,13 @@
 	return now.Before(l.rejectedUntil[host])
 }
 
+// peerSettling reports whether a peer has just started and doesn't poll yet.
+func (l *Lists) peerSettling(host string, now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return now.Before(l.settlingUntil[host])
+}
+
 // peerSilent reports whether a peer has not responded to a query for some time.
 func (l *Lists) peerSilent(host string, now time.Time) bool {
 	l.mu.Lock()
--- a/process/lists/serve.go
+++ b/process/lists/serve.go
@@ -18,6 +18,7 @@
 	now := time.Now()
 	m := l.replyTo(q, now)
 	m.Configuration, m.Cut = l.cfg.Configuration.Revision(), l.selfRejected(now)
+	m.Settling = now.Sub(l.startedAt) < settleTime && !l.pollState(now).shouldPoll()
 	return m
 }
 
--- a/process/lists/serve_test.go
+++ b/process/lists/serve_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net/netip"
 	"slices"
 	"testing"
 	"testing/synctest"
@@ -329,3 +330,27 @@
 		})
 	}
 }
+
+// TestStartingHostDoesNotPollForOthers guards against a region that nobody polls for while the host that ranks first has just started.
+func TestStartingHostDoesNotPollForOthers(t *testing.T) {
+	cases := map[string]struct {
+		uptime time.Duration // of the host that ranks first
+		polls  bool          // the next one polls
+	}{"just started": {time.Second, true}, "settled": {time.Hour, false}}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			r := newSimRegion(3, 1)
+			first, next := r.hosts[0], r.hosts[1]
+			first.cfg.Seeds = []netip.AddrPort{r.hosts[2].cfg.Self.PeerAddr}
+			first.startedAt, next.startedAt = time.Now().Add(-c.uptime), time.Now().Add(-time.Hour)
+			for _, h := range []*simHost{first, next} {
+				listing := testListing(5, []*vetchtrail.Endpoint{testEndpoint(1)})
+				listing.ReadAt = time.Now()
+				h.Update(listing)
+			}
+			_, _, err := next.fetchFrom(t.Context(), first.cfg.Self, noCallback)
+			assert.NilError(t, err)
+			assert.Equal(t, next.pollState(time.Now()).shouldPoll(), c.polls)
+		})
+	}
+}
