--- a/process/lists/poll.go
+++ b/process/lists/poll.go
@@ -14,12 +14,13 @@
 //   - 1.5 s until the next poll is due (pollFraction);
 //   - 0.8 s until it counts as missing (peerAgeSlack), if the first host is silent by then
 //     (fetchInterval, hedgeDelay) or says that the platform rejects it, else 1.3 s (takeoverSlack);
-//   - 0.2 s until the next host finds that it is to poll (roleCheckInterval), and its call;
+//   - 0.2 s until the next host finds that it is to poll (roleCheckInterval), and its calls: one to read
+//     on from its listing, and one for each few hundred changes since;
 //   - 0.7 s until a round of queries that began before the call ended is over (queryTimeout,
 //     maxOutdated);
 //   - 0.2 s until the next round (RoleCheckInterval), and its query.
 //
-// These are 3.4 s or 3.9 s, a call and a query. What remains is for those, and for requests that are
+// These are 3.4 s or 3.9 s, the calls and a query. What remains is for those, and for requests that are
 // on their way to the endpoint.
 const referenceBound = 5 * time.Second
 
