Lists: a host that reads a backlog of changes is still the one that polls

Callers: none seen; the store's calls and all hosts' memory. A listing says now when the platform was last polled for it (polled); takeovers go by that, requests by its age as before. TestBacklogIsNoReasonToTakeOver: does not compile on the code before, which has no such time. Hosts of an older build take the age.

--- a/feed.go
+++ b/feed.go
@@ -61,6 +61,9 @@
 	Revision          uint64    // platform revision of the newest change that the listing contains
 	ConfirmedRevision uint64    // platform revision up to which there was no further change
 	ReadAt            time.Time // when the platform was read
+	// PolledAt is when the platform was last polled for the listing, if that is later than ReadAt: a
+	// host reads many changes in parts, and the listing is as old as ReadAt until the last one.
+	PolledAt time.Time
 	// Endpoints are sorted by name. Listings share the endpoints that did not change between
 	// them, so an endpoint must not be modified once a listing contains it.
 	Endpoints []*Endpoint
@@ -70,6 +73,9 @@
 	Quarantined []QuarantineEntry
 }
 
+// LastPoll returns when the platform was last polled for the listing.
+func (l *Listing) LastPoll() time.Time { return Later(l.ReadAt, l.PolledAt) }
+
 // Endpoint returns the endpoint with a name; nil: it is not listed.
 func (l *Listing) Endpoint(name string) *Endpoint {
 	i, ok := slices.BinarySearchFunc(l.Endpoints, name, func(e *Endpoint, name string) int { return strings.Compare(e.Name, name) })
--- a/process/lists/fetch.go
+++ b/process/lists/fetch.go
@@ -55,7 +55,7 @@
 		l.pause(ctx, interval)
 		interval = l.scaled(fetchInterval)
 		now := time.Now()
-		if now.Sub(l.current.Load().ReadAt) < l.PollInterval() && l.ShouldPoll() {
+		if now.Sub(l.current.Load().LastPoll()) < l.PollInterval() && l.ShouldPoll() {
 			continue
 		}
 		if !l.fetchFromPeers(ctx) {
@@ -225,8 +225,8 @@
 	return vetchtrail.Host{Name: addr.String(), PeerAddr: addr}
 }
 
-// fetchFrom fetches a newer listing and configuration from a host. It returns the age of that
-// host's listing and whether the platform rejects the host. A host without a listing counts
+// fetchFrom fetches a newer listing and configuration from a host. It returns how long ago the
+// platform was polled for that host's listing and whether the platform rejects the host. A host without a listing counts
 // as rejected.
 func (l *Lists) fetchFrom(ctx context.Context, h vetchtrail.Host, responded func()) (age time.Duration, rejected bool, err error) {
 	current, began := l.current.Load(), time.Now()
@@ -244,7 +244,7 @@
 	if reply.GetSeen() == 0 {
 		return l.scaled(queryTimeout), true, nil
 	}
-	return time.Duration(reply.GetAge()), reply.GetCut(), l.applyReply(ctx, reply, h, current)
+	return pollAge(reply), reply.GetCut(), l.applyReply(ctx, reply, h, current)
 }
 
 // confirm makes this host's listing as new as that of a peer that has no newer revision. If the
@@ -260,7 +260,8 @@
 		return errors.Wrapf(ErrBaseMismatch, "no change since revision %d, but checksum %x, not %x", current.Revision, reply.GetSum(), sum)
 	}
 	unchanged := *current
-	unchanged.ConfirmedRevision, unchanged.ReadAt = reply.GetSeen(), time.Now().Add(-time.Duration(reply.GetAge()))
+	now := time.Now()
+	unchanged.ConfirmedRevision, unchanged.ReadAt, unchanged.PolledAt = reply.GetSeen(), now.Add(-time.Duration(reply.GetAge())), now.Add(-pollAge(reply))
 	l.Update(unchanged)
 	return nil
 }
--- a/process/lists/poll.go
+++ b/process/lists/poll.go
@@ -114,7 +114,7 @@
 		seed: l.isSeed(), uptime: now.Sub(l.startedAt), jitter: l.jitter(), takeoverAge: l.takeoverAge(), takeoverStep: l.scaled(takeoverStep), sinceTakeover: -1,
 	}
 	if current := l.current.Load(); current != nil {
-		s.hasListing, s.listingAge = true, now.Sub(current.ReadAt)
+		s.hasListing, s.listingAge = true, now.Sub(current.LastPoll())
 		if polled := l.lastPeerPoll.Load(); polled != nil {
 			s.listingAge = min(s.listingAge, now.Sub(*polled))
 		}
--- a/process/lists/query.go
+++ b/process/lists/query.go
@@ -112,10 +112,23 @@
 	if err != nil {
 		return nil, err
 	}
-	reply.Age += int64(time.Since(began))
+	took := int64(time.Since(began))
+	reply.Age += took
+	if reply.GetPolled() > 0 {
+		reply.Polled += took
+	}
 	return reply, nil
 }
 
+// pollAge returns how long ago the platform was polled for the listing of a reply. A host whose listing is old because it
+// still reads a backlog of changes polls the platform, so that no other one has to.
+func pollAge(reply *schema.Listing) time.Duration {
+	if reply.GetPolled() > 0 {
+		return time.Duration(reply.GetPolled())
+	}
+	return time.Duration(reply.GetAge())
+}
+
 // recordPeerPoll records when the platform was last polled according to the reply of a busy host.
 // While that is recent, some host polls the platform, and this host need not take over although
 // its own listing grows old.
@@ -123,7 +136,7 @@
 	if reply.GetCut() || reply.GetSeen() == 0 {
 		return
 	}
-	at := now.Add(-time.Duration(reply.GetAge()))
+	at := now.Add(-pollAge(reply))
 	if last := l.lastPeerPoll.Load(); last == nil || at.After(*last) {
 		l.lastPeerPoll.Store(&at)
 	}
--- a/process/lists/serve.go
+++ b/process/lists/serve.go
@@ -33,7 +33,7 @@
 	if current == nil {
 		return &schema.Listing{}
 	}
-	short := &schema.Listing{Seen: current.ConfirmedRevision, Age: int64(now.Sub(current.ReadAt)), Sum: l.checksum}
+	short := &schema.Listing{Seen: current.ConfirmedRevision, Age: int64(now.Sub(current.ReadAt)), Polled: schema.PollAge(current, now), Sum: l.checksum}
 	if current.Revision <= q.GetRevision() {
 		return short
 	}
--- a/process/lists/serve_test.go
+++ b/process/lists/serve_test.go
@@ -354,3 +354,31 @@
 		})
 	}
 }
+
+// TestBacklogIsNoReasonToTakeOver guards against hosts that all read the platform because the one that does so still reads a backlog of changes.
+func TestBacklogIsNoReasonToTakeOver(t *testing.T) {
+	cases := map[string]struct {
+		polled time.Duration // time since the last poll
+		over   bool
+	}{"still polled": {100 * time.Millisecond, false}, "no longer polled": {time.Minute, true}}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			r := newSimRegion(3, 1)
+			first, other := r.hosts[0], r.hosts[1]
+			for _, h := range []*simHost{first, other} {
+				h.startedAt = time.Now().Add(-time.Hour)
+			}
+			other.Update(testListing(5, []*vetchtrail.Endpoint{testEndpoint(1)}))
+			backlog := testListing(7, []*vetchtrail.Endpoint{testEndpoint(2)})
+			backlog.ReadAt, backlog.PolledAt = time.Now().Add(-time.Minute), time.Now().Add(-c.polled)
+			first.Update(backlog)
+			for range 2 { // the listing, and that it has not changed
+				_, _, err := other.fetchFrom(t.Context(), first.cfg.Self, noCallback)
+				assert.NilError(t, err)
+				s := other.pollState(time.Now())
+				assert.Equal(t, s.overdue(float64(s.rankInDataCentre)), c.over)
+				assert.Assert(t, time.Since(other.Listing().ReadAt) >= time.Minute, "the listing counts as new")
+			}
+		})
+	}
+}
--- a/schema/listing.go
+++ b/schema/listing.go
@@ -14,7 +14,7 @@
 // entries as their difference from bootNow: now by the boot clock
 // (process/clock), which also runs while the host is suspended.
 func FromListing(l *vetchtrail.Listing, now, bootNow time.Time) *Listing {
-	m := &Listing{Revision: l.Revision, Seen: l.ConfirmedRevision, Age: int64(now.Sub(l.ReadAt))}
+	m := &Listing{Revision: l.Revision, Seen: l.ConfirmedRevision, Age: int64(now.Sub(l.ReadAt)), Polled: PollAge(l, now)}
 	m.setEndpoints(l.Endpoints, now)
 	m.Holds = FromQuarantineEntries(l.Quarantined, bootNow)
 	for _, h := range l.Hosts {
@@ -23,6 +23,14 @@
 	return m
 }
 
+// PollAge returns the field polled of a listing.
+func PollAge(l *vetchtrail.Listing, now time.Time) int64 {
+	if !l.PolledAt.After(l.ReadAt) {
+		return 0
+	}
+	return max(1, int64(now.Sub(l.PolledAt)))
+}
+
 // listedKind is a ListedKind in a form that can be a map key: the properties that
 // many endpoints have in common.
 type listedKind struct {
@@ -69,6 +77,9 @@
 // of that revision.
 func ToListing(m *Listing, now, bootNow time.Time) (vetchtrail.Listing, error) {
 	l := vetchtrail.Listing{Revision: m.GetRevision(), ConfirmedRevision: m.GetSeen(), ReadAt: now.Add(-time.Duration(m.GetAge()))}
+	if m.GetPolled() > 0 {
+		l.PolledAt = now.Add(-time.Duration(m.GetPolled()))
+	}
 	l.Endpoints = make([]*vetchtrail.Endpoint, 0, len(m.GetEndpoints()))
 	for _, listed := range m.GetEndpoints() {
 		e, err := toListed(listed, m.GetKinds(), now)
