--- a/process/membership/capacity.go
+++ b/process/membership/capacity.go
@@ -96,7 +96,7 @@
 // twenty times as many.
 const heavyTaskExponent = 3
 
-// RankHosts sorts hosts by their rank for a heavy task.
+// RankHosts sorts hosts by their rank for a heavy task, as all hosts rank each other. Simulations use it.
 func RankHosts(task string, hosts []vetchtrail.Host) {
 	slices.SortFunc(hosts, func(a, b vetchtrail.Host) int {
 		return cmp.Compare(rankKey(task, &a, heavyTaskExponent), rankKey(task, &b, heavyTaskExponent))
--- a/process/origins/replicas.go
+++ b/process/origins/replicas.go
@@ -220,8 +220,8 @@
 	return a.only, true, false
 }
 
-// isAlone reports whether this host is the only one, of those hosts that are asked, and reads the platform itself. A host that is cut off counts
-// the others as lost after some seconds, but its listing is older then.
+// isAlone reports whether there is no other host to ask, and this host's listing is new. A host that is cut off counts the others as lost
+// after some seconds, but its listing is older then.
 func (o *Origins) isAlone(hosts []vetchtrail.Host) bool {
 	l := o.cfg.Listing()
 	return len(hosts) == 0 && l != nil && time.Since(l.ReadAt) < o.cfg.KnownWithin/2
