Stop: a host that is ended during its stop has closed its listener when Run returns

Callers: none; a process that takes the address at once could not listen on it. Cause: where the context ends while a stop is under way, the goroutine that closes the listener may not have begun when Run returns. Run now waits for that shutdown, whose connections are closed by then. TestListenerClosedWhenStopIsCutShort failed before, at its first tries.

--- a/process/daemon/stop.go
+++ b/process/daemon/stop.go
@@ -102,6 +102,12 @@
 	sleep(ctx, time.Until(lastWrite))
 	d.logStop("requests ended", p)
 	d.callers.CloseConnections()
+	if ctx.Err() != nil { // the shutdown may not have begun
+		select {
+		case <-closed:
+		case <-time.After(quietTimeout):
+		}
+	}
 }
 
 // waitForRequests waits until the connections of all callers are closed and no request runs, or until
--- a/process/daemon/stop_test.go
+++ b/process/daemon/stop_test.go
@@ -467,3 +467,24 @@
 	}
 	return err == nil
 }
+
+// TestListenerClosedWhenStopIsCutShort guards against a host whose Run returns, as its context ends during a stop, while its listener still
+// holds the address.
+func TestListenerClosedWhenStopIsCutShort(t *testing.T) {
+	endpoint := slowEndpoint(t, time.Millisecond)
+	for range 60 {
+		feed := manualFeed{make(chan vetchtrail.Listing, 1)}
+		feed.listings <- vetchtrail.Listing{Revision: 40, ConfirmedRevision: 40, ReadAt: time.Now(), Endpoints: []*vetchtrail.Endpoint{&endpoint}}
+		d := newHostedDaemon(t, hostedSettings("a", 21), feed)
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan error)
+		go func() { done <- d.Run(ctx) }()
+		waitUntilReady(t, d)
+		d.Leave()
+		cancel()
+		assert.NilError(t, <-done)
+		l, err := net.Listen("tcp", d.cfg.Listen.Callers.String())
+		assert.NilError(t, err)
+		assert.NilError(t, l.Close())
+	}
+}
