A response without a valid status is no response

Callers got an answer that an endpoint sent with the status 000 as a success: 200, with its fields and its whole body or stream. A 099 or a 101 that nobody asked for was skipped as an interim response.

Cause: the library parses three digits into a number, and its accessor gives 200 where that number is 0. The interim responses were told by that accessor too.

Evidence: TestMalformedStatusReachesNoCaller, 24 status lines by GET, HEAD and POST on eight ways (one host or two, with and without a bound on buffered bytes, routed or not). On it failed: 000 alone, with a reason, with HTTP/1.0, before a stream and after a 103 arrived as 200; 099 and 101 hid behind the response after them; two spaces, a NUL in the reason, HTTP/2.0 and HTTP/0.9 passed. 001 kept its caller waiting until the deadline. The test also found the reason answer-lost instead of answer-broken for status lines that were rejected already.

The new package response reads heads: it checks the status line by RFC 9112, 4 and RFC 9110, 15 in the buffer, before the library parses it and before anything is decided from it. The outcome is unknown, as the request may have run: one that may not run twice gets 502, never "not run", and the connection is closed. Codes over 599 and a missing space before an empty reason still pass, as before. vetchtrail_malformed_responses_total counts such responses, and the line `attempt lost` says what is wrong.

--- /dev/null
+++ b/connection/caller/malformed_response_test.go
@@ -0,0 +1,83 @@
+package caller
+
+import (
+	"encoding/json"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/go-faster/errors"
+	"gotest.tools/v3/assert"
+)
+
+// checkMalformed sends a request and checks that the caller gets a truthful failure instead of the endpoint's response, and that
+// the endpoint's connection is closed.
+func (f *passFleet) checkMalformed(leg passLeg, method, response string) error {
+	bodyless := method == http.MethodHead
+	_, got, err := f.exchange(passRequest{method: method, path: routedPath + "x"}.bytes(leg), response, bodyless)
+	if err != nil {
+		return err
+	}
+	if !strings.HasPrefix(got.first, "HTTP/1.1 502 ") {
+		return errors.Errorf("status line %q, header %q, body %.100q", got.first, got.fields, got.body)
+	}
+	var p Problem
+	if err := json.Unmarshal(got.body, &p); !bodyless && (err != nil || p.Outcome != "unknown" || p.Reason != "answer-broken") {
+		return errors.Errorf("problem %q, %v", got.body, err)
+	}
+	if _, ok := got.field("X-Endpoint"); ok {
+		return errors.Errorf("a field of the malformed response in %q", got.fields)
+	}
+	select {
+	case <-f.endpoint.disconnected:
+		return nil
+	case <-time.After(passTimeout):
+		return errors.New("the endpoint's connection is still open")
+	}
+}
+
+func testMalformed(t *testing.T, responses map[string]string) {
+	t.Helper()
+	for _, leg := range passLegs() {
+		f := newPassFleet(t, leg)
+		for name, response := range responses {
+			for _, method := range []string{http.MethodGet, http.MethodHead, http.MethodPost} {
+				t.Run(leg.name+"/"+name+"/"+method, func(t *testing.T) {
+					assert.NilError(t, f.checkMalformed(leg, method, response))
+				})
+			}
+		}
+	}
+}
+
+// TestMalformedStatusReachesNoCaller guards against a response without a valid status that a caller gets as a success.
+func TestMalformedStatusReachesNoCaller(t *testing.T) {
+	const rest = "X-Endpoint: 1\r\nContent-Length: 2\r\n\r\nok"
+	testMalformed(t, map[string]string{
+		"000":                   "HTTP/1.1 000\r\n" + rest,
+		"000 with a reason":     "HTTP/1.1 000 OK\r\n" + rest,
+		"000, HTTP/1.0":         "HTTP/1.0 000 OK\r\n" + rest,
+		"000 before a stream":   "HTTP/1.1 000 OK\r\nX-Endpoint: 1\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n9\r\ndata: 1\n\n\r\n0\r\n\r\n",
+		"000 after a 103":       "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 000 OK\r\n" + rest,
+		"000 before a response": "HTTP/1.1 000 OK\r\n\r\n" + plainResponse,
+		"001":                   "HTTP/1.1 001 OK\r\n" + rest,
+		"099 before a response": "HTTP/1.1 099 OK\r\n\r\n" + plainResponse,
+		"101 before a response": "HTTP/1.1 101 Switching Protocols\r\n\r\n" + plainResponse,
+		"two digits":            "HTTP/1.1 20 OK\r\n" + rest,
+		"four digits":           "HTTP/1.1 2000 OK\r\n" + rest,
+		"sign":                  "HTTP/1.1 +20 OK\r\n" + rest,
+		"no digits":             "HTTP/1.1 OK\r\n" + rest,
+		"two spaces":            "HTTP/1.1  200 OK\r\n" + rest,
+		"tab":                   "HTTP/1.1\t200 OK\r\n" + rest,
+		"tab after the code":    "HTTP/1.1 200\tOK\r\n" + rest,
+		"NUL in the reason":     "HTTP/1.1 200 O\x00K\r\n" + rest,
+		"CR in the reason":      "HTTP/1.1 200 O\rK\r\n" + rest,
+		"empty line before":     "\r\nHTTP/1.1 200 OK\r\n" + rest,
+		"blank before":          " HTTP/1.1 200 OK\r\n" + rest,
+		"lower case":            "http/1.1 200 OK\r\n" + rest,
+		"HTTP/2.0":              "HTTP/2.0 200 OK\r\n" + rest,
+		"HTTP/0.9":              "HTTP/0.9 200 OK\r\n" + rest,
+		"another protocol":      "RTSP/1.0 200 OK\r\n" + rest,
+	})
+}
--- a/connection/caller/wire_test.go
+++ b/connection/caller/wire_test.go
@@ -115,13 +115,15 @@
 	received   chan wireMessage
 	response   chan string
 	closeAfter atomic.Bool // closes the connection after each response
+	// disconnected receives a value when a host has closed a connection.
+	disconnected chan struct{}
 }
 
 func newWireEndpoint(t testing.TB) *wireEndpoint {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
-	e := &wireEndpoint{listener: l, received: make(chan wireMessage, 16), response: make(chan string, 1)}
+	e := &wireEndpoint{listener: l, received: make(chan wireMessage, 16), response: make(chan string, 1), disconnected: make(chan struct{}, 1)}
 	t.Cleanup(func() { _ = l.Close() })
 	go e.accept()
 	return e
@@ -143,6 +145,10 @@
 	for {
 		m, err := readWireMessage(r, false)
 		if err != nil {
+			select {
+			case e.disconnected <- struct{}{}:
+			default:
+			}
 			return
 		}
 		e.received <- m
@@ -159,6 +165,7 @@
 		select {
 		case <-e.received:
 		case <-e.response:
+		case <-e.disconnected:
 		default:
 			return
 		}
--- a/connection/endpoint/endpoint.go
+++ b/connection/endpoint/endpoint.go
@@ -11,7 +11,6 @@
 	"bytes"
 	"context"
 	"io"
-	"net"
 	"slices"
 	"strconv"
 	"strings"
@@ -25,6 +24,7 @@
 	"vetchtrail/connection/buffer"
 	"vetchtrail/connection/dial"
 	"vetchtrail/connection/dialect"
+	"vetchtrail/connection/response"
 )
 
 // HeaderEndpoint is a response header field with the name of the endpoint that ran the
@@ -51,8 +51,6 @@
 	// maxSkippedBytes bounds what is received before the head of the response to the request. The
 	// body of a response to another request may be as large as any.
 	maxSkippedBytes = maxBufferedResponse
-	// maxInterimBytes bounds the interim responses before a response.
-	maxInterimBytes = 64 << 10
 	// maxFramedBytes bounds what is received for a response that is read whole: its body and the
 	// sizes of its chunks.
 	maxFramedBytes = 2 * maxBufferedResponse
@@ -63,8 +61,6 @@
 	minFailureStatus = fasthttp.StatusInternalServerError
 )
 
-var errMalformedHead = errors.New("malformed response head")
-
 // Guard is called just before the first byte is sent to an endpoint, and decides by the
 // newest configuration of this host. It returns the reason not to send the request, or
 // nothing if the request may be sent.
@@ -201,7 +197,7 @@
 	defer t.conn.limitReceived(0)
 	head, err := t.readResponseHead()
 	if err != nil {
-		return t.unknown(ctx, vetchtrail.StepResponse, vetchtrail.ReasonResponseLost, err), false
+		return t.unknown(ctx, vetchtrail.StepResponse, headReason(err), err), false
 	}
 	t.conn.readKeepAlive(t.headerField("Keep-Alive"))
 	switch head.Kind {
@@ -299,7 +295,7 @@
 // other requests first; their bodies are discarded.
 func (t *attempt) readResponseHead() (vetchtrail.ResponseHead, error) {
 	for range maxForeignResponses + 1 {
-		if err := t.readFinalHead(); err != nil {
+		if err := response.ReadHead(t.conn.reader, &t.resp.Header); err != nil {
 			return vetchtrail.ResponseHead{}, err
 		}
 		head := t.interpretHead()
@@ -367,40 +363,12 @@
 	return t.client.cfg.Dialect.IsKnown(name)
 }
 
-// readFinalHead reads a response head and skips interim ones (status 1xx).
-func (t *attempt) readFinalHead() error {
-	begin := t.conn.consumed()
-	for {
-		t.resp.Header.Reset()
-		t.resp.Header.SetNoDefaultContentType(true)
-		if err := t.resp.Header.Read(t.conn.reader); err != nil {
-			return headError(err)
-		}
-		if t.resp.StatusCode() >= fasthttp.StatusOK {
-			return nil
-		}
-		if interim := t.conn.consumed() - begin; interim > maxInterimBytes {
-			return errors.Errorf("received %d bytes of interim responses", interim)
-		}
+// headReason is the reason of an attempt for whose response no head could be read.
+func headReason(err error) vetchtrail.Reason {
+	if response.IsMalformed(err) {
+		return vetchtrail.ReasonResponseBroken
 	}
-}
-
-// headError returns the error for a response head that could not be read. The library's error quotes what was
-// received, which may belong to another request.
-func headError(err error) error {
-	var tooSmall *fasthttp.ErrSmallBuffer
-	var ne net.Error
-	switch {
-	case errors.As(err, &tooSmall):
-		return errors.Errorf("response head is over %d bytes", readBufferBytes)
-	case errors.As(err, &ne):
-		return ne
-	case errors.Is(err, fasthttp.ErrTimeout):
-		return fasthttp.ErrTimeout
-	case errors.Is(err, io.EOF):
-		return io.EOF
-	}
-	return errMalformedHead
+	return vetchtrail.ReasonResponseLost
 }
 
 // interpretHead parses the head by the dialect of the request: the deployment's for a
@@ -526,6 +494,9 @@
 		Reason: reason, Err: err, ResponseStarted: t.begun || t.req.ResponseStarted, Events: t.eventsSent,
 	}
 	o.EndpointSilent = t.silent
+	if response.IsMalformed(err) {
+		countMalformed(t.req.Service)
+	}
 	switch {
 	case ctx.Err() != nil:
 		o.Reason = vetchtrail.CancelReason(ctx)
--- a/connection/endpoint/metrics.go
+++ b/connection/endpoint/metrics.go
@@ -11,3 +11,8 @@
 func CountSilent(service string, ended bool) {
 	metrics.GetOrCreateCounter(fmt.Sprintf(`vetchtrail_silent_attempts_total{service=%q,ended="%t"}`, service, ended)).Inc()
 }
+
+// countMalformed counts an attempt whose response was malformed.
+func countMalformed(service string) {
+	metrics.GetOrCreateCounter(fmt.Sprintf(`vetchtrail_malformed_responses_total{service=%q}`, service)).Inc()
+}
--- a/connection/endpoint/pool.go
+++ b/connection/endpoint/pool.go
@@ -90,9 +90,6 @@
 	}
 }
 
-// consumed returns how many bytes of those received for the current request were read from the buffer.
-func (c *conn) consumed() int { return c.received - c.reader.Buffered() }
-
 // waitAndRead reads from the connection. While it waits, it polls silenceCheck.
 func (c *conn) waitAndRead(p []byte) (int, error) {
 	if c.silenceCheck == nil {
--- /dev/null
+++ b/connection/response/head.go
@@ -0,0 +1,150 @@
+// Package response reads HTTP/1.1 responses. It checks their syntax by RFC 9112 and RFC 9110 before anything is decided
+// from them: the HTTP library's parser accepts and repairs responses that are malformed.
+package response
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"strconv"
+
+	"github.com/go-faster/errors"
+	"github.com/valyala/fasthttp"
+)
+
+const (
+	// maxInterimBytes bounds the interim responses before a response.
+	maxInterimBytes = 64 << 10
+	statusDigits    = 3
+	// minStatus is the lowest status code. Codes over 599 have no meaning by RFC 9110, but some servers send them.
+	minStatus = 100
+)
+
+// MalformedError reports that what was received is no valid response. It quotes no text of it, which may belong to another
+// request.
+type MalformedError struct {
+	Part    string // head or trailer
+	Line    int    // within the part, from 1; 0: not known
+	Problem string
+}
+
+// Error implements error.
+func (e *MalformedError) Error() string {
+	if e.Line == 0 {
+		return fmt.Sprintf("malformed response: %s: %s", e.Part, e.Problem)
+	}
+	return fmt.Sprintf("malformed response: line %d of the %s: %s", e.Line, e.Part, e.Problem)
+}
+
+// IsMalformed reports whether an error is due to a malformed response.
+func IsMalformed(err error) bool {
+	var malformed *MalformedError
+	return errors.As(err, &malformed)
+}
+
+// ReadHead reads the head of a response into h and skips the interim responses (status 1xx) before it.
+func ReadHead(r *bufio.Reader, h *fasthttp.ResponseHeader) error {
+	for interim := 0; interim <= maxInterimBytes; {
+		size, err := checkHead(r)
+		if err != nil {
+			return err
+		}
+		h.Reset()
+		h.SetNoDefaultContentType(true)
+		if err := h.Read(r); err != nil {
+			return &MalformedError{Part: "head", Problem: "rejected by the HTTP library"}
+		}
+		if h.StatusCode() >= fasthttp.StatusOK {
+			return nil
+		}
+		interim += size
+	}
+	return errors.Errorf("interim responses are over %d bytes", maxInterimBytes)
+}
+
+// checkHead checks the next head without consuming it, and returns its size in bytes.
+func checkHead(r *bufio.Reader) (size int, err error) {
+	line, err := peekLine(r, 0)
+	if err != nil {
+		return 0, err
+	}
+	if problem := checkStatusLine(trimLineEnd(line)); problem != "" {
+		return 0, &MalformedError{Part: "head", Line: 1, Problem: problem}
+	}
+	size = len(line)
+	for {
+		line, err := peekLine(r, size)
+		if err != nil {
+			return 0, err
+		}
+		size += len(line)
+		if len(trimLineEnd(line)) == 0 {
+			return size, nil
+		}
+	}
+}
+
+// peekLine returns the line that begins at an offset of what is to be read next, with its end. The line is valid until the
+// next read.
+func peekLine(r *bufio.Reader, offset int) ([]byte, error) {
+	for searched := offset; ; {
+		received, _ := r.Peek(r.Buffered())
+		if end := bytes.IndexByte(received[searched:], '\n'); end >= 0 {
+			return received[offset : searched+end+1], nil
+		}
+		searched = len(received)
+		_, err := r.Peek(len(received) + 1)
+		switch {
+		case errors.Is(err, bufio.ErrBufferFull):
+			return nil, errors.Errorf("response head is over %d bytes", r.Size())
+		case errors.Is(err, io.EOF) && len(received) > 0:
+			return nil, io.ErrUnexpectedEOF
+		case err != nil:
+			return nil, err
+		}
+	}
+}
+
+// trimLineEnd returns a line without its end, which is CRLF or a single LF (RFC 9112, 2.2).
+func trimLineEnd(line []byte) []byte {
+	return bytes.TrimSuffix(bytes.TrimSuffix(line, []byte("\n")), []byte("\r"))
+}
+
+// checkStatusLine returns what is wrong with a status line (RFC 9112, 4), or nothing. The space before the reason phrase may be
+// missing if there is none, as many servers omit both.
+func checkStatusLine(line []byte) (problem string) {
+	version, rest, _ := bytes.Cut(line, []byte(" "))
+	code, reason, _ := bytes.Cut(rest, []byte(" "))
+	status, err := strconv.ParseUint(string(code), 10, 16)
+	switch {
+	case !isHTTP1(version):
+		return "no version of HTTP/1"
+	case len(code) != statusDigits || err != nil:
+		return "no status code of three digits"
+	case status < minStatus:
+		return fmt.Sprintf("status code %03d", status)
+	case status == fasthttp.StatusSwitchingProtocols:
+		return "status code 101, although the request didn't ask for another protocol"
+	case invalidValueByte(reason) >= 0:
+		return fmt.Sprintf("byte 0x%02x in the reason phrase", reason[invalidValueByte(reason)])
+	}
+	return ""
+}
+
+// isHTTP1 reports whether a version is HTTP/1.0, HTTP/1.1 or a later one of HTTP/1.
+func isHTTP1(version []byte) bool {
+	minor, ok := bytes.CutPrefix(version, []byte("HTTP/1."))
+	return ok && len(minor) == 1 && '0' <= minor[0] && minor[0] <= '9'
+}
+
+// invalidValueByte returns the index of the first byte that may not be part of a field's value or of a reason phrase
+// (RFC 9110, 5.5), or -1.
+func invalidValueByte[T []byte | string](value T) int {
+	for i := range len(value) {
+		if c := value[i]; (c < ' ' && c != '\t') || c == 0x7f {
+			return i
+		}
+	}
+	return -1
+}
