A response with a malformed field line is no response

Callers got an answer in whose head the name of a field held a blank, with that line passed on, or without it and with a body of another length, another type or other framing: with `Content-Length : 1` the first of two bytes.

Cause: the library tolerates blanks in names. It trims those before the colon and uses the field, keeps those inside a name, and joins a line that begins with a blank to the one before it.

Evidence: TestMalformedFieldNameReachesNoCaller, 26 lines at five places by GET, HEAD and POST on eight ways.

The check of the head covers each field line now, also those of interim responses (RFC 9110, 5.1, 5.5; RFC 9112, 5). A continued line is refused, which RFC 9112, 5.2 allows: it can't be told from a field whose name begins with a blank. A head must end with CRLF CRLF: the library read on otherwise, so that such an answer came at the deadline or not at all.

--- a/connection/caller/malformed_response_test.go
+++ b/connection/caller/malformed_response_test.go
@@ -81,3 +81,45 @@
 		"another protocol":      "RTSP/1.0 200 OK\r\n" + rest,
 	})
 }
+
+// TestMalformedFieldNameReachesNoCaller guards against a response with a malformed field line that a caller gets, with that line or with
+// another body.
+func TestMalformedFieldNameReachesNoCaller(t *testing.T) {
+	responses := map[string]string{}
+	for name, line := range map[string]string{
+		"blank inside the name":     "X Name: 1",
+		"blank before the colon":    "X-Name : 1",
+		"tab before the colon":      "X-Name\t: 1",
+		"tab inside the name":       "X\tName: 1",
+		"blank before the name":     " X-Name: 1",
+		"tab before the name":       "\tX-Name: 1",
+		"control byte in the name":  "X-\x01Name: 1",
+		"control byte before":       "\x01X-Name: 1",
+		"control byte at the end":   "X-Name\x1f: 1",
+		"NUL in the name":           "X-\x00Name: 1",
+		"CR in the name":            "X-\rName: 1",
+		"DEL in the name":           "X-\x7fName: 1",
+		"byte over 127 in the name": "X-\xe9: 1",
+		"parenthesis in the name":   "X(Name): 1",
+		"no name":                   ": 1",
+		"blank for a name":          " : 1",
+		"no colon":                  "X-Name",
+		"control byte in the value": "X-Name: \x01",
+		"NUL in the value":          "X-Name: a\x00b",
+		"CR in the value":           "X-Name: a\rb",
+		"two CR at the end":         "X-Name: a\r",
+		"DEL in the value":          "X-Name: \x7f",
+		"folded value":              "X-Name: a\r\n b",
+		"blank in Content-Length":   "Content-Length : 1",
+		"blank in Content-Type":     "Content-Type : text/html",
+		"blank in a coding":         "Transfer-Encoding : chunked",
+	} {
+		const rest = "X-Endpoint: 1\r\nContent-Length: 2\r\n"
+		responses[name+", first"] = "HTTP/1.1 200 OK\r\n" + line + "\r\n" + rest + "\r\nok"
+		responses[name+", last"] = "HTTP/1.1 200 OK\r\n" + rest + line + "\r\n\r\nok"
+		responses[name+", 404"] = "HTTP/1.1 404 Not Found\r\n" + rest + line + "\r\n\r\nok"
+		responses[name+", interim"] = "HTTP/1.1 103 Early Hints\r\nLink: a\r\n" + line + "\r\n\r\n" + plainResponse
+		responses[name+", stream"] = "HTTP/1.1 200 OK\r\n" + line + "\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n9\r\ndata: 1\n\n\r\n0\r\n\r\n"
+	}
+	testMalformed(t, responses)
+}
--- a/connection/response/head.go
+++ b/connection/response/head.go
@@ -11,6 +11,7 @@
 
 	"github.com/go-faster/errors"
 	"github.com/valyala/fasthttp"
+	"golang.org/x/net/http/httpguts"
 )
 
 const (
@@ -73,16 +74,27 @@
 		return 0, &MalformedError{Part: "head", Line: 1, Problem: problem}
 	}
 	size = len(line)
-	for {
+	for number := 2; ; number++ {
 		line, err := peekLine(r, size)
 		if err != nil {
 			return 0, err
 		}
 		size += len(line)
 		if len(trimLineEnd(line)) == 0 {
-			return size, nil
+			return size, checkHeadEnd(r, size, number)
 		}
+		if problem := checkFieldLine(trimLineEnd(line)); problem != "" {
+			return 0, &MalformedError{Part: "head", Line: number, Problem: problem}
+		}
+	}
+}
+
+// checkHeadEnd checks that the last line of a head and the empty line after it end with CRLF. The library reads on otherwise.
+func checkHeadEnd(r *bufio.Reader, size, number int) error {
+	if head, _ := r.Peek(size); !bytes.HasSuffix(head, []byte("\r\n\r\n")) {
+		return &MalformedError{Part: "head", Line: number, Problem: "the head doesn't end with CRLF CRLF"}
 	}
+	return nil
 }
 
 // peekLine returns the line that begins at an offset of what is to be read next, with its end. The line is valid until the
@@ -126,8 +138,38 @@
 		return fmt.Sprintf("status code %03d", status)
 	case status == fasthttp.StatusSwitchingProtocols:
 		return "status code 101, although the request didn't ask for another protocol"
-	case invalidValueByte(reason) >= 0:
-		return fmt.Sprintf("byte 0x%02x in the reason phrase", reason[invalidValueByte(reason)])
+	}
+	if i := invalidValueByte(reason); i >= 0 {
+		return fmt.Sprintf("byte 0x%02x in the reason phrase", reason[i])
+	}
+	return ""
+}
+
+// checkFieldLine returns what is wrong with a line of a header or a trailer section (RFC 9112, 5), or nothing. A continued line
+// is refused (RFC 9112, 5.2): it can't be told from a field whose name begins with a blank.
+func checkFieldLine(line []byte) (problem string) {
+	name, value, ok := bytes.Cut(line, []byte(":"))
+	switch {
+	case line[0] == ' ' || line[0] == '\t':
+		return "it begins with a blank"
+	case !ok:
+		return "no colon"
+	}
+	return checkField(name, value)
+}
+
+// checkField returns what is wrong with the name or the value of a field (RFC 9110, 5.1 and 5.5), or nothing.
+func checkField[T []byte | string](name, value T) (problem string) {
+	if len(name) == 0 {
+		return "a field without a name"
+	}
+	for i := range len(name) {
+		if !httpguts.IsTokenRune(rune(name[i])) {
+			return fmt.Sprintf("byte 0x%02x in the name of a field", name[i])
+		}
+	}
+	if i := invalidValueByte(value); i >= 0 {
+		return fmt.Sprintf("byte 0x%02x in the value of a field", value[i])
 	}
 	return ""
 }
