A response whose trailer is malformed doesn't look whole

Callers got 200 and a whole body, or the end of a stream, of a chunked response that ended with a line that is no field: a blank or a control byte in its name, no name, no colon, or the status line of another response, as after a miscounted chunk.

Cause: the trailer section was skipped line by line up to an empty one, and a line of one byte counted as empty.

Each line of a trailer is checked by the rule for fields of a head. The body's end is an error then: a response that is read whole becomes 502 or another attempt, one that has begun breaks its caller's connection before the last chunk. The endpoint's connection is closed.

Package response has the body's framing now, so that whoever reads heads by it can read bodies by it too.

--- a/connection/caller/malformed_response_test.go
+++ b/connection/caller/malformed_response_test.go
@@ -123,3 +123,39 @@
 	}
 	testMalformed(t, responses)
 }
+
+// TestMalformedTrailerEndsNoResponse guards against a response that looks whole to its caller although its trailer is malformed.
+func TestMalformedTrailerEndsNoResponse(t *testing.T) {
+	lines := map[string]string{
+		"blank inside the name":    "X Name: 1\r\n",
+		"blank before the colon":   "X-Name : 1\r\n",
+		"control byte in the name": "X-\x01Name: 1\r\n",
+		"no name":                  ": 1\r\n",
+		"no colon":                 "X-Name\r\n",
+		"one byte":                 "x\n",
+		"a CR":                     "\r\r\n",
+		"CR in the value":          "X-Name: a\rb\r\n",
+		"NUL in the value":         "X-Name: a\x00b\r\n",
+		"continued line":           "X-Name: a\r\n b\r\n",
+		"a response":               "HTTP/1.1 200 OK\r\n",
+	}
+	heads := map[string]string{
+		"200":    "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n",
+		"404":    "HTTP/1.1 404 Not Found\r\nContent-Type: text/plain\r\n",
+		"stream": "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n",
+	}
+	const body = "Transfer-Encoding: chunked\r\n\r\n9\r\ndata: 1\n\n\r\n0\r\nX-First: 1\r\n"
+	for _, leg := range passLegs() {
+		f := newPassFleet(t, leg)
+		for name, line := range lines {
+			for kind, head := range heads {
+				t.Run(leg.name+"/"+name+"/"+kind, func(t *testing.T) {
+					request := passRequest{method: http.MethodPost, path: routedPath + "x"}.bytes(leg)
+					_, got, err := f.exchange(request, head+body+line+"\r\n", false)
+					assert.Assert(t, err != nil || strings.HasPrefix(got.first, "HTTP/1.1 502 "), "%q with the body %q", got.first, got.body)
+					assert.Assert(t, got.first != "", "%v", err)
+				})
+			}
+		}
+	}
+}
--- a/connection/endpoint/deliver.go
+++ b/connection/endpoint/deliver.go
@@ -12,6 +12,7 @@
 
 	"vetchtrail"
 	"vetchtrail/connection/buffer"
+	"vetchtrail/connection/response"
 )
 
 // deliver writes the response to the caller, or stores it as a deferred failure.
@@ -23,9 +24,9 @@
 		return t.deferFailure(ctx)
 	case t.isEventStream():
 		return t.deliverEvents(ctx)
-	case t.body.size() >= 0 && t.body.size() <= maxBufferedResponse, t.req.Route != "":
+	case t.body.Size() >= 0 && t.body.Size() <= maxBufferedResponse, t.req.Route != "":
 		return t.deliverWhole(ctx)
-	case !t.body.framed():
+	case !t.body.Framed():
 		return errors.New("response has neither a length nor chunks: its end can't be distinguished from a broken connection")
 	}
 	return t.deliverChunks()
@@ -56,14 +57,14 @@
 
 // wholeBody reads the whole body, up to maxBufferedResponse.
 func (t *attempt) wholeBody(ctx context.Context) ([]byte, error) {
-	if t.body.size() > maxBufferedResponse {
-		return nil, errors.Errorf("response has %d bytes, over %d", t.body.size(), maxBufferedResponse)
+	if t.body.Size() > maxBufferedResponse {
+		return nil, errors.Errorf("response has %d bytes, over %d", t.body.Size(), maxBufferedResponse)
 	}
 	t.conn.limitReceived(maxFramedBytes)
 	if t.req.Buffers != nil {
 		ctx, cancel := context.WithDeadlineCause(ctx, t.req.Deadline, buffer.ErrFull)
 		defer cancel()
-		return buffer.ReadAll(t.body, t.body.knownSize(), maxBufferedResponse, func(n int) error { return t.req.Buffers.Reserve(ctx, n) })
+		return buffer.ReadAll(t.body, t.body.KnownSize(), maxBufferedResponse, func(n int) error { return t.req.Buffers.Reserve(ctx, n) })
 	}
 	wholeBody, err := io.ReadAll(io.LimitReader(t.body, maxBufferedResponse+1))
 	if err == nil && len(wholeBody) > maxBufferedResponse {
@@ -104,7 +105,7 @@
 				return err
 			}
 		}
-		if isCleanEnd(err) {
+		if response.IsEnd(err) {
 			return t.begin()
 		}
 		if err != nil {
--- a/connection/endpoint/endpoint.go
+++ b/connection/endpoint/endpoint.go
@@ -106,7 +106,7 @@
 	writer          vetchtrail.ResponseWriter
 	conn            *conn
 	resp            *fasthttp.Response
-	body            *body
+	body            *response.Body
 	timing          vetchtrail.Timing
 	begun           bool
 	silent          bool                         // the endpoint was silent at the last check
@@ -225,7 +225,7 @@
 	}
 	return vetchtrail.Outcome{
 		Kind: vetchtrail.OutcomeAnswered, Status: t.resp.StatusCode(), Step: vetchtrail.StepResponse, Peer: t.endpoint.Name, ResponseStarted: true,
-		Events: t.eventsSent, EndUnmarked: !t.body.framed(),
+		Events: t.eventsSent, EndUnmarked: !t.body.Framed(),
 	}, t.reusable()
 }
 
@@ -309,7 +309,7 @@
 		t.reportRateLimit(head.Rate)
 		t.reportAvailability(head.Availability)
 		t.reportUnknownFields()
-		t.body = newBody(t.conn.reader, &t.resp.Header, t.req.Method)
+		t.body = response.NewBody(t.conn.reader, &t.resp.Header, t.req.Method)
 		if head.Kind != vetchtrail.ResponseForeign {
 			return head, nil
 		}
@@ -404,7 +404,7 @@
 
 // reusable reports whether the connection stays open after the response.
 func (t *attempt) reusable() bool {
-	return !t.resp.ConnectionClose() && t.body.framed()
+	return !t.resp.ConnectionClose() && t.body.Framed()
 }
 
 // retryAt is when a refused request may be sent again: after the endpoint's Retry-After,
--- a/connection/endpoint/events.go
+++ b/connection/endpoint/events.go
@@ -13,6 +13,7 @@
 	"github.com/go-faster/errors"
 
 	"vetchtrail"
+	"vetchtrail/connection/response"
 )
 
 // maxEventBytes bounds one event of a stream.
@@ -61,7 +62,7 @@
 	for {
 		_ = t.conn.SetDeadline(t.nextPartBy(time.Now()))
 		event, err := t.readEvent(ctx, reader)
-		if isCleanEnd(err) && len(event) == 0 {
+		if response.IsEnd(err) && len(event) == 0 {
 			break
 		}
 		if err != nil {
@@ -89,7 +90,7 @@
 	var last time.Time
 	for {
 		event, err := t.readEvent(ctx, reader)
-		if isCleanEnd(err) && len(event) == 0 {
+		if response.IsEnd(err) && len(event) == 0 {
 			return t.begin()
 		}
 		if err != nil {
@@ -241,12 +242,8 @@
 
 // unexpectedEnd turns an end of the stream within an event into an error.
 func unexpectedEnd(err error, event []byte) error {
-	if isCleanEnd(err) && len(event) > 0 {
+	if response.IsEnd(err) && len(event) > 0 {
 		return io.ErrUnexpectedEOF
 	}
 	return err
 }
-
-// isCleanEnd reports whether err is the end of the body. If the connection ends within the
-// body, the library wraps io.EOF, so errors.Is can't be used here.
-func isCleanEnd(err error) bool { return err == io.EOF } //nolint:errorlint // a wrapped EOF is a broken connection
--- a/connection/endpoint/body.go
+++ b/connection/response/body.go
@@ -1,4 +1,4 @@
-package endpoint
+package response
 
 import (
 	"bufio"
@@ -17,18 +17,19 @@
 
 const maxTrailerBytes = 8 << 10
 
-// body reads a response body by its framing. Its Read returns io.EOF only if the body is
+// Body reads a response body by its framing. Its Read returns io.EOF only if the body is
 // complete. A body without framing is complete when the endpoint closes the connection
 // without a reset.
-type body struct {
+type Body struct {
 	reader    *bufio.Reader
 	unsized   io.Reader // reads a body of unknown length; nil if the length is known
 	length    int       // Content-Length, lengthChunked or lengthUntilClose
 	remaining int       // bytes of a body of known length that are not read yet
 }
 
-func newBody(reader *bufio.Reader, h *fasthttp.ResponseHeader, method string) *body {
-	b := &body{reader: reader, length: h.ContentLength()}
+// NewBody returns the body that follows a head in the response to a request with a method.
+func NewBody(reader *bufio.Reader, h *fasthttp.ResponseHeader, method string) *Body {
+	b := &Body{reader: reader, length: h.ContentLength()}
 	if method == fasthttp.MethodHead || h.StatusCode() == fasthttp.StatusNoContent || h.StatusCode() == fasthttp.StatusNotModified {
 		b.length = 0
 	}
@@ -43,17 +44,17 @@
 	return b
 }
 
-// size is the length in bytes if it is known, and negative otherwise.
-func (b *body) size() int { return b.length }
+// Size is the length in bytes if it is known, and negative otherwise.
+func (b *Body) Size() int { return b.length }
 
-// knownSize is the length in bytes, or -1 if it is not known.
-func (b *body) knownSize() int { return max(b.length, -1) }
+// KnownSize is the length in bytes, or -1 if it is not known.
+func (b *Body) KnownSize() int { return max(b.length, -1) }
 
-// framed reports whether the body has an end of its own, other than the end of the connection.
-func (b *body) framed() bool { return b.length != lengthUntilClose }
+// Framed reports whether the body has an end of its own, other than the end of the connection.
+func (b *Body) Framed() bool { return b.length != lengthUntilClose }
 
 // Read implements io.Reader.
-func (b *body) Read(p []byte) (int, error) {
+func (b *Body) Read(p []byte) (int, error) {
 	if b.unsized != nil {
 		return b.readUnsized(p)
 	}
@@ -69,18 +70,19 @@
 }
 
 // readUnsized reads from a body of unknown length.
-func (b *body) readUnsized(p []byte) (int, error) {
+func (b *Body) readUnsized(p []byte) (int, error) {
 	n, err := b.unsized.Read(p)
-	if isCleanEnd(err) && b.length == lengthChunked {
+	if IsEnd(err) && b.length == lengthChunked {
 		return n, b.trailer()
 	}
 	return n, err
 }
 
-// trailer reads the trailer section after the last chunk, up to its empty line. It returns
+// trailer reads the trailer section after the last chunk, up to its empty line, and checks its lines. It returns
 // io.EOF if it is complete.
-func (b *body) trailer() error {
-	for size := 0; size <= maxTrailerBytes; {
+func (b *Body) trailer() error {
+	size := 0
+	for number := 1; size <= maxTrailerBytes; number++ {
 		line, err := b.reader.ReadSlice('\n')
 		if errors.Is(err, io.EOF) {
 			return io.ErrUnexpectedEOF
@@ -88,10 +90,18 @@
 		if err != nil {
 			return err
 		}
-		if len(line) <= len("\r\n") {
+		size += len(line)
+		line = trimLineEnd(line)
+		if len(line) == 0 {
 			return io.EOF
 		}
-		size += len(line)
+		if problem := checkFieldLine(line); problem != "" {
+			return &MalformedError{Part: "trailer", Line: number, Problem: problem}
+		}
 	}
 	return errors.Errorf("trailer is over %d bytes", maxTrailerBytes)
 }
+
+// IsEnd reports whether err is the end of a body. If the connection ends within the body, the chunked reader wraps io.EOF, so
+// errors.Is can't be used here.
+func IsEnd(err error) bool { return err == io.EOF } //nolint:errorlint // a wrapped EOF is a broken connection
