A chunked response of another version than HTTP/1.1 is no response

Callers got `2\r`, the size of the first chunk, as the body of a response with `HTTP/1.0` or `HTTP/1.2`, a Transfer-Encoding and a Content-Length of 2; without a length they waited until the deadline.

Cause: the library ignores Transfer-Encoding where the version is not HTTP/1.1, and takes the chunks for the body.

RFC 9112, 6.1 calls the framing of such a message faulty, even with a Content-Length. The check of the head refuses it.

--- a/connection/caller/malformed_response_test.go
+++ b/connection/caller/malformed_response_test.go
@@ -159,3 +159,14 @@
 		}
 	}
 }
+
+// TestChunksOfOtherVersionsReachNoCaller guards against a body that a caller gets with its chunk sizes in it, as versions other than HTTP/1.1
+// have no chunks.
+func TestChunksOfOtherVersionsReachNoCaller(t *testing.T) {
+	const chunks = "2\r\nok\r\n0\r\n\r\n"
+	testMalformed(t, map[string]string{
+		"HTTP/1.0":             "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunks,
+		"HTTP/1.0 with length": "HTTP/1.0 200 OK\r\nContent-Length: 2\r\ntransfer-encoding: chunked\r\nConnection: keep-alive\r\n\r\n" + chunks,
+		"HTTP/1.2 with length": "HTTP/1.2 200 OK\r\nTransfer-Encoding:chunked\r\nContent-Length: 2\r\nConnection: keep-alive\r\n\r\n" + chunks,
+	})
+}
--- a/connection/response/head.go
+++ b/connection/response/head.go
@@ -73,6 +73,7 @@
 	if problem := checkStatusLine(trimLineEnd(line)); problem != "" {
 		return 0, &MalformedError{Part: "head", Line: 1, Problem: problem}
 	}
+	hasChunks := bytes.HasPrefix(line, []byte("HTTP/1.1 "))
 	size = len(line)
 	for number := 2; ; number++ {
 		line, err := peekLine(r, size)
@@ -86,9 +87,18 @@
 		if problem := checkFieldLine(trimLineEnd(line)); problem != "" {
 			return 0, &MalformedError{Part: "head", Line: number, Problem: problem}
 		}
+		if !hasChunks && isTransferEncoding(line) {
+			return 0, &MalformedError{Part: "head", Line: number, Problem: "a transfer coding in another version than HTTP/1.1"}
+		}
 	}
 }
 
+// isTransferEncoding reports whether a field line is a Transfer-Encoding.
+func isTransferEncoding(line []byte) bool {
+	name, _, _ := bytes.Cut(line, []byte(":"))
+	return bytes.EqualFold(name, []byte(fasthttp.HeaderTransferEncoding))
+}
+
 // checkHeadEnd checks that the last line of a head and the empty line after it end with CRLF. The library reads on otherwise.
 func checkHeadEnd(r *bufio.Reader, size, number int) error {
 	if head, _ := r.Peek(size); !bytes.HasSuffix(head, []byte("\r\n\r\n")) {
