Malformed responses of the store and of load reports are no responses

A response of the store with the status 000 counted as a success: a write as done, a lease as granted, a listing as empty, and its era as the newest. So did one with a blank in the name of a field, in an interim head or in the trailer; of Consul's KV store it could also say that a write was refused. The endpoints' load reports and the platform's list of endpoints were read in the same way.

Cause: the library's clients read responses themselves, by its parser and its accessor of the status.

response.Transport takes the place of the library's transport in the three clients. It reads heads and bodies by the rule for endpoints' responses, before the era, the status or the body is looked at; a call whose response is malformed has failed and may have taken effect, and its connection is closed. A connection with bytes behind a response is closed too. The bound on received bytes, which the poller's connections had, holds for all three.

--- a/connection/store/store.go
+++ b/connection/store/store.go
@@ -16,6 +16,7 @@
 	"github.com/valyala/fasthttp"
 
 	"vetchtrail"
+	"vetchtrail/connection/response"
 )
 
 const (
@@ -42,6 +43,7 @@
 // New returns a Client. It connects on the first call.
 func New(c Config) *Client {
 	return &Client{addr: c.Addr, http: &fasthttp.Client{
+		Transport:                 response.Transport{},
 		MaxResponseBodySize:       maxResponseBytes,
 		MaxIdemponentCallAttempts: 1, // a retry could hide that the first write took effect
 		RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
--- a/process/poll/poll.go
+++ b/process/poll/poll.go
@@ -18,7 +18,7 @@
 	"github.com/valyala/fasthttp"
 
 	"vetchtrail"
-	"vetchtrail/connection/dial"
+	"vetchtrail/connection/response"
 	"vetchtrail/process/load"
 )
 
@@ -62,18 +62,13 @@
 // New returns a poller. It does nothing until Run or RunEndpointList is called.
 func New(c Config) *Poller {
 	return &Poller{cfg: c, inProgress: map[string]bool{}, http: &fasthttp.Client{
-		DialTimeout: dialBounded, MaxResponseBodySize: maxResponseBytes, MaxIdemponentCallAttempts: 1, MaxIdleConnDuration: time.Minute,
+		Transport: response.Transport{}, DialTimeout: dialEndpoint, MaxResponseBodySize: maxResponseBytes, MaxIdemponentCallAttempts: 1, MaxIdleConnDuration: time.Minute,
 	}}
 }
 
-// dialBounded opens a connection to an endpoint that may send bytes without end.
-func dialBounded(addr string, timeout time.Duration) (net.Conn, error) {
-	d := net.Dialer{Timeout: min(timeout, requestTimeout)}
-	c, err := d.Dial("tcp", addr)
-	if err != nil {
-		return nil, err
-	}
-	return dial.BoundResponses(c, 2*maxResponseBytes), nil
+// dialEndpoint opens a connection within the time of a request.
+func dialEndpoint(addr string, timeout time.Duration) (net.Conn, error) {
+	return net.DialTimeout("tcp", addr, min(timeout, requestTimeout))
 }
 
 // report is an endpoint's response to GET /load.
--- a/process/poll/poll_test.go
+++ b/process/poll/poll_test.go
@@ -19,6 +19,7 @@
 	"vetchtrail/process/load"
 	"vetchtrail/standin/engine"
 	"vetchtrail/standin/meter"
+	"vetchtrail/standin/wire"
 )
 
 // BenchmarkPoll measures the fetch of a load report over loopback. The bytes on the wire are those of both
@@ -106,6 +107,16 @@
 	}
 }
 
+// TestMalformedReport guards against a malformed response that counts as an endpoint's load report.
+func TestMalformedReport(t *testing.T) {
+	for fault, response := range wire.Malformed("", `{"slots":3}`) {
+		t.Run(fault, func(t *testing.T) {
+			var got report
+			assert.Assert(t, New(Config{}).getJSON(wire.Serve(t, response).Addr, "/load", &got) != nil)
+		})
+	}
+}
+
 // TestSlowReportKeepsAnnouncement guards against a slow load report that makes an endpoint's process look younger than it
 // is, so that what the process announced seems to come from an earlier one.
 func TestSlowReportKeepsAnnouncement(t *testing.T) {
