A malformed response of another host reaches no caller

A host passed on what another host sent of a forwarded response, whatever it was: a status of 0 (200 for the caller), 99, 103 or 1000, fields without a name or with a blank, a control byte or a line break in them, a body without a status, and an end that said "answered" where no response had begun, for which the caller got 200 with a problem document. A failure without a status, or with that of a success, reached the caller as a success too.

Cause: the messages between hosts were taken as they came. A host of an older build sends the malformed fields of its endpoints on, so that during an update the fix of the fields alone would not hold.

The beginning of a forwarded response is checked by the same rules as a head; what fails has the outcome unknown, answer-broken, and doesn't count against the host as lost. A failure gets the status of a failure: 502, or 503 if the request has not run.

--- a/connection/peer/client.go
+++ b/connection/peer/client.go
@@ -20,6 +20,7 @@
 	"vetchtrail"
 	"vetchtrail/connection/buffer"
 	"vetchtrail/connection/dial"
+	"vetchtrail/connection/response"
 	"vetchtrail/schema"
 )
 
@@ -48,8 +49,16 @@
 	// minCountedPart is the size in bytes from which a part of a forwarded response is counted
 	// as buffered. The events of most streams are smaller.
 	minCountedPart = 8 << 10
+
+	// Statuses of failures.
+	minFailureStatus  = 400
+	statusBadGateway  = 502
+	statusUnavailable = 503
 )
 
+// errNotBegun reports a response of another host without its status and header.
+var errNotBegun = errors.New("forwarded response has no beginning")
+
 // Translation maps the addresses that other hosts announce for a network to those by which
 // this host reaches it. It replaces the prefix From by To.
 type Translation struct {
@@ -304,10 +313,17 @@
 		}
 		switch part := m.GetPart().(type) {
 		case *schema.ForwardReply_Begin:
+			status, header := int(part.Begin.GetStatus()), schema.ToHeader(part.Begin.GetHeader())
+			if err := response.Check(status, header); err != nil {
+				return failed(vetchtrail.ReasonResponseBroken, err)
+			}
 			begun = true
 			r.ResponseVersion = schema.ToStreamVersion(part.Begin.SoftwareVersion)
-			err = w.Begin(int(part.Begin.GetStatus()), schema.ToHeader(part.Begin.GetHeader()))
+			err = w.Begin(status, header)
 		case *schema.ForwardReply_Body:
+			if !begun {
+				return failed(vetchtrail.ReasonResponseBroken, errNotBegun)
+			}
 			deadlineTimer.Stop() // the caller's pace is no stall of the host
 			err = writeCounted(ctx, r, w, part.Body)
 		case *schema.ForwardReply_Silent:
@@ -321,7 +337,10 @@
 		case *schema.ForwardReply_End:
 			o := schema.ToOutcome(part.End, time.Now())
 			o.ResponseStarted = begun
-			return o
+			if o.Kind == vetchtrail.OutcomeAnswered && !begun {
+				return failed(vetchtrail.ReasonResponseBroken, errNotBegun)
+			}
+			return asFailure(o)
 		}
 		if err != nil {
 			return failed(writeFailure(ctx, err), err)
@@ -330,6 +349,23 @@
 	}
 }
 
+// asFailure returns the outcome that another host reports, with the status of a failure unless the request was answered.
+func asFailure(o vetchtrail.Outcome) vetchtrail.Outcome {
+	status := statusBadGateway
+	switch o.Kind {
+	case vetchtrail.OutcomeAnswered:
+		return o
+	case vetchtrail.OutcomeNotRun:
+		status = statusUnavailable
+	default:
+		o.Kind = vetchtrail.OutcomeUnknown
+	}
+	if o.Status < minFailureStatus {
+		o.Status = status
+	}
+	return o
+}
+
 // nextMessageBy returns when the next message of a response that has begun must have arrived.
 // That is never before the deadline, until which the other host waits for its endpoint. After
 // the deadline, only what the other host has sent of a routed response is still to come.
@@ -365,13 +401,12 @@
 // failedOutcome is the outcome of a request whose forwarding failed. It reports the host
 // as lost unless the caller is the reason.
 func failedOutcome(kind vetchtrail.OutcomeKind, step vetchtrail.Step, reason vetchtrail.Reason, h vetchtrail.Host, err error) vetchtrail.Outcome {
-	const badGateway, unavailable = 502, 503
 	o := vetchtrail.Outcome{
-		Kind: kind, Status: badGateway, Step: step, Peer: h.Name, Reason: reason, Err: err,
+		Kind: kind, Status: statusBadGateway, Step: step, Peer: h.Name, Reason: reason, Err: err,
 		HostLost: reason == vetchtrail.ReasonResponseLost || reason == vetchtrail.ReasonUnreachable,
 	}
 	if kind == vetchtrail.OutcomeNotRun {
-		o.Status = unavailable
+		o.Status = statusUnavailable
 		o.RetryAt = time.Now().Add(time.Second)
 	}
 	return o
--- a/connection/response/head.go
+++ b/connection/response/head.go
@@ -12,14 +12,16 @@
 	"github.com/go-faster/errors"
 	"github.com/valyala/fasthttp"
 	"golang.org/x/net/http/httpguts"
+
+	"vetchtrail"
 )
 
 const (
 	// maxInterimBytes bounds the interim responses before a response.
 	maxInterimBytes = 64 << 10
 	statusDigits    = 3
-	// minStatus is the lowest status code. Codes over 599 have no meaning by RFC 9110, but some servers send them.
-	minStatus = 100
+	minStatus       = 100
+	maxStatus       = 999 // codes over 599 have no meaning by RFC 9110, but some servers send them
 )
 
 // MalformedError reports that what was received is no valid response. It quotes no text of it, which may belong to another
@@ -200,3 +202,16 @@
 	}
 	return -1
 }
+
+// Check returns an error unless a status code and header fields can be those of a final response.
+func Check(status int, header []vetchtrail.HeaderField) error {
+	if status < fasthttp.StatusOK || status > maxStatus {
+		return &MalformedError{Part: "head", Line: 1, Problem: fmt.Sprintf("status code %d", status)}
+	}
+	for i, f := range header {
+		if problem := checkField(f.Name, f.Value); problem != "" {
+			return &MalformedError{Part: "head", Line: i + 2, Problem: problem}
+		}
+	}
+	return nil
+}
