Endless responses of several endpoints don't take a host's memory

Several endpoints that send bytes without end at once took a host of 144 MB, the smallest of the deployments, beyond its memory: the platform ends such a process, with the requests of all its other callers.

Cause: each response that is read whole is bounded (4 MB), but not their sum, unless limits.buffers is set or the platform's contracts ask for it.

Without limits.buffers, the responses that are read whole, and the events of streams, count towards a budget of an eighth of limits.memory now. Those up to 64 KB don't count, so that small responses never wait for large ones. A body of unknown length doesn't take twice its bound any more before it is found too large.

--- a/cmd/vetchtraild/reload.go
+++ b/cmd/vetchtraild/reload.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"vetchtrail/process/daemon"
+	"vetchtrail/process/memory"
 	"vetchtrail/process/settings"
 )
 
@@ -67,7 +68,7 @@
 		return
 	}
 	setLevel(s.Log, r.level)
-	limitMemory(s.Limits.Memory)
+	memory.LimitRuntime(s.Limits.Memory)
 	needRestart := r.daemon.Reload(s)
 	r.log.Info("settings reloaded", "why", trigger, "needs_restart", needRestart)
 }
--- a/cmd/vetchtraild/serve.go
+++ b/cmd/vetchtraild/serve.go
@@ -5,7 +5,6 @@
 	"io"
 	"log/slog"
 	"os"
-	"runtime/debug"
 	"time"
 
 	"vetchtrail"
@@ -15,6 +14,7 @@
 	"vetchtrail/process/daemon"
 	"vetchtrail/process/logs"
 	"vetchtrail/process/membership"
+	"vetchtrail/process/memory"
 	"vetchtrail/process/settings"
 )
 
@@ -38,7 +38,7 @@
 	logWriter := logs.New(os.Stdout)
 	var level slog.LevelVar
 	log := newLogger(s.Log, &level, logWriter)
-	limitMemory(s.Limits.Memory)
+	memory.LimitRuntime(s.Limits.Memory)
 	d, err := daemon.New(daemon.Config{Settings: s, Log: log, Hosted: hostedPlatform(&s, log)})
 	if err != nil {
 		_ = logWriter.Close(time.Now().Add(failedStartLogTimeout))
@@ -54,24 +54,6 @@
 	return d.Run(ctx)
 }
 
-// memoryLimitShare is the share of the configured memory that becomes the Go runtime's
-// soft memory limit. The rest is for memory that the runtime doesn't count.
-const memoryLimitShare = 0.6
-
-// gcPercent is the heap growth, in percent of the live heap, at which the garbage
-// collector runs. It is lower than Go's default of 100: the hosts of a large fleet have
-// little memory, and they allocate so little that more frequent collections are cheap.
-const gcPercent = 50
-
-// limitMemory sets the garbage collector's target and the soft memory limit for a
-// process that may use mb megabytes. With 0 it changes nothing.
-func limitMemory(mb int) {
-	if mb > 0 {
-		debug.SetGCPercent(gcPercent)
-		debug.SetMemoryLimit(int64(memoryLimitShare * float64(mb) * (1 << 20)))
-	}
-}
-
 // hostedPlatform returns the connections to a hosted platform (package platform), or nil
 // if the settings select another kind of platform.
 func hostedPlatform(s *settings.Settings, log *slog.Logger) *daemon.Hosted {
--- a/connection/buffer/buffer.go
+++ b/connection/buffer/buffer.go
@@ -83,6 +83,14 @@
 	}
 }
 
+// NewResponseBudget returns a budget of limit bytes for responses only, or nil if limit is 0: unbounded.
+func NewResponseBudget(limit int) *Budget {
+	if limit <= 0 {
+		return nil
+	}
+	return &Budget{responses: pool{limit: limit}}
+}
+
 // take counts n bytes of a pool if they fit.
 func (b *Budget) take(p *pool, n int) bool {
 	b.mu.Lock()
--- a/connection/buffer/read.go
+++ b/connection/buffer/read.go
@@ -34,7 +34,7 @@
 	var body []byte
 	for {
 		if len(body) == cap(body) {
-			capacity := max(minReadBytes, 2*cap(body))
+			capacity := min(max(minReadBytes, 2*cap(body)), limit+1)
 			if err := reserve(capacity - cap(body)); err != nil {
 				return nil, err
 			}
--- a/connection/endpoint/deliver.go
+++ b/connection/endpoint/deliver.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"io"
 	"strings"
 	"time"
 
@@ -61,16 +60,16 @@
 		return nil, errors.Errorf("response has %d bytes, over %d", t.body.Size(), maxBufferedResponse)
 	}
 	t.conn.limitReceived(maxFramedBytes)
-	if t.req.Buffers != nil {
-		ctx, cancel := context.WithDeadlineCause(ctx, t.req.Deadline, buffer.ErrFull)
-		defer cancel()
-		return buffer.ReadAll(t.body, t.body.KnownSize(), maxBufferedResponse, func(n int) error { return t.req.Buffers.Reserve(ctx, n) })
-	}
-	wholeBody, err := io.ReadAll(io.LimitReader(t.body, maxBufferedResponse+1))
-	if err == nil && len(wholeBody) > maxBufferedResponse {
-		err = errors.Errorf("response is over %d bytes", maxBufferedResponse)
-	}
-	return wholeBody, err
+	ctx, cancel := context.WithDeadlineCause(ctx, t.req.Deadline, buffer.ErrFull)
+	defer cancel()
+	size := 0
+	return buffer.ReadAll(t.body, t.body.KnownSize(), maxBufferedResponse, func(n int) error {
+		size += n
+		if t.account == nil || size <= t.uncountedBody {
+			return nil
+		}
+		return t.account.Reserve(ctx, n)
+	})
 }
 
 // deliverWhole delivers a response after reading it completely. It rejects a response to an
--- a/connection/endpoint/endpoint.go
+++ b/connection/endpoint/endpoint.go
@@ -54,6 +54,9 @@
 	// maxFramedBytes bounds what is received for a response that is read whole: its body and the
 	// sizes of its chunks.
 	maxFramedBytes = 2 * maxBufferedResponse
+	// maxUncountedBytes is the size in bytes up to which a body or an event doesn't wait for room among the responses of
+	// this host, so that large ones don't hold up the others.
+	maxUncountedBytes = 64 << 10
 	// A refusal's body is read only to use the connection again.
 	maxRefusalBytes    = 64 << 10
 	refusalBodyTimeout = 100 * time.Millisecond
@@ -76,6 +79,8 @@
 	// SocketBytes bounds the kernel's buffers of a connection; 0: the kernel decides.
 	SocketBytes int
 	Connector   *dial.Connector // opens the connections; nil: one without bounds
+	// Responses bounds what is held of the responses to requests without a buffer account; nil: unbounded.
+	Responses *buffer.Budget
 }
 
 // Client calls endpoints. It implements vetchtrail.EndpointCaller.
@@ -112,7 +117,10 @@
 	silent          bool                         // the endpoint was silent at the last check
 	eventsSent      int                          // of the stream, to the caller
 	emptyEvents     int                          // bytes of events without id and data since the last one with
-	eventCounted    int                          // bytes of the current event in the request's buffer account
+	eventCounted    int                          // bytes of the current event in the account
+	account         vetchtrail.BufferAccount     // counts the bytes of the response that are held; nil: they aren't counted
+	uncountedBody   int                          // bytes of a body that are not counted
+	uncountedEvent  int                          // bytes of an event up to which none are counted
 	pause           pause                        // of the stream while its caller reads too slowly
 	deferredFailure *vetchtrail.BufferedResponse // set if the response is a failure and another attempt may succeed
 }
@@ -120,6 +128,7 @@
 // Call implements vetchtrail.EndpointCaller.
 func (c *Client) Call(ctx context.Context, e vetchtrail.Endpoint, r *vetchtrail.Request, w vetchtrail.ResponseWriter) (vetchtrail.Outcome, vetchtrail.Timing) {
 	t := &attempt{client: c, endpoint: e, req: r, writer: w}
+	defer t.openAccount()()
 	conn, opened, err := c.connect(ctx, e, r)
 	if err != nil {
 		return t.notConnected(err), t.timing
@@ -143,6 +152,19 @@
 	return o, t.timing
 }
 
+// openAccount sets the account of the response's bytes, and returns the function that closes it.
+func (t *attempt) openAccount() (closeAccount func()) {
+	switch {
+	case t.req.Buffers != nil:
+		t.account, t.uncountedEvent = t.req.Buffers, readBufferBytes
+	case t.client.cfg.Responses != nil:
+		a := t.client.cfg.Responses.NewAccount()
+		t.account, t.uncountedBody, t.uncountedEvent = a, maxUncountedBytes, maxUncountedBytes
+		return a.Close
+	}
+	return func() {}
+}
+
 // connectReason is the reason of a request for which there is no connection. A bound of this host says nothing about
 // the endpoint.
 func connectReason(err error) vetchtrail.Reason {
--- a/connection/endpoint/events.go
+++ b/connection/endpoint/events.go
@@ -220,12 +220,12 @@
 	return false
 }
 
-// countEvent counts an event that has grown to n bytes, unless it fits the read buffer.
+// countEvent counts an event that has grown to n bytes, unless it is small.
 func (t *attempt) countEvent(ctx context.Context, n int) error {
-	if t.req.Buffers == nil || n <= max(readBufferBytes, t.eventCounted) {
+	if t.account == nil || n <= max(t.uncountedEvent, t.eventCounted) {
 		return nil
 	}
-	if err := t.req.Buffers.Reserve(ctx, eventStep); err != nil {
+	if err := t.account.Reserve(ctx, eventStep); err != nil {
 		return err
 	}
 	t.eventCounted += eventStep
@@ -235,7 +235,7 @@
 // releaseEvent ends the counting of the last event.
 func (t *attempt) releaseEvent() {
 	if t.eventCounted > 0 {
-		t.req.Buffers.Release(t.eventCounted)
+		t.account.Release(t.eventCounted)
 		t.eventCounted = 0
 	}
 }
--- a/process/daemon/daemon.go
+++ b/process/daemon/daemon.go
@@ -224,7 +224,7 @@
 	d.newReturns(switchedOff)
 	d.availability = availability.New(availability.Config{Observer: d.rateLimits, Table: d.table, Log: d.log})
 	d.endpoints = endpoint.New(endpoint.Config{
-		Dialect: dialect, Observer: d.availability, SocketBytes: d.socketBytes(), Connector: d.connector,
+		Dialect: dialect, Observer: d.availability, SocketBytes: d.socketBytes(), Connector: d.connector, Responses: buffer.NewResponseBudget(d.cfg.ResponseBound()),
 		Guard: func(ctx context.Context, e vetchtrail.Endpoint, r *vetchtrail.Request) vetchtrail.Reason {
 			d.lists.AwaitResumed(ctx)
 			return d.dispatcher.CheckBeforeSend(e, r)
--- a/process/settings/buffers_test.go
+++ b/process/settings/buffers_test.go
@@ -33,3 +33,11 @@
 		})
 	}
 }
+
+// TestResponseBound guards against responses that are held without a bound on a host whose memory is bounded.
+func TestResponseBound(t *testing.T) {
+	off := []vetchtrail.Mechanism{vetchtrail.MechanismBufferLimits}
+	assert.Equal(t, (&Settings{Limits: Limits{Memory: 144}}).ResponseBound(), 18<<20)
+	assert.Equal(t, (&Settings{}).ResponseBound(), 0)
+	assert.Equal(t, (&Settings{Limits: Limits{Memory: 144}, SwitchedOff: off}).ResponseBound(), 0)
+}
