A large event waits for room until its request's deadline only

A stream whose event was over 64 KB waited without end while the bound on buffered bytes left no room: the deadline was set on the connection, which isn't read meanwhile.

Cause: the wait took the context of the request, which ends with the caller. Bodies had a deadline of their own.

--- a/connection/endpoint/events.go
+++ b/connection/endpoint/events.go
@@ -13,6 +13,7 @@
 	"github.com/go-faster/errors"
 
 	"vetchtrail"
+	"vetchtrail/connection/buffer"
 	"vetchtrail/connection/response"
 )
 
@@ -225,6 +226,12 @@
 	if t.account == nil || n <= max(t.uncountedEvent, t.eventCounted) {
 		return nil
 	}
+	by := t.req.Deadline
+	if t.req.Route == "" {
+		by = t.nextPartBy(time.Now())
+	}
+	ctx, cancel := context.WithDeadlineCause(ctx, by, buffer.ErrFull)
+	defer cancel()
 	if err := t.account.Reserve(ctx, eventStep); err != nil {
 		return err
 	}
