A malformed response counts as one that may have run: a test that holds

Through a host with two endpoints that both send a malformed response (a status of 000, a blank in a name, a continued line, a NUL in the trailer): a request of an unsafe route reaches one of them, once, and gets 502, outcome unknown, answer-broken; a request of a safe route with two attempts reaches both, and gets the same.

--- a/process/daemon/hosted_test.go
+++ b/process/daemon/hosted_test.go
@@ -50,9 +50,19 @@
 			Name: "stream", Host: "h", PathPrefix: "/stream/", Kind: vetchtrail.RouteStream, Attempts: 1, AnswerWithin: time.Minute, Goal: 30 * time.Second,
 			Targets: []vetchtrail.Target{{Service: "s", Weight: 1}},
 		}},
+		routeOf("unsafe", vetchtrail.RouteUnsafe, 2),
+		routeOf("safe", vetchtrail.RouteSafe, 2),
 	}
 }
 
+// routeOf returns a route to the service of hostedEdits under a prefix.
+func routeOf(prefix string, kind vetchtrail.RouteKind, attempts int) vetchtrail.Edit {
+	return vetchtrail.PutRoute{Route: vetchtrail.Route{
+		Name: prefix, Host: "h", PathPrefix: "/" + prefix + "/", Kind: kind, Attempts: attempts, AnswerWithin: 5 * time.Second, Goal: time.Second,
+		Targets: []vetchtrail.Target{{Service: "s", Weight: 1}},
+	}}
+}
+
 // noRegistry registers no host.
 type noRegistry struct{}
 
--- a/standin/wire/wire.go
+++ b/standin/wire/wire.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"net/netip"
+	"sync/atomic"
 	"testing"
 
 	"github.com/valyala/fasthttp"
@@ -16,7 +17,8 @@
 type Server struct {
 	Addr netip.AddrPort
 	// Closed receives a value when a client has closed a connection; it is dropped if nobody waits for it.
-	Closed chan struct{}
+	Closed   chan struct{}
+	Received atomic.Int32 // requests
 }
 
 // Serve starts a server of a response that ends with the test.
@@ -74,7 +76,12 @@
 	in := bufio.NewReader(c)
 	for {
 		var req fasthttp.Request
-		if req.Read(in) != nil || respond(c) != nil {
+		err := req.Read(in)
+		if err == nil {
+			s.Received.Add(1)
+			err = respond(c)
+		}
+		if err != nil {
 			select {
 			case s.Closed <- struct{}{}:
 			default:
