--- a/process/poll/poll.go
+++ b/process/poll/poll.go
@@ -68,7 +68,8 @@
 
 // dialEndpoint opens a connection within the time of a request.
 func dialEndpoint(addr string, timeout time.Duration) (net.Conn, error) {
-	return net.DialTimeout("tcp", addr, min(timeout, requestTimeout))
+	d := net.Dialer{Timeout: min(timeout, requestTimeout)}
+	return d.Dial("tcp", addr)
 }
 
 // report is an endpoint's response to GET /load.
--- a/standin/wire/wire.go
+++ b/standin/wire/wire.go
@@ -55,7 +55,7 @@
 
 func serve(t testing.TB, respond func(c net.Conn) error) *Server {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := new(net.ListenConfig).Listen(t.Context(), "tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	t.Cleanup(func() { _ = l.Close() })
 	s := &Server{Addr: netip.MustParseAddrPort(l.Addr().String()), Closed: make(chan struct{}, 1)}
