--- a/connection/endpoint/deliver.go
+++ b/connection/endpoint/deliver.go
@@ -60,18 +60,23 @@
 		return nil, errors.Errorf("response has %d bytes, over %d", t.body.Size(), maxBufferedResponse)
 	}
 	t.conn.limitReceived(maxFramedBytes)
-	ctx, cancel := context.WithDeadlineCause(ctx, t.req.Deadline, buffer.ErrFull)
-	defer cancel()
 	size := 0
 	return buffer.ReadAll(t.body, t.body.KnownSize(), maxBufferedResponse, func(n int) error {
 		size += n
 		if t.account == nil || size <= t.uncountedBody {
 			return nil
 		}
-		return t.account.Reserve(ctx, n)
+		return t.reserve(ctx, n, t.req.Deadline)
 	})
 }
 
+// reserve counts n more bytes of the response, and waits for room for them until a deadline.
+func (t *attempt) reserve(ctx context.Context, n int, deadline time.Time) error {
+	ctx, cancel := context.WithDeadlineCause(ctx, deadline, buffer.ErrFull)
+	defer cancel()
+	return t.account.Reserve(ctx, n)
+}
+
 // deliverWhole delivers a response after reading it completely. It rejects a response to an
 // unrouted request to a model that is not JSON.
 func (t *attempt) deliverWhole(ctx context.Context) error {
--- a/connection/endpoint/events.go
+++ b/connection/endpoint/events.go
@@ -13,7 +13,6 @@
 	"github.com/go-faster/errors"
 
 	"vetchtrail"
-	"vetchtrail/connection/buffer"
 	"vetchtrail/connection/response"
 )
 
@@ -226,13 +225,11 @@
 	if t.account == nil || n <= max(t.uncountedEvent, t.eventCounted) {
 		return nil
 	}
-	by := t.req.Deadline
+	deadline := t.req.Deadline
 	if t.req.Route == "" {
-		by = t.nextPartBy(time.Now())
+		deadline = t.nextPartBy(time.Now())
 	}
-	ctx, cancel := context.WithDeadlineCause(ctx, by, buffer.ErrFull)
-	defer cancel()
-	if err := t.account.Reserve(ctx, eventStep); err != nil {
+	if err := t.reserve(ctx, eventStep, deadline); err != nil {
 		return err
 	}
 	t.eventCounted += eventStep
--- a/connection/response/head.go
+++ b/connection/response/head.go
@@ -56,7 +56,7 @@
 		h.Reset()
 		h.SetNoDefaultContentType(true)
 		if err := h.Read(r); err != nil {
-			return &MalformedError{Part: "head", Problem: "rejected by the HTTP library"}
+			return &MalformedError{Part: "head", Problem: "invalid Content-Length, Transfer-Encoding or Trailer"}
 		}
 		if h.StatusCode() >= fasthttp.StatusOK {
 			return nil
