--- a/connection/caller/malformed_response_test.go
+++ b/connection/caller/malformed_response_test.go
@@ -82,8 +82,7 @@
 	})
 }
 
-// TestMalformedFieldNameReachesNoCaller guards against a response with a malformed field line that a caller gets, with that line or with
-// another body.
+// TestMalformedFieldNameReachesNoCaller guards against a response with a malformed field line that a caller gets.
 func TestMalformedFieldNameReachesNoCaller(t *testing.T) {
 	responses := map[string]string{}
 	for name, line := range map[string]string{
@@ -160,8 +159,7 @@
 	}
 }
 
-// TestChunksOfOtherVersionsReachNoCaller guards against a body that a caller gets with its chunk sizes in it, as versions other than HTTP/1.1
-// have no chunks.
+// TestChunksOfOtherVersionsReachNoCaller guards against chunk sizes in a body, as only HTTP/1.1 has chunks.
 func TestChunksOfOtherVersionsReachNoCaller(t *testing.T) {
 	const chunks = "2\r\nok\r\n0\r\n\r\n"
 	testMalformed(t, map[string]string{
--- a/connection/peer/malformed_response_test.go
+++ b/connection/peer/malformed_response_test.go
@@ -10,8 +10,7 @@
 	"vetchtrail"
 )
 
-// TestMalformedForwardedResponse guards against a response of another host that is no valid response and reaches the caller, or counts as
-// one.
+// TestMalformedForwardedResponse guards against a malformed response that another host forwards and a caller gets.
 func TestMalformedForwardedResponse(t *testing.T) {
 	type writer = vetchtrail.ResponseWriter
 	begin := func(status int, name, value string) func(w writer) {
--- a/process/daemon/late_requests_test.go
+++ b/process/daemon/late_requests_test.go
@@ -114,8 +114,7 @@
 	return resp.StatusCode, !resp.Close
 }
 
-// TestLateRequestsAreAnsweredOrNotRun guards against requests that a stopping host still sends to an endpoint and cuts without a response
-// at the end of its grace time.
+// TestLateRequestsAreAnsweredOrNotRun guards against requests that run late in the grace time and are cut without a response.
 func TestLateRequestsAreAnsweredOrNotRun(t *testing.T) {
 	for _, bounded := range []bool{false, true} {
 		t.Run(fmt.Sprint("bounded buffers ", bounded), func(t *testing.T) {
--- a/process/daemon/malformed_response_test.go
+++ b/process/daemon/malformed_response_test.go
@@ -14,8 +14,7 @@
 	"vetchtrail/standin/wire"
 )
 
-// TestMalformedResponseMayHaveRun guards against a request that is sent again, or is said not to have run, although the endpoint that sent a
-// malformed response may have run it.
+// TestMalformedResponseMayHaveRun guards against a malformed response that counts as "not run", and a second run after it.
 func TestMalformedResponseMayHaveRun(t *testing.T) {
 	const body = `{"done":true}`
 	requests := map[string]int{"unsafe": 1, "safe": 2} // that endpoints receive, by route
