The rest of a forwarded response needs no beginning

Cause: a host that runs the rest of a response, whose beginning the caller has from an earlier attempt, sends no status. The check of forwarded responses took that for a malformed one.

Evidence: the case "rest of a response" of TestMalformedForwardedResponse failed before.

The check asks for a beginning only where the caller has none yet; a beginning that is sent is checked in each case.

--- a/connection/peer/client.go
+++ b/connection/peer/client.go
@@ -56,7 +56,7 @@
 	statusUnavailable = 503
 )
 
-// errNotBegun reports a response of another host without its status and header.
+// errNotBegun reports a response of another host without its status and header, which only the rest of a response may lack.
 var errNotBegun = errors.New("forwarded response has no beginning")
 
 // Translation maps the addresses that other hosts announce for a network to those by which
@@ -321,7 +321,7 @@
 			r.ResponseVersion = schema.ToStreamVersion(part.Begin.SoftwareVersion)
 			err = w.Begin(status, header)
 		case *schema.ForwardReply_Body:
-			if !begun {
+			if !begun && !r.ResponseStarted {
 				return failed(vetchtrail.ReasonResponseBroken, errNotBegun)
 			}
 			deadlineTimer.Stop() // the caller's pace is no stall of the host
@@ -337,7 +337,7 @@
 		case *schema.ForwardReply_End:
 			o := schema.ToOutcome(part.End, time.Now())
 			o.ResponseStarted = begun
-			if o.Kind == vetchtrail.OutcomeAnswered && !begun {
+			if o.Kind == vetchtrail.OutcomeAnswered && !begun && !r.ResponseStarted {
 				return failed(vetchtrail.ReasonResponseBroken, errNotBegun)
 			}
 			return asFailure(o)
--- a/connection/peer/malformed_response_test.go
+++ b/connection/peer/malformed_response_test.go
@@ -19,23 +19,27 @@
 			_ = w.Write([]byte("ok"))
 		}
 	}
+	body := func(w writer) { _ = w.Write([]byte("ok")) }
 	cases := map[string]struct {
 		respond func(w writer)
 		ok      bool
+		started bool // the caller has the beginning of the response from an earlier attempt
 	}{
-		"status 0":                 {begin(0, "X-A", "1"), false},
-		"negative status":          {begin(-1, "X-A", "1"), false},
-		"status 99":                {begin(99, "X-A", "1"), false},
-		"interim status":           {begin(103, "X-A", "1"), false},
-		"status 1000":              {begin(1000, "X-A", "1"), false},
-		"blank in a name":          {begin(200, "X A", "1"), false},
-		"control byte in a name":   {begin(200, "X-\x01", "1"), false},
-		"no name":                  {begin(200, "", "1"), false},
-		"line break in a value":    {begin(200, "X-A", "1\r\nX-B: 2"), false},
-		"control byte in a value":  {begin(200, "X-A", "\x00"), false},
-		"body without a beginning": {func(w writer) { _ = w.Write([]byte("ok")) }, false},
-		"end without a beginning":  {func(writer) {}, false},
-		"odd but valid":            {begin(799, "!#$%&'*+-.^_`|~9", "\xe9 \t"), true},
+		"status 0":                 {begin(0, "X-A", "1"), false, false},
+		"negative status":          {begin(-1, "X-A", "1"), false, false},
+		"status 99":                {begin(99, "X-A", "1"), false, false},
+		"interim status":           {begin(103, "X-A", "1"), false, false},
+		"status 1000":              {begin(1000, "X-A", "1"), false, false},
+		"blank in a name":          {begin(200, "X A", "1"), false, false},
+		"control byte in a name":   {begin(200, "X-\x01", "1"), false, false},
+		"no name":                  {begin(200, "", "1"), false, false},
+		"line break in a value":    {begin(200, "X-A", "1\r\nX-B: 2"), false, false},
+		"control byte in a value":  {begin(200, "X-A", "\x00"), false, false},
+		"body without a beginning": {body, false, false},
+		"end without a beginning":  {func(writer) {}, false, false},
+		"rest of a response":       {body, true, true},
+		"status 0, begun before":   {begin(0, "X-A", "1"), false, true},
+		"odd but valid":            {begin(799, "!#$%&'*+-.^_`|~9", "\xe9 \t"), true, false},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -46,7 +50,7 @@
 			client := New(Config{})
 			defer client.Close()
 			var got responseRecorder
-			r := &vetchtrail.Request{ID: "r", Deadline: time.Now().Add(5 * time.Second)}
+			r := &vetchtrail.Request{ID: "r", ResponseStarted: c.started, Deadline: time.Now().Add(5 * time.Second)}
 			o := client.Forward(t.Context(), vetchtrail.Host{Name: "h", PeerAddr: addr}, r, &got)
 			if c.ok {
 				assert.Equal(t, o.Kind, vetchtrail.OutcomeAnswered)
