--- a/review/harness-2/bodies.go
+++ b/review/harness-2/bodies.go
@@ -47,7 +47,7 @@
 				id: fmt.Sprintf("i-%s-%d", g.name, n+1), service: "quote-model", region: g.name, slots: 128, queue: 384,
 				work: 100 * time.Millisecond, events: 55, interval: 40 * time.Millisecond,
 			}
-			if _, err := w.addEngine(c); err != nil {
+			if err := w.addEngine(c); err != nil {
 				return verdict{}, err
 			}
 		}
--- a/review/harness-2/route_move.go
+++ b/review/harness-2/route_move.go
@@ -42,7 +42,7 @@
 					id: fmt.Sprintf("i-%s-%s-%d", g.name, s.Name, n+1), service: s.Name, region: g.name, slots: 6, queue: 2,
 					work: 60 * time.Millisecond, events: 5, interval: 20 * time.Millisecond,
 				}
-				if _, err := w.addEngine(c); err != nil {
+				if err := w.addEngine(c); err != nil {
 					return verdict{}, err
 				}
 			}
--- a/review/harness-2/world.go
+++ b/review/harness-2/world.go
@@ -140,10 +140,10 @@
 }
 
 // addEngine starts an engine, whose entry is written from now on.
-func (w *world) addEngine(c engineConfig) (*engine, error) {
+func (w *world) addEngine(c engineConfig) error {
 	l, err := listen(context.Background())
 	if err != nil {
-		return nil, err
+		return err
 	}
 	c.record = w.record
 	e := newEngine(c, addressOf(l))
@@ -151,7 +151,7 @@
 	w.mu.Lock()
 	w.engines = append(w.engines, e)
 	w.mu.Unlock()
-	return e, nil
+	return nil
 }
 
 // writeEntries writes the entries of the engines until ctx ends.
@@ -186,7 +186,7 @@
 		"Limits": map[string]int{"MaxHeaderBytes": 16384, "MaxBodyBytes": 4194304, "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000},
 	})
 	w.store.Put("op/config", text)
-	w.record.write("store: acknowledged version %d: %s", w.version, text)
+	w.record.write("store: acknowledged version %d: %.1000s", w.version, text)
 }
 
 // start starts all daemons and waits until they are ready.
