--- a/review/harness-2/engine.go
+++ b/review/harness-2/engine.go
@@ -1,10 +1,13 @@
 package main
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net/http"
 	"net/netip"
+	"slices"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -21,6 +24,12 @@
 	record              *record
 }
 
+// stint is the time for which an engine works on a request.
+type stint struct {
+	engine     string
+	begin, end time.Time // end is zero while it lasts
+}
+
 // engine is a sound server by the users' protocol: it runs what it accepts once, and says so when it does not run a request.
 type engine struct {
 	cfg    engineConfig
@@ -30,13 +39,12 @@
 
 	running, waiting atomic.Int64
 
-	mu   sync.Mutex
-	runs map[string]int // by X-Attempt-Id
-	cut  int            // runs whose channel was closed before their end
+	mu     sync.Mutex
+	stints map[string][]*stint // by X-Attempt-Id
 }
 
 func newEngine(c engineConfig, at netip.AddrPort) *engine {
-	e := &engine{cfg: c, addr: at, slots: make(chan struct{}, c.slots), runs: map[string]int{}}
+	e := &engine{cfg: c, addr: at, slots: make(chan struct{}, c.slots), stints: map[string][]*stint{}}
 	e.server = &http.Server{Handler: e, ReadHeaderTimeout: time.Minute}
 	return e
 }
@@ -81,19 +89,17 @@
 	return true
 }
 
-// run runs a request.
+// run runs a request, from after Last-Event-Id if it is a stream.
 func (e *engine) run(w http.ResponseWriter, r *http.Request, id string) {
 	defer func() {
 		e.running.Add(-1)
 		<-e.slots
 	}()
-	e.mu.Lock()
-	e.runs[id]++
-	e.mu.Unlock()
-	e.cfg.record.write("%s: %s runs", e.cfg.id, id)
+	ended := e.begin(id)
+	defer ended("done")
 	_, _ = io.Copy(io.Discard, r.Body)
+	defer context.AfterFunc(r.Context(), func() { ended("stopped, its channel was closed") })()
 	if !pause(r, e.cfg.work) {
-		e.recordCut(id)
 		return
 	}
 	w.Header().Set("X-Server-Seal", "seal."+e.cfg.id+"."+id)
@@ -102,9 +108,9 @@
 		return
 	}
 	w.Header().Set("Content-Type", "text/event-stream")
-	for n := 1; n <= e.cfg.events; n++ {
-		if n > 1 && !pause(r, e.cfg.interval) {
-			e.recordCut(id)
+	first, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+	for n := first + 1; n <= e.cfg.events; n++ {
+		if n > first+1 && !pause(r, e.cfg.interval) {
 			return
 		}
 		_, _ = fmt.Fprintf(w, "id: %d\ndata: %s/%d\n\n", n, id, n)
@@ -112,11 +118,21 @@
 	}
 }
 
-func (e *engine) recordCut(id string) {
-	e.cfg.record.write("%s: %s stopped, its channel was closed", e.cfg.id, id)
+// begin records that the engine begins to work on a request. It returns the function that records the end, once.
+func (e *engine) begin(id string) (ended func(how string)) {
+	s := &stint{engine: e.cfg.id, begin: time.Now()}
 	e.mu.Lock()
-	e.cut++
+	e.stints[id] = append(e.stints[id], s)
 	e.mu.Unlock()
+	e.cfg.record.write("%s: %s runs", e.cfg.id, id)
+	return func(how string) {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		if s.end.IsZero() {
+			s.end = time.Now()
+			e.cfg.record.write("%s: %s %s", e.cfg.id, id, how)
+		}
+	}
 }
 
 // pause waits, and returns false if the channel is closed before.
@@ -136,8 +152,28 @@
 	n := 0
 	for _, e := range w.engines {
 		e.mu.Lock()
-		n += e.runs[id]
+		n += len(e.stints[id])
 		e.mu.Unlock()
 	}
 	return n
 }
+
+// allStints returns copies of the stints of all engines by request, in the order of their begin.
+func (w *world) allStints() map[string][]stint {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	out := map[string][]stint{}
+	for _, e := range w.engines {
+		e.mu.Lock()
+		for id, list := range e.stints {
+			for _, s := range list {
+				out[id] = append(out[id], *s)
+			}
+		}
+		e.mu.Unlock()
+	}
+	for _, list := range out {
+		slices.SortFunc(list, func(a, b stint) int { return a.begin.Compare(b.begin) })
+	}
+	return out
+}
--- a/review/harness-2/main.go
+++ b/review/harness-2/main.go
@@ -24,6 +24,7 @@
 var cases = map[string]func(r *record, trouble bool) (verdict, error){
 	"route-move": playRouteMove,
 	"bodies":     playBodies,
+	"region-cut": playRegionCut,
 }
 
 func main() { os.Exit(run()) }
--- a/review/harness-2/world.go
+++ b/review/harness-2/world.go
@@ -54,12 +54,20 @@
 	MaxConns         int
 	Protocol         string
 	ColdS, ColdPerS  float64
+	Engine           *engineFigures
+}
+
+// engineFigures are what the configuration says of the engines of a model.
+type engineFigures struct {
+	Slots, Stride, KvCapacityTokens int
+	KvTokenBytes, LinkMbps          float64
 }
 
 // host is a daemon of the project.
 type host struct {
 	name, region                             string
 	callers, ready, directory, peers, metric netip.AddrPort
+	translate                                []string // peers' networks and those by which this host reaches them
 	cmd                                      *exec.Cmd
 	log                                      *os.File
 	ended                                    chan struct{} // closed when the process has ended
@@ -262,6 +270,12 @@
 		}
 		named[h.region] = true
 	}
+	for i, t := range h.translate {
+		if i == 0 {
+			line("translate:")
+		}
+		line("  - %s", t)
+	}
 	line("limits:\n  body: 67108864\n  memory: %d\n  link: 1000.0\n  processor: 0.4", memoryMB)
 	line("timing:\n  leave: 2s\n  grace: %s", graceTime)
 	line("retries:\n  window: 10s\n  share: 0.2\n  base: 54\ntls:\n  private_network: true\nlog:\n  format: json\n  level: info")
