--- a/review/harness-2/bodies.go
+++ b/review/harness-2/bodies.go
@@ -16,15 +16,16 @@
 
 const (
 	bodiesHost     = "ficu95.example"
-	bodiesUploads  = 40              // clients that send a large body at the same time
-	largeBody      = 4194304         // bytes: MaxBodyBytes of the configuration
-	smallBody      = 12000           // bytes: what the sheet says of routing-quote
-	uploadTime     = 2 * time.Second // of a large body
+	bodiesUploads  = 56                      // clients that send a large body at the same time
+	largeBody      = 4194304                 // bytes: MaxBodyBytes of the configuration
+	smallBody      = 12000                   // bytes: what the sheet says of routing-quote
+	uploadTime     = 2500 * time.Millisecond // of a large body
 	uploadParts    = 64
-	bodiesStreams  = 20 // clients with a stream
+	bodiesStreams  = 20                     // clients with a stream
+	streamStagger  = 120 * time.Millisecond // between the first streams of two clients
 	bodiesDeadline = 12 * time.Second
-	bodiesBegin    = 6 * time.Second // of the uploads, after the start of traffic: later than ContactMs
-	bodiesLength   = 14 * time.Second
+	bodiesBegin    = 9 * time.Second // of the uploads, after the start of traffic: later than ContactMs
+	bodiesLength   = 18 * time.Second
 	memoryCheck    = 10 * time.Millisecond
 	mebibyte       = 1 << 20
 )
@@ -45,7 +46,7 @@
 		for n := range 2 {
 			c := engineConfig{
 				id: fmt.Sprintf("i-%s-%d", g.name, n+1), service: "quote-model", region: g.name, slots: 128, queue: 384,
-				work: 100 * time.Millisecond, events: 55, interval: 40 * time.Millisecond,
+				work: 100 * time.Millisecond, events: 55, interval: 100 * time.Millisecond,
 			}
 			if err := w.addEngine(c); err != nil {
 				return verdict{}, err
@@ -62,13 +63,14 @@
 	h, t := w.hosts[0], &lossTally{world: w}
 	ended := make(chan struct{})
 	go w.limitMemory(h, t, ended)
+	began := time.Now()
 	stop := make(chan struct{})
 	var clients sync.WaitGroup
 	for range bodiesStreams {
+		time.Sleep(streamStagger)
 		clients.Go(func() { streamUntil(stop, w, h, t) })
 	}
-	began := time.Now()
-	time.Sleep(bodiesBegin)
+	time.Sleep(time.Until(began.Add(bodiesBegin)))
 	size := smallBody
 	if trouble {
 		size = largeBody
--- a/review/harness-2/world.go
+++ b/review/harness-2/world.go
@@ -120,16 +120,20 @@
 // Ports of the listeners, which the system doesn't give to outgoing connections.
 const (
 	firstPort = 10000
-	ports     = 20000
+	lastPort  = 30000
 	// listenAttempts is how many ports are tried until one is free.
 	listenAttempts = 100
 )
 
+// nextPort is the port that is tried next, so that none is given twice.
+var nextPort = firstPort + rand.IntN((lastPort-firstPort)/2)
+
 // listen listens on a free port of a loopback address.
 func listen(ctx context.Context) (l net.Listener, err error) {
 	var lc net.ListenConfig
 	for range listenAttempts {
-		if l, err = lc.Listen(ctx, "tcp", fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(ports))); err == nil {
+		nextPort++
+		if l, err = lc.Listen(ctx, "tcp", fmt.Sprintf("127.0.0.1:%d", nextPort)); err == nil {
 			return l, nil
 		}
 	}
