--- a/review/harness-2/bodies.go
+++ b/review/harness-2/bodies.go
@@ -16,7 +16,7 @@
 
 const (
 	bodiesHost     = "ficu95.example"
-	bodiesUploads  = 56                      // clients that send a large body at the same time
+	bodiesUploads  = 72                      // clients that send a large body at the same time
 	largeBody      = 4194304                 // bytes: MaxBodyBytes of the configuration
 	smallBody      = 12000                   // bytes: what the sheet says of routing-quote
 	uploadTime     = 2500 * time.Millisecond // of a large body
